--- /dev/null
+++ b/crates/chain/src/copy.rs
@@ -0,0 +1,218 @@
+//! Copying the state to a member that has been away or comes up empty: it pulls a checkpoint
+//! piece by piece, writes it in one go, and only then is added to the chain by a view of its own.
+
+use crate::member::Member;
+use crate::types::{Batch, State, Value};
+use std::time::Duration;
+use wire::{ChainMsg, NodeId, PairLine, Seat, View};
+
+const PIECE_BYTES: usize = 512 * 1024;
+const PIECE_PAIRS: usize = 4096;
+const RETRY: Duration = Duration::from_millis(500);
+const PATIENCE: Duration = Duration::from_secs(5);
+
+pub struct Source {
+    pub number: u64,
+    pub joiner: NodeId,
+    pub state: State,
+    pub seq: u64,
+    pub starts: Vec<String>,
+}
+
+pub struct Copying {
+    pub from: NodeId,
+    pub copy: u64,
+    pub piece: u32,
+    pub seq: u64,
+    pub pairs: Vec<(String, Value)>,
+    pub asked: Duration,
+    pub moved: Duration,
+}
+
+impl Member {
+    pub(crate) fn seek_to_join(&mut self) {
+        let now = self.now;
+        if let Some(copying) = &mut self.copying {
+            if now > copying.moved + PATIENCE && !self.installs && self.writing.as_ref().is_none_or(|w| !w.installs) {
+                self.copying = None;
+            } else if now > copying.asked + RETRY {
+                copying.asked = now;
+                let (from, copy, piece) = (copying.from, copying.copy, copying.piece);
+                self.send(from, ChainMsg::CopyAsk { copy, piece });
+            }
+            return;
+        }
+        let chained = self.meta.view.chain.as_slice().contains(&self.meta.seat.id);
+        if chained || self.faulted || now < self.asked_at + RETRY {
+            return;
+        }
+        self.asked_at = now;
+        let message = ChainMsg::JoinAsk { seat: self.meta.seat.clone(), ready: 0, seq: 0 };
+        if self.meta.view.number == 0 {
+            self.outs.push(crate::Output::SendSeeds { message });
+        } else {
+            self.send_voters(message);
+        }
+    }
+
+    pub(crate) fn on_join_ask(&mut self, seat: Seat, ready: bool, copy: u64) {
+        let view = self.meta.view.clone();
+        if !self.is_current_tail() || view.chain.as_slice().contains(&seat.id) {
+            return;
+        }
+        if !ready {
+            return self.send(seat.id, ChainMsg::TakeCopy { view: view.number });
+        }
+        let served = self.source.as_ref().is_some_and(|source| source.number == copy && source.joiner == seat.id);
+        if served && view.fresh == 0 && self.proposal.is_none() && self.now >= self.propose_after {
+            if let Some(next) = with_joiner(&view, seat) {
+                self.propose(next);
+            }
+        }
+    }
+
+    pub(crate) fn on_take_copy(&mut self, from: NodeId, view: u64) {
+        let chained = self.meta.view.chain.as_slice().contains(&self.meta.seat.id);
+        if self.copying.is_some() || (chained && (self.predecessor() != Some(from) || view != self.meta.view.number)) {
+            return;
+        }
+        self.copying = Some(Copying {
+            from,
+            copy: 0,
+            piece: 0,
+            seq: 0,
+            pairs: Vec::new(),
+            asked: self.now,
+            moved: self.now,
+        });
+        self.send(from, ChainMsg::CopyAsk { copy: 0, piece: 0 });
+    }
+
+    pub(crate) fn on_copy_ask(&mut self, from: NodeId, copy: u64, piece: u32) {
+        if copy == 0 {
+            let joiner_is_next = self.successor() == Some(from);
+            if !joiner_is_next && !self.is_current_tail() {
+                return;
+            }
+            let number = (self.meta.view.number << 32) | (self.now.as_millis() as u64 & 0xffff_ffff);
+            self.source = Some(Source {
+                number,
+                joiner: from,
+                state: self.synced_state.clone(),
+                seq: self.synced,
+                starts: vec![String::new()],
+            });
+        }
+        let Some(source) = self.source.as_mut() else { return };
+        if source.joiner != from || (copy != 0 && source.number != copy) {
+            return;
+        }
+        let Some(start) = source.starts.get(piece as usize).cloned() else { return };
+        let mut bytes = 0;
+        let mut pairs = Vec::new();
+        let mut follow = None;
+        for (key, value) in source.state.range(start..) {
+            if pairs.len() >= PIECE_PAIRS || bytes > PIECE_BYTES {
+                follow = Some(key.clone());
+                break;
+            }
+            bytes += key.len() + value.len();
+            pairs.push(PairLine { key: key.as_str().into(), value: value.to_vec().into() });
+        }
+        let last = follow.is_none() as u8;
+        if let Some(key) = follow
+            && source.starts.len() == piece as usize + 1
+        {
+            source.starts.push(key);
+        }
+        let (copy, seq) = (source.number, source.seq);
+        self.send(from, ChainMsg::CopyPiece { copy, piece, last, seq, pairs: pairs.into() });
+    }
+
+    pub(crate) fn on_copy_piece(
+        &mut self,
+        from: NodeId,
+        copy: u64,
+        piece: u32,
+        last: bool,
+        seq: u64,
+        pairs: Vec<PairLine>,
+    ) {
+        let now = self.now;
+        let Some(copying) = self.copying.as_mut() else { return };
+        if copying.from != from || copying.piece != piece || (copying.copy != 0 && copying.copy != copy) {
+            return;
+        }
+        copying.copy = copy;
+        copying.seq = seq;
+        copying.piece += 1;
+        copying.asked = now;
+        copying.moved = now;
+        copying.pairs.extend(pairs.into_iter().map(|p| (p.key.as_str().to_owned(), p.value.into_vec().into())));
+        if !last {
+            let piece = copying.piece;
+            return self.send(from, ChainMsg::CopyAsk { copy, piece });
+        }
+        let pairs = std::mem::take(&mut copying.pairs);
+        self.state = pairs.iter().cloned().collect();
+        self.log.clear();
+        self.receipts.clear();
+        self.last = seq;
+        self.committed = 0;
+        self.next = Batch {
+            replace: true,
+            pairs: pairs.into_iter().map(|(key, value)| (key, Some(value))).collect(),
+            trim_below: seq + 1,
+            last: seq,
+            meta: Some(self.meta.clone()),
+            ..Batch::default()
+        };
+        self.installs = true;
+        self.dirty = true;
+    }
+
+    pub(crate) fn installed(&mut self) {
+        let Some(copying) = self.copying.take() else { return };
+        let chained = self.meta.view.chain.as_slice().contains(&self.meta.seat.id);
+        if chained {
+            self.enter_line();
+        } else {
+            let seat = self.meta.seat.clone();
+            self.asked_at = self.now;
+            self.send(copying.from, ChainMsg::JoinAsk { seat, ready: 1, seq: copying.copy });
+        }
+    }
+
+    pub(crate) fn finish_joining(&mut self) {
+        let view = &self.meta.view;
+        if view.fresh != self.meta.seat.id || view.fresh == 0 || self.proposal.is_some() || self.now < self.propose_after {
+            return;
+        }
+        if self.is_current_tail() {
+            let mut next = view.clone();
+            next.number += 1;
+            next.fresh = 0;
+            self.propose(next);
+        }
+    }
+}
+
+fn with_joiner(view: &View, seat: Seat) -> Option<View> {
+    let mut next = view.clone();
+    let mut chain = view.chain.as_slice().to_vec();
+    let mut voters = view.voters.as_slice().to_vec();
+    if let Some(known) = voters.iter_mut().find(|voter| voter.id == seat.id) {
+        known.address = seat.address.clone();
+    } else if voters.len() < 3 {
+        voters.push(seat.clone());
+    } else {
+        let place = voters.iter().position(|voter| !chain.contains(&voter.id))?;
+        voters[place] = seat.clone();
+    }
+    chain.push(seat.id);
+    next.number += 1;
+    next.fresh = seat.id;
+    next.chain = chain.into();
+    next.voters = voters.into();
+    Some(next)
+}
--- /dev/null
+++ b/crates/chain/src/lib.rs
@@ -0,0 +1,18 @@
+//! The registries' shared state: a chain entered at the head and answered from the tail, mended
+//! by a small view that a majority of voters agrees on. `Member` is a state machine; `Disk` keeps
+//! what it writes in redb. Nothing here reads a clock or a socket.
+
+mod copy;
+mod disk;
+mod found;
+mod line;
+mod member;
+mod register;
+mod store;
+mod types;
+mod view;
+
+pub use disk::Disk;
+pub use member::Member;
+pub use store::{Store, StoreFault};
+pub use types::{Apply, Batch, Effect, Input, Meta, Output, State, Stored, Timing, Value};
--- /dev/null
+++ b/crates/chain/src/member.rs
@@ -0,0 +1,242 @@
+//! One registry's place in the chain as a state machine: it takes ticks, frames, finished writes
+//! and entries, and returns what to send, write and answer. One write is in flight at a time;
+//! whatever arrives meanwhile joins the next.
+
+use crate::copy::{Copying, Source};
+use crate::register::Proposal;
+use crate::types::{Apply, Batch, Input, Meta, Output, State, Stored, Timing};
+use crate::view::Round;
+use std::collections::{BTreeMap, VecDeque};
+use std::time::Duration;
+use wire::{ChainMsg, EntryLine, NodeId, OpNo, Seat, View};
+
+pub struct Writing {
+    pub ticket: u64,
+    pub up_to: u64,
+    pub state: State,
+    pub after: Vec<Output>,
+    pub begun: Duration,
+    pub installs: bool,
+}
+
+pub struct Member {
+    pub(crate) meta: Meta,
+    pub(crate) timing: Timing,
+    pub(crate) apply: Apply,
+    pub(crate) now: Duration,
+    pub(crate) ticked: Duration,
+    pub(crate) beaten: Duration,
+    pub(crate) outs: Vec<Output>,
+    pub(crate) state: State,
+    pub(crate) synced_state: State,
+    pub(crate) log: VecDeque<EntryLine>,
+    pub(crate) last: u64,
+    pub(crate) synced: u64,
+    pub(crate) committed: u64,
+    pub(crate) receipts: BTreeMap<u64, (OpNo, Vec<u8>)>,
+    pub(crate) next: Batch,
+    pub(crate) next_after: Vec<Output>,
+    pub(crate) dirty: bool,
+    pub(crate) installs: bool,
+    pub(crate) ticket: u64,
+    pub(crate) writing: Option<Writing>,
+    pub(crate) faulted: bool,
+    pub(crate) heard: BTreeMap<NodeId, (Duration, bool)>,
+    pub(crate) proposal: Option<Proposal>,
+    pub(crate) propose_after: Duration,
+    pub(crate) seen_ballot: u64,
+    pub(crate) round: Round,
+    pub(crate) fence: Option<u64>,
+    pub(crate) view_fence: u64,
+    pub(crate) sent_to: u64,
+    pub(crate) acked: u64,
+    pub(crate) acked_at: Duration,
+    pub(crate) copying: Option<Copying>,
+    pub(crate) source: Option<Source>,
+    pub(crate) asked_at: Duration,
+    pub(crate) founders: BTreeMap<NodeId, (Seat, Duration, View)>,
+}
+
+impl Member {
+    pub fn new(seat: Seat, stored: Stored, timing: Timing, apply: Apply, now: Duration) -> Self {
+        let mut meta = stored.meta;
+        meta.seat = seat;
+        let mut member = Member {
+            meta,
+            timing,
+            apply,
+            now,
+            ticked: now,
+            beaten: Duration::ZERO,
+            outs: Vec::new(),
+            synced_state: stored.state.clone(),
+            state: stored.state,
+            log: stored.entries.into(),
+            last: stored.last,
+            synced: stored.last,
+            committed: 0,
+            receipts: BTreeMap::new(),
+            next: Batch { last: stored.last, ..Batch::default() },
+            next_after: Vec::new(),
+            dirty: false,
+            installs: false,
+            ticket: 0,
+            writing: None,
+            faulted: false,
+            heard: BTreeMap::new(),
+            proposal: None,
+            propose_after: Duration::ZERO,
+            seen_ballot: 0,
+            round: Round::default(),
+            fence: None,
+            view_fence: stored.last,
+            sent_to: u64::MAX,
+            acked: 0,
+            acked_at: now,
+            copying: None,
+            source: None,
+            asked_at: Duration::ZERO,
+            founders: BTreeMap::new(),
+        };
+        member.next.trim_below = member.log.front().map_or(0, |entry| entry.seq);
+        member.heard_from_all();
+        member
+    }
+
+    pub fn view(&self) -> &View {
+        &self.meta.view
+    }
+    pub fn state(&self) -> &State {
+        &self.state
+    }
+    pub fn positions(&self) -> (u64, u64, u64) {
+        (self.last, self.synced, self.committed)
+    }
+
+    pub fn step(&mut self, now: Duration, input: Input) -> Vec<Output> {
+        self.now = now;
+        match input {
+            Input::Tick => self.tick(),
+            Input::Frame { from, message } => self.frame(from, message),
+            Input::Written { ticket } => self.written(ticket),
+            Input::DiskFault => self.faulted = true,
+            Input::Enter { op, body } => self.enter(op, body),
+            Input::Confirm => {
+                if !self.round.running && self.round.wanted > self.round.number {
+                    self.begin_round();
+                }
+            }
+            Input::HandOver { optimizer } => self.hand_over(optimizer),
+        }
+        let mut outs = Vec::new();
+        loop {
+            self.flush();
+            let batch = std::mem::take(&mut self.outs);
+            if batch.is_empty() {
+                return outs;
+            }
+            for out in batch {
+                match out {
+                    Output::Send { to, message } if to == self.meta.seat.id => self.frame(to, message),
+                    other => outs.push(other),
+                }
+            }
+        }
+    }
+
+    pub(crate) fn send(&mut self, to: NodeId, message: ChainMsg) {
+        self.outs.push(Output::Send { to, message });
+    }
+
+    fn frame(&mut self, from: NodeId, message: ChainMsg) {
+        match message {
+            ChainMsg::Beat { view, round, unwell } => self.on_beat(from, view, round, unwell != 0),
+            ChainMsg::BeatReceipt { view, round, holds_next } => {
+                self.on_beat_receipt(from, view, round, holds_next != 0)
+            }
+            ChainMsg::Prepare { slot, ballot } => self.on_prepare(from, slot, ballot),
+            ChainMsg::Promise { slot, ballot, accepted_ballot, accepted } => {
+                self.on_promise(from, slot, ballot, accepted_ballot, accepted)
+            }
+            ChainMsg::Accept { slot, ballot, view } => self.on_accept(from, slot, ballot, view),
+            ChainMsg::Accepted { slot, ballot } => self.on_accepted(from, slot, ballot),
+            ChainMsg::Refused { slot, ballot } => self.on_refused(slot, ballot),
+            ChainMsg::Decided { view } => self.on_decided(view),
+            ChainMsg::Enter { op, body } => {
+                if self.is_head() {
+                    self.enter(op, body.into_vec());
+                } else {
+                    self.done(op, false, Vec::new());
+                }
+            }
+            ChainMsg::Append { view, fence, entries } => self.on_append(from, view, fence, entries.into_vec()),
+            ChainMsg::Synced { view, seq, committed } => self.on_synced(from, view, seq, committed),
+            ChainMsg::Position { view, seq } => self.on_position(from, view, seq),
+            ChainMsg::TakeCopy { view } => self.on_take_copy(from, view),
+            ChainMsg::CopyAsk { copy, piece } => self.on_copy_ask(from, copy, piece),
+            ChainMsg::CopyPiece { copy, piece, last, seq, pairs } => {
+                self.on_copy_piece(from, copy, piece, last != 0, seq, pairs.into_vec())
+            }
+            ChainMsg::JoinAsk { seat, ready, seq } => self.on_join_ask(seat, ready != 0, seq),
+            ChainMsg::FoundAsk { seat, bound } => self.on_found_ask(seat, bound),
+            ChainMsg::Done { op, entered, receipt } => self.on_done(op, entered != 0, receipt),
+        }
+    }
+
+    fn tick(&mut self) {
+        if self.now > self.ticked + self.timing.suspect / 2 {
+            self.heard_from_all();
+        }
+        self.ticked = self.now;
+        if self.meta.view.number == 0 {
+            self.found();
+        }
+        if self.round.running && self.now > self.round.begun + self.timing.beat * 2 {
+            self.begin_round();
+        }
+        if self.now >= self.beaten + self.timing.beat {
+            self.beaten = self.now;
+            self.beat();
+        }
+        self.resend();
+        self.mend();
+        self.seek_to_join();
+        self.finish_joining();
+    }
+
+    pub(crate) fn keep_meta(&mut self, after: Vec<Output>) {
+        self.next.meta = Some(self.meta.clone());
+        self.next_after.extend(after);
+        self.dirty = true;
+    }
+
+    fn flush(&mut self) {
+        if !self.dirty || self.writing.is_some() {
+            return;
+        }
+        self.dirty = false;
+        self.ticket += 1;
+        let follow = Batch { last: self.last, trim_below: self.next.trim_below, ..Batch::default() };
+        let batch = std::mem::replace(&mut self.next, follow);
+        self.writing = Some(Writing {
+            ticket: self.ticket,
+            up_to: self.last,
+            state: self.state.clone(),
+            after: std::mem::take(&mut self.next_after),
+            begun: self.now,
+            installs: std::mem::take(&mut self.installs),
+        });
+        self.outs.push(Output::Write { ticket: self.ticket, batch });
+    }
+
+    fn written(&mut self, ticket: u64) {
+        let Some(write) = self.writing.take_if(|write| write.ticket == ticket) else { return };
+        self.synced = write.up_to;
+        self.synced_state = write.state;
+        self.outs.extend(write.after);
+        if write.installs {
+            self.installed();
+        }
+        self.settle();
+    }
+}
--- /dev/null
+++ b/crates/chain/src/register.rs
@@ -0,0 +1,145 @@
+//! The view register: one Paxos decision per view number, voted on by the voters of the view
+//! before it. Promises and acceptances leave only with the write that keeps them.
+
+use crate::member::Member;
+use crate::types::Output;
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+use wire::{ChainMsg, NodeId, View};
+
+#[derive(Clone, Debug)]
+pub struct Proposal {
+    pub slot: u64,
+    pub ballot: u64,
+    pub value: View,
+    pub promises: BTreeMap<NodeId, (u64, View)>,
+    pub accepts: BTreeSet<NodeId>,
+    pub accepting: bool,
+    pub begun: Duration,
+}
+
+pub fn is_majority(count: usize, of: usize) -> bool {
+    count * 2 > of
+}
+
+impl Member {
+    pub(crate) fn is_voter(&self, id: NodeId) -> bool {
+        self.meta.view.voters.iter().any(|seat| seat.id == id)
+    }
+
+    pub(crate) fn propose(&mut self, value: View) {
+        let Some(rank) = self.meta.view.voters.iter().position(|seat| seat.id == self.meta.seat.id) else {
+            return;
+        };
+        let round = (self.meta.promised.max(self.seen_ballot) >> 8) + 1;
+        let ballot = (round << 8) | rank as u64;
+        let slot = self.meta.view.number + 1;
+        self.proposal = Some(Proposal {
+            slot,
+            ballot,
+            value,
+            promises: BTreeMap::new(),
+            accepts: BTreeSet::new(),
+            accepting: false,
+            begun: self.now,
+        });
+        self.send_voters(ChainMsg::Prepare { slot, ballot });
+    }
+
+    pub(crate) fn send_voters(&mut self, message: ChainMsg) {
+        for seat in self.meta.view.voters.clone().iter() {
+            self.send(seat.id, message.clone());
+        }
+    }
+
+    pub(crate) fn on_prepare(&mut self, from: NodeId, slot: u64, ballot: u64) {
+        if !self.slot_is_next(from, slot) {
+            return;
+        }
+        if ballot <= self.meta.promised {
+            let ballot = self.meta.promised;
+            return self.send(from, ChainMsg::Refused { slot, ballot });
+        }
+        self.meta.promised = ballot;
+        let promise = ChainMsg::Promise {
+            slot,
+            ballot,
+            accepted_ballot: self.meta.accepted_ballot,
+            accepted: self.meta.accepted.clone(),
+        };
+        self.keep_meta(vec![Output::Send { to: from, message: promise }]);
+    }
+
+    pub(crate) fn on_accept(&mut self, from: NodeId, slot: u64, ballot: u64, view: View) {
+        if !self.slot_is_next(from, slot) {
+            return;
+        }
+        if ballot < self.meta.promised {
+            let ballot = self.meta.promised;
+            return self.send(from, ChainMsg::Refused { slot, ballot });
+        }
+        self.meta.promised = ballot;
+        self.meta.accepted_ballot = ballot;
+        self.meta.accepted = view;
+        self.keep_meta(vec![Output::Send { to: from, message: ChainMsg::Accepted { slot, ballot } }]);
+    }
+
+    fn slot_is_next(&mut self, from: NodeId, slot: u64) -> bool {
+        let number = self.meta.view.number;
+        if slot <= number {
+            let view = self.meta.view.clone();
+            self.send(from, ChainMsg::Decided { view });
+        }
+        number > 0 && slot == number + 1
+    }
+
+    pub(crate) fn on_promise(&mut self, from: NodeId, slot: u64, ballot: u64, accepted_ballot: u64, accepted: View) {
+        let voters = self.meta.view.voters.as_slice().len();
+        let voter = self.is_voter(from);
+        let Some(proposal) = self.proposal.as_mut() else { return };
+        if !voter || proposal.accepting || (proposal.slot, proposal.ballot) != (slot, ballot) {
+            return;
+        }
+        proposal.promises.insert(from, (accepted_ballot, accepted));
+        if !is_majority(proposal.promises.len(), voters) {
+            return;
+        }
+        proposal.accepting = true;
+        let strongest = proposal.promises.values().max_by_key(|(strength, _)| *strength).cloned();
+        if let Some((strength, view)) = strongest
+            && strength > 0
+        {
+            proposal.value = view;
+        }
+        let view = proposal.value.clone();
+        self.send_voters(ChainMsg::Accept { slot, ballot, view });
+    }
+
+    pub(crate) fn on_accepted(&mut self, from: NodeId, slot: u64, ballot: u64) {
+        let voters = self.meta.view.voters.as_slice().len();
+        let voter = self.is_voter(from);
+        let Some(proposal) = self.proposal.as_mut() else { return };
+        if !voter || (proposal.slot, proposal.ballot) != (slot, ballot) {
+            return;
+        }
+        proposal.accepts.insert(from);
+        if is_majority(proposal.accepts.len(), voters) {
+            let view = proposal.value.clone();
+            let told: BTreeSet<NodeId> =
+                self.meta.view.voters.iter().chain(view.voters.iter()).map(|seat| seat.id).collect();
+            for id in told {
+                self.send(id, ChainMsg::Decided { view: view.clone() });
+            }
+            self.adopt(view);
+        }
+    }
+
+    pub(crate) fn on_refused(&mut self, slot: u64, ballot: u64) {
+        self.seen_ballot = self.seen_ballot.max(ballot);
+        if self.proposal.as_ref().is_some_and(|proposal| proposal.slot == slot) {
+            self.proposal = None;
+            let wait = self.timing.beat.as_millis() as u64 * (1 + (self.meta.seat.id ^ ballot) % 5);
+            self.propose_after = self.now + Duration::from_millis(wait);
+        }
+    }
+}
--- /dev/null
+++ b/crates/chain/src/store.rs
@@ -0,0 +1,136 @@
+//! The redb file: identity and view, the state as pairs, and the recent entries. A file that is
+//! damaged, of another format or of another cluster is a fault; it is never written over.
+
+use crate::types::{Batch, Meta, Stored};
+use deku::prelude::*;
+use derive_more::{Display, Error, From};
+use redb::{Database, ReadableDatabase, ReadableTable, TableDefinition};
+use std::path::Path;
+use wire::{EntryLine, Seat, Text, View};
+
+const META: TableDefinition<&str, &[u8]> = TableDefinition::new("meta");
+const STATE: TableDefinition<&str, &[u8]> = TableDefinition::new("state");
+const LOG: TableDefinition<u64, &[u8]> = TableDefinition::new("log");
+const RECORD_FORMAT: u16 = 1;
+
+#[derive(DekuRead, DekuWrite)]
+struct MetaRecord {
+    format: u16,
+    cluster: Text,
+    seat: Seat,
+    view: View,
+    promised: u64,
+    accepted_ballot: u64,
+    accepted: View,
+}
+
+#[derive(Debug, Display, Error, From)]
+pub enum StoreFault {
+    #[display("the data file cannot be used: {_0}")]
+    #[from(redb::Error, redb::DatabaseError, redb::TransactionError, redb::TableError, redb::StorageError, redb::CommitError)]
+    File(redb::Error),
+    #[display("the data file belongs to cluster {_0}")]
+    Foreign(#[error(not(source))] String),
+    #[display("the data file has record format {_0}, this program writes {RECORD_FORMAT}")]
+    Format(#[error(not(source))] u16),
+    #[display("the data file holds a record that cannot be read")]
+    Damaged,
+}
+
+pub struct Store {
+    base: Database,
+    cluster: String,
+}
+
+impl Store {
+    pub fn open(path: &Path, cluster: &str, seat: Seat) -> Result<(Store, Stored), StoreFault> {
+        let base = Database::create(path)?;
+        let mut store = Store { base, cluster: cluster.to_owned() };
+        let stored = match store.load()? {
+            Some(stored) => stored,
+            None => {
+                let meta = Meta { seat, ..Meta::default() };
+                store.write(&Batch { meta: Some(meta.clone()), ..Batch::default() })?;
+                Stored { meta, ..Stored::default() }
+            }
+        };
+        Ok((store, stored))
+    }
+
+    fn load(&self) -> Result<Option<Stored>, StoreFault> {
+        let read = self.base.begin_read()?;
+        let meta = match read.open_table(META) {
+            Ok(table) => table,
+            Err(redb::TableError::TableDoesNotExist(_)) => return Ok(None),
+            Err(fault) => return Err(fault.into()),
+        };
+        let raw = meta.get("meta")?.ok_or(StoreFault::Damaged)?.value().to_vec();
+        let format = raw.get(..2).map(|b| u16::from_le_bytes([b[0], b[1]])).ok_or(StoreFault::Damaged)?;
+        if format != RECORD_FORMAT {
+            return Err(StoreFault::Format(format));
+        }
+        let record: MetaRecord = wire::from_bytes(&raw).ok_or(StoreFault::Damaged)?;
+        if record.cluster.as_str() != self.cluster {
+            return Err(StoreFault::Foreign(record.cluster.as_str().to_owned()));
+        }
+        let mut stored = Stored {
+            meta: Meta {
+                seat: record.seat,
+                view: record.view,
+                promised: record.promised,
+                accepted_ballot: record.accepted_ballot,
+                accepted: record.accepted,
+            },
+            ..Stored::default()
+        };
+        let last = meta.get("last")?.ok_or(StoreFault::Damaged)?;
+        stored.last = u64::from_le_bytes(last.value().try_into().map_err(|_| StoreFault::Damaged)?);
+        for pair in read.open_table(STATE)?.iter()? {
+            let (key, value) = pair?;
+            stored.state.insert(key.value().to_owned(), value.value().into());
+        }
+        for line in read.open_table(LOG)?.iter()? {
+            let entry: EntryLine = wire::from_bytes(line?.1.value()).ok_or(StoreFault::Damaged)?;
+            stored.entries.push(entry);
+        }
+        Ok(Some(stored))
+    }
+
+    pub fn write(&mut self, batch: &Batch) -> Result<(), StoreFault> {
+        let write = self.base.begin_write()?;
+        {
+            if batch.replace {
+                write.delete_table(STATE)?;
+                write.delete_table(LOG)?;
+            }
+            let mut meta = write.open_table(META)?;
+            let mut state = write.open_table(STATE)?;
+            let mut log = write.open_table(LOG)?;
+            for (key, value) in &batch.pairs {
+                match value {
+                    Some(value) => state.insert(key.as_str(), &value[..])?,
+                    None => state.remove(key.as_str())?,
+                };
+            }
+            for entry in &batch.entries {
+                log.insert(entry.seq, wire::to_bytes(entry).as_slice())?;
+            }
+            log.retain_in(..batch.trim_below, |_, _| false)?;
+            meta.insert("last", batch.last.to_le_bytes().as_slice())?;
+            if let Some(kept) = &batch.meta {
+                let record = MetaRecord {
+                    format: RECORD_FORMAT,
+                    cluster: self.cluster.as_str().into(),
+                    seat: kept.seat.clone(),
+                    view: kept.view.clone(),
+                    promised: kept.promised,
+                    accepted_ballot: kept.accepted_ballot,
+                    accepted: kept.accepted.clone(),
+                };
+                meta.insert("meta", wire::to_bytes(&record).as_slice())?;
+            }
+        }
+        write.commit()?;
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/chain/src/types.rs
@@ -0,0 +1,85 @@
+//! The inputs a chain member takes, the outputs it returns, and the records it keeps on disk.
+
+use std::sync::Arc;
+use std::time::Duration;
+use wire::{ChainMsg, EntryLine, NodeId, OpNo, Seat, View};
+
+pub type Value = Arc<[u8]>;
+pub type State = im::OrdMap<String, Value>;
+
+pub struct Effect {
+    pub changes: Vec<(String, Option<Value>)>,
+    pub receipt: Vec<u8>,
+}
+
+pub type Apply = fn(&State, u64, &[u8]) -> Effect;
+
+#[derive(Clone, Debug)]
+pub struct Timing {
+    pub beat: Duration,
+    pub suspect: Duration,
+    pub stall: Duration,
+    pub resend: Duration,
+    pub log_kept: usize,
+}
+
+impl Default for Timing {
+    fn default() -> Self {
+        Timing {
+            beat: Duration::from_millis(100),
+            suspect: Duration::from_millis(900),
+            stall: Duration::from_millis(1500),
+            resend: Duration::from_millis(300),
+            log_kept: 8192,
+        }
+    }
+}
+
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Meta {
+    pub seat: Seat,
+    pub view: View,
+    pub promised: u64,
+    pub accepted_ballot: u64,
+    pub accepted: View,
+}
+
+#[derive(Clone, Debug, Default)]
+pub struct Batch {
+    pub replace: bool,
+    pub pairs: Vec<(String, Option<Value>)>,
+    pub entries: Vec<EntryLine>,
+    pub trim_below: u64,
+    pub last: u64,
+    pub meta: Option<Meta>,
+}
+
+#[derive(Clone, Debug, Default)]
+pub struct Stored {
+    pub meta: Meta,
+    pub state: State,
+    pub entries: Vec<EntryLine>,
+    pub last: u64,
+}
+
+#[derive(Clone, Debug)]
+pub enum Input {
+    Tick,
+    Frame { from: NodeId, message: ChainMsg },
+    Written { ticket: u64 },
+    DiskFault,
+    Enter { op: OpNo, body: Vec<u8> },
+    Confirm,
+    HandOver { optimizer: NodeId },
+}
+
+#[derive(Clone, Debug)]
+pub enum Output {
+    Send { to: NodeId, message: ChainMsg },
+    SendSeeds { message: ChainMsg },
+    Write { ticket: u64, batch: Batch },
+    Done { op: OpNo, entered: bool, receipt: Vec<u8> },
+    Committed { seq: u64 },
+    Confirmed { round: u64 },
+    Viewed { view: View },
+}
--- /dev/null
+++ b/crates/chain/src/view.rs
@@ -0,0 +1,161 @@
+//! Keeping the view true to the machines: beats, suspicion, taking a silent or unwell member out,
+//! adopting what was decided, and confirming by a majority that no newer view has begun.
+
+use crate::member::Member;
+use crate::register::is_majority;
+use crate::types::Output;
+use std::collections::BTreeSet;
+use wire::{ChainMsg, NodeId, View};
+
+#[derive(Default)]
+pub struct Round {
+    pub number: u64,
+    pub begun: std::time::Duration,
+    pub receipts: BTreeSet<NodeId>,
+    pub running: bool,
+    pub wanted: u64,
+    pub needs: Option<(u64, u64)>,
+}
+
+impl Member {
+    pub(crate) fn adopt(&mut self, view: View) {
+        let me = self.meta.seat.id;
+        let mine = view.voters.iter().any(|seat| seat.id == me);
+        if view.number <= self.meta.view.number || (self.meta.view.number == 0 && !mine) {
+            return;
+        }
+        self.meta.view = view.clone();
+        self.meta.promised = 0;
+        self.meta.accepted_ballot = 0;
+        self.meta.accepted = View::default();
+        self.seen_ballot = 0;
+        self.proposal = None;
+        self.heard_from_all();
+        self.keep_meta(Vec::new());
+        self.enter_line();
+        self.outs.push(Output::Viewed { view });
+    }
+
+    pub(crate) fn heard_from_all(&mut self) {
+        let now = self.now;
+        for seat in self.meta.view.voters.clone().iter() {
+            self.heard.insert(seat.id, (now, false));
+        }
+    }
+
+    pub(crate) fn on_beat(&mut self, from: NodeId, view: u64, round: u64, unwell: bool) {
+        self.heard.insert(from, (self.now, unwell));
+        if view < self.meta.view.number {
+            let view = self.meta.view.clone();
+            return self.send(from, ChainMsg::Decided { view });
+        }
+        let holds_next = (self.meta.accepted_ballot > 0) as u8;
+        self.send(from, ChainMsg::BeatReceipt { view: self.meta.view.number, round, holds_next });
+    }
+
+    pub(crate) fn on_beat_receipt(&mut self, from: NodeId, view: u64, round: u64, holds_next: bool) {
+        if !self.round.running || round != self.round.number || view != self.meta.view.number || holds_next {
+            return;
+        }
+        if self.is_voter(from) {
+            self.round.receipts.insert(from);
+        }
+        if !is_majority(self.round.receipts.len(), self.meta.view.voters.as_slice().len()) {
+            return;
+        }
+        self.round.running = false;
+        if self.is_current_tail() {
+            self.round.needs = Some((self.round.number, self.last));
+            self.release_round();
+        }
+        if self.round.wanted > self.round.number {
+            self.begin_round();
+        }
+    }
+
+    pub(crate) fn release_round(&mut self) {
+        if let Some((round, seq)) = self.round.needs
+            && self.committed >= seq
+            && self.is_current_tail()
+        {
+            self.round.needs = None;
+            self.outs.push(Output::Confirmed { round });
+        }
+    }
+
+    pub fn ask_confirm(&mut self) -> u64 {
+        self.round.wanted = self.round.number + 1;
+        self.round.wanted
+    }
+
+    pub(crate) fn begin_round(&mut self) {
+        self.round.number += 1;
+        self.round.receipts.clear();
+        self.round.running = true;
+        self.round.begun = self.now;
+        self.beat();
+    }
+
+    pub(crate) fn beat(&mut self) {
+        let message = ChainMsg::Beat {
+            view: self.meta.view.number,
+            round: self.round.number,
+            unwell: self.is_unwell() as u8,
+        };
+        self.send_voters(message);
+    }
+
+    pub(crate) fn is_unwell(&self) -> bool {
+        let stalled = self.writing.as_ref().is_some_and(|write| self.now > write.begun + self.timing.stall);
+        self.faulted || stalled
+    }
+
+    pub(crate) fn is_suspect(&self, id: NodeId) -> bool {
+        match self.heard.get(&id) {
+            Some((heard, unwell)) => *unwell || self.now > *heard + self.timing.suspect,
+            None => true,
+        }
+    }
+
+    pub(crate) fn mend(&mut self) {
+        let me = self.meta.seat.id;
+        let view = &self.meta.view;
+        let chain = view.chain.as_slice();
+        if let Some(proposal) = &self.proposal {
+            if self.now > proposal.begun + self.timing.suspect {
+                self.proposal = None;
+            }
+            return;
+        }
+        if !chain.contains(&me) || view.fresh == me || self.is_unwell() || self.now < self.propose_after {
+            return;
+        }
+        let left: Vec<NodeId> = chain.iter().copied().filter(|id| *id == me || !self.is_suspect(*id)).collect();
+        let chosen_mender = left.iter().copied().find(|id| *id != view.fresh);
+        if left.len() == chain.len() || chosen_mender != Some(me) {
+            return;
+        }
+        let mut next = view.clone();
+        next.number += 1;
+        next.fresh = if left.contains(&view.fresh) { view.fresh } else { 0 };
+        next.optimizer = optimizer_for(&left, view.optimizer);
+        next.chain = left.into();
+        self.propose(next);
+    }
+
+    pub(crate) fn hand_over(&mut self, optimizer: NodeId) {
+        let mut next = self.meta.view.clone();
+        if self.proposal.is_none() && next.chain.as_slice().contains(&optimizer) {
+            next.number += 1;
+            next.optimizer = optimizer;
+            self.propose(next);
+        }
+    }
+}
+
+pub fn optimizer_for(chain: &[NodeId], holder: NodeId) -> NodeId {
+    if chain.contains(&holder) {
+        return holder;
+    }
+    chain.get(1).or(chain.first()).copied().unwrap_or_default()
+}
--- /dev/null
+++ b/crates/wire/src/carry.rs
@@ -0,0 +1,57 @@
+//! What routers say to each other about tasks: carrying one to its function's home, the whole
+//! answer on the way back, and the table a leaving home hands to its successor.
+
+use crate::{Blob, List, Text};
+use deku::prelude::*;
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, DekuRead, DekuWrite)]
+#[deku(id_type = "u8")]
+pub enum Outcome {
+    #[deku(id = "1")]
+    Answered,
+    #[deku(id = "2")]
+    NotRun,
+    #[deku(id = "3")]
+    Unknown,
+    #[deku(id = "4")]
+    Accepted,
+}
+
+impl Outcome {
+    pub fn word(self) -> &'static str {
+        match self {
+            Outcome::Answered => "answered",
+            Outcome::NotRun => "not-run",
+            Outcome::Unknown => "unknown",
+            Outcome::Accepted => "accepted",
+        }
+    }
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, DekuRead, DekuWrite)]
+pub struct SlotLine {
+    pub instance: Text,
+    pub busy: u32,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, DekuRead, DekuWrite)]
+#[deku(id_type = "u8")]
+pub enum CarryMsg {
+    #[deku(id = "1")]
+    Carry {
+        task: u64,
+        function: Text,
+        binding: Text,
+        left_ms: u32,
+        respond_async: u8,
+        key: Text,
+        head: Blob,
+        body: Blob,
+    },
+    #[deku(id = "2")]
+    Carried { task: u64, outcome: Outcome, status: u16, retry_after: u32, head: Blob, body: Blob },
+    #[deku(id = "3")]
+    NotHome { task: u64 },
+    #[deku(id = "4")]
+    Handover { function: Text, roster: u64, slots: List<SlotLine>, requests: u32, seconds: u32 },
+}
--- /dev/null
+++ b/crates/wire/src/lib.rs
@@ -0,0 +1,19 @@
+//! The one language heronlink's processes speak among themselves: deku frames with a length,
+//! a checksum, a format number, the cluster's name and the sender's identity. Every list and
+//! byte string inside a frame is bounded before anything is allocated for it.
+
+mod carry;
+mod chain;
+mod codec;
+mod hold;
+mod parts;
+mod plan;
+
+pub use carry::{CarryMsg, Outcome, SlotLine};
+pub use chain::{ChainMsg, EntryLine, OpNo, PairLine, Seat, View};
+pub use codec::{FORMAT, Frame, FrameFault, LIMIT, Message, decode, encode, read_frame, write_frame};
+pub use hold::{HoldMsg, ItemLine, StepLine};
+pub use parts::{Blob, List, Text, from_bytes, to_bytes};
+pub use plan::{PlanMsg, SampleLine};
+
+pub type NodeId = u64;
--- /dev/null
+++ b/crates/wire/src/parts.rs
@@ -0,0 +1,116 @@
+//! Bounded building blocks of every frame: text, byte strings and lists, each with a counted
+//! length that is checked against a limit while it is read.
+
+use deku::prelude::*;
+use deku::{DekuReader, DekuWriter};
+
+const BYTES: u32 = 6 * 1024 * 1024;
+const ITEMS: u32 = 65_536;
+
+#[derive(Clone, PartialEq, Eq, Hash, PartialOrd, Ord, Default, DekuRead, DekuWrite)]
+pub struct Blob {
+    #[deku(update = "self.data.len()", assert = "*len <= BYTES")]
+    len: u32,
+    #[deku(count = "len")]
+    data: Vec<u8>,
+}
+
+impl std::fmt::Debug for Blob {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        write!(f, "Blob({})", self.data.len())
+    }
+}
+
+impl Blob {
+    pub fn as_slice(&self) -> &[u8] {
+        &self.data
+    }
+    pub fn into_vec(self) -> Vec<u8> {
+        self.data
+    }
+    pub fn is_empty(&self) -> bool {
+        self.data.is_empty()
+    }
+}
+
+impl From<Vec<u8>> for Blob {
+    fn from(data: Vec<u8>) -> Self {
+        Blob { len: data.len() as u32, data }
+    }
+}
+
+#[derive(Clone, PartialEq, Eq, Hash, PartialOrd, Ord, Default, DekuRead, DekuWrite)]
+pub struct Text {
+    #[deku(assert = "std::str::from_utf8(raw.as_slice()).is_ok()")]
+    raw: Blob,
+}
+
+impl std::fmt::Debug for Text {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        write!(f, "{:?}", self.as_str())
+    }
+}
+
+impl Text {
+    pub fn as_str(&self) -> &str {
+        std::str::from_utf8(self.raw.as_slice()).unwrap_or_default()
+    }
+}
+
+impl From<&str> for Text {
+    fn from(words: &str) -> Self {
+        Text { raw: words.as_bytes().to_vec().into() }
+    }
+}
+
+impl From<String> for Text {
+    fn from(words: String) -> Self {
+        Text { raw: words.into_bytes().into() }
+    }
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, DekuRead, DekuWrite)]
+pub struct List<T>
+where
+    T: DekuWriter + for<'a> DekuReader<'a>,
+{
+    #[deku(update = "self.items.len()", assert = "*len <= ITEMS")]
+    len: u32,
+    #[deku(count = "len")]
+    items: Vec<T>,
+}
+
+impl<T: DekuWriter + for<'a> DekuReader<'a>> List<T> {
+    pub fn as_slice(&self) -> &[T] {
+        &self.items
+    }
+    pub fn into_vec(self) -> Vec<T> {
+        self.items
+    }
+    pub fn iter(&self) -> std::slice::Iter<'_, T> {
+        self.items.iter()
+    }
+}
+
+impl<T: DekuWriter + for<'a> DekuReader<'a>> Default for List<T> {
+    fn default() -> Self {
+        Vec::new().into()
+    }
+}
+
+impl<T: DekuWriter + for<'a> DekuReader<'a>> From<Vec<T>> for List<T> {
+    fn from(items: Vec<T>) -> Self {
+        List { len: items.len() as u32, items }
+    }
+}
+
+pub fn to_bytes<T: DekuContainerWrite>(value: &T) -> Vec<u8> {
+    value.to_bytes().expect("every heronlink record can be written")
+}
+
+pub fn from_bytes<T: for<'a> DekuContainerRead<'a>>(bytes: &[u8]) -> Option<T> {
+    match T::from_bytes((bytes, 0)) {
+        Ok(((rest, 0), value)) if rest.is_empty() => Some(value),
+        _ => None,
+    }
+}
