--- /dev/null
+++ b/crates/bindings/src/lib.rs
@@ -0,0 +1,10 @@
+//! What operators declare: function bindings, weight sheets and headcount plans, kept as pairs
+//! under `kind/tenant/name`. A configuration is checked whole; every fault is told with its path.
+
+mod book;
+mod check;
+mod resources;
+
+pub use book::{Book, Function};
+pub use check::{Fault, check, check_name};
+pub use resources::{Class, FunctionBinding, HeadcountPlan, Kind, WeightSheet};
--- a/crates/env/src/lib.rs
+++ b/crates/env/src/lib.rs
@@ -1,1 +1,91 @@
+//! Settings from a file and from flags. `settings!` declares each with its type, default, check
+//! and help line; everything is checked before anything is opened, and a wrong one is reported by
+//! name, with its value and what is allowed.
 
+mod line;
+mod parse;
+mod rules;
+
+pub use lexopt;
+pub use line::{Opening, open};
+pub use parse::{FromWords, Source};
+pub use rules::{address, any, addresses, in_range, non_empty, seeds, word};
+
+use derive_more::{Display, Error};
+
+#[derive(Debug, Display, Error, PartialEq, Eq)]
+#[display("setting {name} = {value}: {allowed}")]
+pub struct SettingFault {
+    pub name: String,
+    pub value: String,
+    pub allowed: String,
+}
+
+pub trait Settings: Sized {
+    fn read(source: &Source) -> Result<Self, SettingFault>;
+    fn help() -> Vec<(&'static str, String, &'static str)>;
+    fn shown(&self) -> Vec<(&'static str, String)>;
+}
+
+#[macro_export]
+macro_rules! settings {
+    ($(#[$meta:meta])* pub struct $name:ident {
+        $( $field:ident : $type:ty = $default:expr, $check:expr, $help:literal; )*
+    }) => {
+        $(#[$meta])*
+        #[derive(Clone, Debug)]
+        pub struct $name { $( pub $field: $type, )* }
+
+        impl $crate::Settings for $name {
+            fn read(source: &$crate::Source) -> Result<Self, $crate::SettingFault> {
+                source.only(&[$( stringify!($field), )*])?;
+                Ok($name { $( $field: {
+                    let value: $type = match source.find(stringify!($field)) {
+                        Some(words) => <$type as $crate::FromWords>::from_words(&words).map_err(|allowed| {
+                            $crate::SettingFault { name: stringify!($field).into(), value: words.clone(), allowed }
+                        })?,
+                        None => $default,
+                    };
+                    let check = $check;
+                    check(&value).map_err(|allowed| $crate::SettingFault {
+                        name: stringify!($field).into(),
+                        value: $crate::FromWords::to_words(&value),
+                        allowed,
+                    })?;
+                    value
+                }, )* })
+            }
+            fn help() -> Vec<(&'static str, String, &'static str)> {
+                vec![$( (stringify!($field), <$type as $crate::FromWords>::to_words(&$default), $help), )*]
+            }
+            fn shown(&self) -> Vec<(&'static str, String)> {
+                vec![$( (stringify!($field), $crate::FromWords::to_words(&self.$field)), )*]
+            }
+        }
+    };
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use std::time::Duration;
+
+    settings! {
+        pub struct Sample {
+            zone: String = "a".into(), word, "the zone";
+            hold: Duration = Duration::from_millis(1500), in_range(Duration::from_millis(500), Duration::from_secs(10)), "the hold";
+        }
+    }
+
+    #[test]
+    fn flags_go_before_the_file_and_a_wrong_value_is_named_with_what_is_allowed() {
+        let source = Source::new("zone = \"b\"\nhold = \"2s\"", vec![("zone".into(), "c".into())]).unwrap();
+        let sample = Sample::read(&source).unwrap();
+        assert_eq!((sample.zone.as_str(), sample.hold), ("c", Duration::from_secs(2)));
+        let source = Source::new("hold = \"1ms\"", vec![]).unwrap();
+        let fault = Sample::read(&source).unwrap_err();
+        assert_eq!(fault.to_string(), "setting hold = 1ms: allowed is 500ms to 10s");
+        let source = Source::new("hodl = \"1s\"", vec![]).unwrap();
+        assert!(Sample::read(&source).unwrap_err().to_string().starts_with("setting hodl = 1s: no such setting"));
+    }
+}
--- /dev/null
+++ b/crates/env/src/line.rs
@@ -0,0 +1,67 @@
+//! The command line every daemon shares: `--env FILE`, `--check`, `--help`, `--version`, and a
+//! flag for each setting. What it comes to is a value; the thin programs turn it into an exit code.
+
+use crate::{SettingFault, Settings, Source};
+use lexopt::prelude::*;
+
+pub enum Opening<S> {
+    Run(S),
+    Say { words: String, code: u8 },
+}
+
+pub fn open<S: Settings>(program: &str, about: &str, version: &str) -> Opening<S> {
+    match parse::<S>(program, about, version, lexopt::Parser::from_env()) {
+        Ok(opening) => opening,
+        Err(words) => Opening::Say { words: format!("{program}: {words}"), code: 2 },
+    }
+}
+
+fn parse<S: Settings>(program: &str, about: &str, version: &str, mut line: lexopt::Parser) -> Result<Opening<S>, String> {
+    let names: Vec<&str> = S::help().iter().map(|(name, ..)| *name).collect();
+    let mut file = String::new();
+    let mut flags = Vec::new();
+    let mut check = false;
+    while let Some(arg) = line.next().map_err(|fault| fault.to_string())? {
+        match arg {
+            Short('h') | Long("help") => return Ok(Opening::Say { words: help::<S>(program, about), code: 0 }),
+            Short('V') | Long("version") => {
+                return Ok(Opening::Say { words: format!("{program} {version}"), code: 0 });
+            }
+            Long("check") => check = true,
+            Short('e') | Long("env") => {
+                let path = line.value().map_err(|fault| fault.to_string())?;
+                file = std::fs::read_to_string(&path)
+                    .map_err(|fault| format!("settings file {}: {fault}", path.display()))?;
+            }
+            Long(flag) => {
+                let name = flag.replace('-', "_");
+                if !names.contains(&name.as_str()) {
+                    return Err(format!("no flag --{flag}; see --help"));
+                }
+                let value = line.value().and_then(|v| v.string()).map_err(|fault| fault.to_string())?;
+                flags.push((name, value));
+            }
+            other => return Err(other.unexpected().to_string()),
+        }
+    }
+    let settings = Source::new(&file, flags).and_then(|source| S::read(&source)).map_err(|f: SettingFault| f.to_string())?;
+    if check {
+        let lines: Vec<String> = settings.shown().iter().map(|(name, value)| format!("{name} = {value}")).collect();
+        return Ok(Opening::Say { words: format!("settings are in order\n{}", lines.join("\n")), code: 0 });
+    }
+    Ok(Opening::Run(settings))
+}
+
+fn help<S: Settings>(program: &str, about: &str) -> String {
+    let mut words = format!(
+        "{program}: {about}\n\nUsage: {program} [--env FILE] [--check] [--SETTING VALUE ...]\n\n\
+         -e, --env FILE   read settings from a TOML file; flags go before it\n\
+         --check          check the settings, open nothing\n\
+         -h, --help       this page\n-V, --version    the version\n\nSettings (as flags, '_' written '-'):\n"
+    );
+    for (name, default, about) in S::help() {
+        let default = if default.is_empty() { String::new() } else { format!(" [{default}]") };
+        words.push_str(&format!("  --{}{default}\n        {about}\n", name.replace('_', "-")));
+    }
+    words
+}
--- /dev/null
+++ b/crates/env/src/parse.rs
@@ -0,0 +1,132 @@
+//! Words into values: numbers, durations such as `1500ms` or `4s`, byte sizes such as `256KiB`,
+//! lists parted by commas. The file's values and the flags' values go through the same reading.
+
+use crate::SettingFault;
+use std::collections::BTreeMap;
+use std::path::PathBuf;
+use std::time::Duration;
+
+pub trait FromWords: Sized {
+    fn from_words(words: &str) -> Result<Self, String>;
+    fn to_words(&self) -> String;
+}
+
+macro_rules! whole_numbers {
+    ($($type:ty),*) => { $( impl FromWords for $type {
+        fn from_words(words: &str) -> Result<Self, String> {
+            words.trim().parse().map_err(|_| format!("allowed is a whole number from 0 to {}", <$type>::MAX))
+        }
+        fn to_words(&self) -> String { self.to_string() }
+    } )* };
+}
+whole_numbers!(u16, u32, u64, usize);
+
+impl FromWords for f64 {
+    fn from_words(words: &str) -> Result<Self, String> {
+        words.trim().parse().ok().filter(|n: &f64| n.is_finite()).ok_or("allowed is a finite number".into())
+    }
+    fn to_words(&self) -> String {
+        self.to_string()
+    }
+}
+
+impl FromWords for bool {
+    fn from_words(words: &str) -> Result<Self, String> {
+        words.trim().parse().map_err(|_| "allowed is true or false".into())
+    }
+    fn to_words(&self) -> String {
+        self.to_string()
+    }
+}
+
+impl FromWords for String {
+    fn from_words(words: &str) -> Result<Self, String> {
+        Ok(words.to_owned())
+    }
+    fn to_words(&self) -> String {
+        self.clone()
+    }
+}
+
+impl FromWords for PathBuf {
+    fn from_words(words: &str) -> Result<Self, String> {
+        Ok(words.into())
+    }
+    fn to_words(&self) -> String {
+        self.display().to_string()
+    }
+}
+
+impl FromWords for Duration {
+    fn from_words(words: &str) -> Result<Self, String> {
+        let allowed = || "allowed is a number with ms, s or m, such as 1500ms".to_owned();
+        let trimmed = words.trim();
+        let cut = trimmed.find(|c: char| c.is_alphabetic()).ok_or_else(allowed)?;
+        let number: u64 = trimmed[..cut].trim().parse().map_err(|_| allowed())?;
+        let millis = match &trimmed[cut..] {
+            "ms" => Some(number),
+            "s" => number.checked_mul(1000),
+            "m" => number.checked_mul(60_000),
+            _ => None,
+        };
+        millis.map(Duration::from_millis).ok_or_else(allowed)
+    }
+    fn to_words(&self) -> String {
+        let millis = self.as_millis();
+        if millis >= 1000 && millis.is_multiple_of(1000) { format!("{}s", millis / 1000) } else { format!("{millis}ms") }
+    }
+}
+
+impl FromWords for Vec<String> {
+    fn from_words(words: &str) -> Result<Self, String> {
+        Ok(words.split(',').map(|w| w.trim().to_owned()).filter(|w| !w.is_empty()).collect())
+    }
+    fn to_words(&self) -> String {
+        self.join(",")
+    }
+}
+
+#[derive(Debug, Default)]
+pub struct Source {
+    words: BTreeMap<String, String>,
+}
+
+impl Source {
+    pub fn new(file: &str, flags: Vec<(String, String)>) -> Result<Source, SettingFault> {
+        let table: toml::Table = file.parse().map_err(|fault: toml::de::Error| SettingFault {
+            name: "file".into(),
+            value: "the settings file".into(),
+            allowed: format!("it cannot be read: {}", fault.message()),
+        })?;
+        let mut words = BTreeMap::new();
+        for (name, value) in table {
+            let text = match value {
+                toml::Value::String(text) => text,
+                toml::Value::Array(list) => {
+                    let parts: Vec<String> =
+                        list.iter().map(|v| v.as_str().map_or(v.to_string(), str::to_owned)).collect();
+                    parts.join(",")
+                }
+                other => other.to_string(),
+            };
+            words.insert(name, text);
+        }
+        words.extend(flags);
+        Ok(Source { words })
+    }
+
+    pub fn find(&self, name: &str) -> Option<String> {
+        self.words.get(name).cloned()
+    }
+
+    pub fn only(&self, known: &[&str]) -> Result<(), SettingFault> {
+        match self.words.iter().find(|(name, _)| !known.contains(&name.as_str())) {
+            None => Ok(()),
+            Some((name, value)) => Err(SettingFault {
+                name: name.clone(),
+                value: value.clone(),
+                allowed: format!("no such setting; there are {}", known.join(", ")),
+            }),
+        }
+    }
+}
--- /dev/null
+++ b/crates/env/src/rules.rs
@@ -0,0 +1,43 @@
+//! Checks for settings, each saying what is allowed.
+
+use crate::FromWords;
+use std::net::SocketAddr;
+
+pub fn in_range<T: PartialOrd + FromWords + Copy + 'static>(low: T, high: T) -> impl Fn(&T) -> Result<(), String> {
+    move |value| {
+        if *value >= low && *value <= high {
+            return Ok(());
+        }
+        Err(format!("allowed is {} to {}", low.to_words(), high.to_words()))
+    }
+}
+
+pub fn any<T>(_: &T) -> Result<(), String> {
+    Ok(())
+}
+
+pub fn word(value: &String) -> Result<(), String> {
+    let plain = |c: char| c.is_ascii_alphanumeric() || "-_.".contains(c);
+    if (1..=64).contains(&value.len()) && value.chars().all(plain) {
+        return Ok(());
+    }
+    Err("allowed are 1 to 64 letters, digits, '-', '_' or '.'".into())
+}
+
+pub fn non_empty(value: &String) -> Result<(), String> {
+    if value.is_empty() { Err("it must be given".into()) } else { Ok(()) }
+}
+
+pub fn address(value: &String) -> Result<(), String> {
+    value.parse::<SocketAddr>().map(drop).map_err(|_| "allowed is an IP number with a port, such as 127.0.0.1:7001".into())
+}
+
+pub fn addresses(value: &Vec<String>) -> Result<(), String> {
+    value.iter().try_for_each(address)
+}
+
+pub fn seeds(value: &Vec<String>) -> Result<(), String> {
+    addresses(value)?;
+    let distinct: std::collections::BTreeSet<&String> = value.iter().collect();
+    if value.len() == 3 && distinct.len() == 3 { Ok(()) } else { Err("allowed are three different addresses".into()) }
+}
--- /dev/null
+++ b/crates/events/src/setup.rs
@@ -0,0 +1,33 @@
+//! Where log lines go: standard error, or a file that rolls over at a size and keeps a few.
+
+use log::LevelFilter;
+use log4rs::append::Append;
+use log4rs::append::console::{ConsoleAppender, Target};
+use log4rs::append::rolling_file::RollingFileAppender;
+use log4rs::append::rolling_file::policy::compound::CompoundPolicy;
+use log4rs::append::rolling_file::policy::compound::roll::fixed_window::FixedWindowRoller;
+use log4rs::append::rolling_file::policy::compound::trigger::size::SizeTrigger;
+use log4rs::config::{Appender, Config, Root};
+use log4rs::encode::pattern::PatternEncoder;
+
+pub type SetupFault = Box<dyn std::error::Error + Send + Sync>;
+
+const FILE_BYTES: u64 = 16 * 1024 * 1024;
+const FILES: u32 = 4;
+
+pub fn setup(level: &str, file: &str) -> Result<(), SetupFault> {
+    let level: LevelFilter = level.parse()?;
+    let encoder = Box::new(PatternEncoder::new("{d(%Y-%m-%dT%H:%M:%S%.3fZ)(utc)} {l} {m}{n}"));
+    let appender: Box<dyn Append> = if file.is_empty() {
+        Box::new(ConsoleAppender::builder().target(Target::Stderr).encoder(encoder).build())
+    } else {
+        let roller = FixedWindowRoller::builder().build(&format!("{file}.{{}}"), FILES)?;
+        let policy = CompoundPolicy::new(Box::new(SizeTrigger::new(FILE_BYTES)), Box::new(roller));
+        Box::new(RollingFileAppender::builder().encoder(encoder).build(file, Box::new(policy))?)
+    };
+    let config = Config::builder()
+        .appender(Appender::builder().build("out", appender))
+        .build(Root::builder().appender("out").build(level))?;
+    log4rs::init_config(config)?;
+    Ok(())
+}
--- /dev/null
+++ b/crates/holds/src/fetch.rs
@@ -0,0 +1,62 @@
+//! Taking the whole active configuration in pieces, by a router that is new or too far behind for
+//! the steps the core still keeps. Pieces of another step than the first are thrown away.
+
+use crate::follower::{Follower, FollowerOutput};
+use std::collections::BTreeMap;
+use std::time::Duration;
+use wire::{HoldMsg, ItemLine, NodeId, Text};
+
+pub struct Fetch {
+    pub ask: u64,
+    pub step: Option<u64>,
+    pub pairs: BTreeMap<String, Vec<u8>>,
+    pub moved: Duration,
+}
+
+impl Follower {
+    pub(crate) fn begin_fetch(&mut self, from: NodeId) {
+        let ask = self.ask_number();
+        self.fetch = Some(Fetch { ask, step: None, pairs: BTreeMap::new(), moved: self.now });
+        self.to_registry(Some(from), HoldMsg::FetchAll { ask, from: Text::default() });
+    }
+
+    #[allow(clippy::too_many_arguments)]
+    pub(crate) fn on_piece(
+        &mut self,
+        from: NodeId,
+        ask: u64,
+        step: u64,
+        revision: u64,
+        quorum: Vec<NodeId>,
+        items: Vec<ItemLine>,
+        next: Text,
+    ) {
+        let now = self.now;
+        let Some(fetch) = self.fetch.as_mut().filter(|fetch| fetch.ask == ask) else { return };
+        if fetch.step.is_some_and(|first| first != step) || step <= self.step {
+            self.fetch = None;
+            return;
+        }
+        fetch.step = Some(step);
+        fetch.moved = now;
+        for item in items {
+            fetch.pairs.insert(item.key.as_str().to_owned(), item.value.into_vec());
+        }
+        if !next.as_str().is_empty() {
+            return self.to_registry(Some(from), HoldMsg::FetchAll { ask, from: next });
+        }
+        self.pairs = std::mem::take(&mut fetch.pairs);
+        self.fetch = None;
+        self.step = step;
+        self.revision = revision;
+        self.quorum = quorum;
+        self.staged.retain(|number, _| *number > step);
+        if self.staged.keys().next().is_some_and(|first| *first != step + 1) {
+            self.staged.clear();
+        }
+        self.proof = None;
+        self.peer_proof = None;
+        self.renewed = None;
+        self.outs.push(FollowerOutput::Activated { step, revision });
+    }
+}
--- /dev/null
+++ b/crates/holds/src/follower.rs
@@ -0,0 +1,277 @@
+//! A router's side of a hold. It renews, keeps the time each proof was asked for, stages and
+//! activates numbered steps, and says whether it may serve at this moment. A proof counts from
+//! when it was asked, so a frozen or late router can only be too careful.
+
+use crate::fetch::Fetch;
+use crate::peers::PeerRound;
+use crate::roster::Roster;
+use crate::standing::{Standing, StandingEvent, Standings};
+use std::collections::BTreeMap;
+use std::time::Duration;
+use wire::{HoldMsg, NodeId, StepLine, Text};
+
+#[derive(Clone, Debug)]
+pub struct FollowerTiming {
+    pub hold: Duration,
+    pub guard: Duration,
+    pub renew: Duration,
+    pub renew_guarded: Duration,
+}
+
+impl Default for FollowerTiming {
+    fn default() -> Self {
+        FollowerTiming {
+            hold: Duration::from_millis(1500),
+            guard: Duration::from_millis(200),
+            renew: Duration::from_millis(250),
+            renew_guarded: Duration::from_millis(40),
+        }
+    }
+}
+
+#[derive(Clone, Debug)]
+pub enum FollowerInput {
+    Tick,
+    Registry { from: NodeId, message: HoldMsg },
+    Peer { from: NodeId, message: HoldMsg },
+    Leave,
+}
+
+#[derive(Clone, Debug, PartialEq)]
+pub enum FollowerOutput {
+    ToRegistry { to: Option<NodeId>, message: HoldMsg },
+    ToPeer { to: NodeId, message: HoldMsg },
+    Activated { step: u64, revision: u64 },
+    Rostered { number: u64 },
+    Seats { addresses: Vec<String> },
+    Standing { standing: Standing },
+}
+
+pub struct Follower {
+    pub(crate) me: NodeId,
+    pub(crate) joining: (Text, Text, Text),
+    pub(crate) timing: FollowerTiming,
+    pub(crate) now: Duration,
+    pub(crate) outs: Vec<FollowerOutput>,
+    pub(crate) pairs: BTreeMap<String, Vec<u8>>,
+    pub(crate) step: u64,
+    pub(crate) revision: u64,
+    pub(crate) quorum: Vec<NodeId>,
+    pub(crate) staged: BTreeMap<u64, StepLine>,
+    pub(crate) latest_known: u64,
+    pub(crate) roster: Roster,
+    pub(crate) member: bool,
+    pub(crate) ready: bool,
+    pub(crate) leaving: bool,
+    pub(crate) tail: Option<(NodeId, Duration)>,
+    pub(crate) asks: BTreeMap<u64, Duration>,
+    pub(crate) next_ask: u64,
+    pub(crate) proof: Option<Duration>,
+    pub(crate) peer_proof: Option<Duration>,
+    pub(crate) peer_round: Option<PeerRound>,
+    pub(crate) fetch: Option<Fetch>,
+    pub(crate) renewed: Option<Duration>,
+    pub(crate) joined: Option<Duration>,
+    standings: Standings,
+    standing: Standing,
+}
+
+impl Follower {
+    pub fn new(me: NodeId, address: &str, zone: &str, ops: &str, timing: FollowerTiming) -> Self {
+        Follower {
+            me,
+            joining: (address.into(), zone.into(), ops.into()),
+            timing,
+            now: Duration::ZERO,
+            outs: Vec::new(),
+            pairs: BTreeMap::new(),
+            step: 0,
+            revision: 0,
+            quorum: Vec::new(),
+            staged: BTreeMap::new(),
+            latest_known: 0,
+            roster: Roster::default(),
+            member: false,
+            ready: false,
+            leaving: false,
+            tail: None,
+            asks: BTreeMap::new(),
+            next_ask: 1,
+            proof: None,
+            peer_proof: None,
+            peer_round: None,
+            fetch: None,
+            renewed: None,
+            joined: None,
+            standings: Standings::default(),
+            standing: Standing::Waiting,
+        }
+    }
+
+    pub fn pairs(&self) -> impl Iterator<Item = (&str, &[u8])> {
+        self.pairs.iter().map(|(key, value)| (key.as_str(), value.as_slice()))
+    }
+    pub fn step_number(&self) -> u64 {
+        self.step
+    }
+    pub fn revision(&self) -> u64 {
+        self.revision
+    }
+    pub fn staged_number(&self) -> u64 {
+        self.staged.keys().next_back().copied().unwrap_or(self.step)
+    }
+    pub fn roster(&self) -> &Roster {
+        &self.roster
+    }
+    pub fn tail(&self) -> Option<NodeId> {
+        self.tail.map(|(id, _)| id)
+    }
+
+    pub fn step(&mut self, now: Duration, input: FollowerInput) -> Vec<FollowerOutput> {
+        self.now = now;
+        match input {
+            FollowerInput::Tick => self.tick(),
+            FollowerInput::Registry { from, message } => self.registry(from, message),
+            FollowerInput::Peer { from, message } => self.peer(from, message),
+            FollowerInput::Leave => {
+                self.leaving = true;
+                let successor = 0;
+                self.outs.push(FollowerOutput::ToRegistry { to: None, message: HoldMsg::Leave { successor } });
+            }
+        }
+        let standing = self.standing_at(now);
+        if standing != self.standing {
+            self.standing = standing;
+            self.outs.push(FollowerOutput::Standing { standing });
+        }
+        std::mem::take(&mut self.outs)
+    }
+
+    /// Asked again at the very moment of each dispatch.
+    pub fn standing_at(&mut self, now: Duration) -> Standing {
+        let younger = |proof: Option<Duration>, limit: Duration| proof.is_some_and(|asked| now < asked + limit);
+        let limit = if self.is_guarded() { self.timing.guard } else { self.timing.hold };
+        let event = if younger(self.proof, limit) {
+            StandingEvent::CoreProved
+        } else if younger(self.peer_proof, self.timing.guard) && !self.is_guarded() {
+            StandingEvent::PeersProved
+        } else {
+            StandingEvent::Unproved
+        };
+        self.standings.take(event)
+    }
+
+    pub(crate) fn is_guarded(&self) -> bool {
+        self.staged_number().max(self.latest_known) > self.step
+    }
+
+    pub(crate) fn to_registry(&mut self, to: Option<NodeId>, message: HoldMsg) {
+        self.outs.push(FollowerOutput::ToRegistry { to, message });
+    }
+
+    pub(crate) fn ask_number(&mut self) -> u64 {
+        self.next_ask += 1;
+        self.next_ask
+    }
+
+    fn tick(&mut self) {
+        let now = self.now;
+        let every = if self.is_guarded() { self.timing.renew_guarded } else { self.timing.renew };
+        if self.renewed.is_none_or(|last| now >= last + every) {
+            self.renewed = Some(now);
+            let ask = self.ask_number();
+            self.asks.insert(ask, now);
+            let hold = self.timing.hold;
+            self.asks.retain(|_, asked| now < *asked + hold);
+            let heard = self.tail.filter(|(_, heard)| now < *heard + self.timing.renew * 2).map(|(id, _)| id);
+            let (staged, active, roster) = (self.staged_number(), self.step, self.roster.number);
+            self.to_registry(heard, HoldMsg::Renew { ask, staged, active, roster });
+        }
+        if self.fetch.as_ref().is_some_and(|fetch| now > fetch.moved + self.timing.hold) {
+            self.fetch = None;
+        }
+        self.tick_peers();
+    }
+
+    fn registry(&mut self, from: NodeId, message: HoldMsg) {
+        match message {
+            HoldMsg::Proof { ask, active, latest, member } => self.on_proof(from, ask, active, latest, member != 0),
+            HoldMsg::NotTail { seats, .. } => {
+                let addresses: Vec<String> = seats.iter().map(|seat| seat.as_str().to_owned()).collect();
+                if !addresses.is_empty() {
+                    self.outs.push(FollowerOutput::Seats { addresses });
+                }
+            }
+            HoldMsg::Stage { step } => self.on_stage(from, step),
+            HoldMsg::Activate { number } => self.activate_to(number),
+            HoldMsg::Roster { number, body } => {
+                if number > self.roster.number
+                    && let Some(roster) = wire::from_bytes::<Roster>(body.as_slice())
+                {
+                    self.roster = roster;
+                    self.outs.push(FollowerOutput::Rostered { number });
+                }
+            }
+            HoldMsg::Piece { ask, step, revision, quorum, items, next } => {
+                self.on_piece(from, ask, step, revision, quorum.into_vec(), items.into_vec(), next)
+            }
+            _ => {}
+        }
+    }
+
+    fn on_proof(&mut self, from: NodeId, ask: u64, active: u64, latest: u64, member: bool) {
+        let Some(asked) = self.asks.remove(&ask) else { return };
+        self.tail = Some((from, self.now));
+        self.member = member;
+        self.latest_known = self.latest_known.max(latest);
+        if !member {
+            self.proof = None;
+            if !self.leaving && self.joined.is_none_or(|last| self.now >= last + self.timing.renew) {
+                self.joined = Some(self.now);
+                let (address, zone, ops) = self.joining.clone();
+                self.to_registry(Some(from), HoldMsg::Join { address, zone, ops });
+            }
+            return;
+        }
+        self.activate_to(active);
+        if self.step == active {
+            self.ready = true;
+            self.proof = self.proof.max(Some(asked));
+        } else if self.step < active && self.fetch.is_none() {
+            self.begin_fetch(from);
+        }
+    }
+
+    fn on_stage(&mut self, from: NodeId, step: StepLine) {
+        self.latest_known = self.latest_known.max(step.number);
+        if step.number == self.staged_number() + 1 && (self.ready || self.step + 1 == step.number) {
+            self.staged.insert(step.number, step);
+        }
+        let number = self.staged_number();
+        self.to_registry(Some(from), HoldMsg::Staged { number });
+    }
+
+    fn activate_to(&mut self, number: u64) {
+        let mut moved = false;
+        while self.step < number {
+            let Some(step) = self.staged.remove(&(self.step + 1)) else { break };
+            self.step = step.number;
+            self.revision = step.revision;
+            self.quorum = step.quorum.into_vec();
+            for item in step.items.into_vec() {
+                if item.gone != 0 {
+                    self.pairs.remove(item.key.as_str());
+                } else {
+                    self.pairs.insert(item.key.as_str().to_owned(), item.value.into_vec());
+                }
+            }
+            moved = true;
+        }
+        if moved {
+            self.proof = None;
+            self.peer_proof = None;
+            self.renewed = None;
+            self.outs.push(FollowerOutput::Activated { step: self.step, revision: self.revision });
+        }
+    }
+}
--- a/crates/holds/src/lib.rs
+++ b/crates/holds/src/lib.rs
@@ -1,1 +1,15 @@
+//! Membership by holds. `Sessions` is the tail's side: who renewed, who staged what, whose hold
+//! has lapsed. `Follower` is a router's side: proofs of revision, staged steps, the roster. Both
+//! are state machines; `Roster` says which router is home to which function.
 
+mod fetch;
+mod follower;
+mod peers;
+mod roster;
+mod sessions;
+mod standing;
+
+pub use follower::{Follower, FollowerInput, FollowerOutput, FollowerTiming};
+pub use roster::{MemberLine, Roster};
+pub use sessions::{Session, Sessions};
+pub use standing::{Standing, StandingEvent, Standings};
--- /dev/null
+++ b/crates/kernel/src/directory.rs
@@ -0,0 +1,46 @@
+//! The names under which services are found. It is filled while a program is put together and
+//! cloned into each thread after that; a name announced twice is a broken invariant.
+
+use crate::inbox::{Inbox, Post, inbox};
+use std::any::Any;
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+#[derive(Clone, Default)]
+pub struct Directory {
+    posts: BTreeMap<&'static str, Arc<dyn Any + Send + Sync>>,
+}
+
+impl Directory {
+    pub fn announce<M: Send + 'static>(&mut self, name: &'static str, bound: usize) -> Inbox<M> {
+        let (post, taken) = inbox::<M>(bound);
+        let before = self.posts.insert(name, Arc::new(post));
+        assert!(before.is_none(), "service {name} is announced twice");
+        taken
+    }
+
+    pub fn find<M: Send + 'static>(&self, name: &str) -> Option<Post<M>> {
+        self.posts.get(name)?.downcast_ref::<Post<M>>().cloned()
+    }
+
+    pub fn names(&self) -> Vec<&'static str> {
+        self.posts.keys().copied().collect()
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::SendFault;
+
+    #[test]
+    fn a_service_is_found_by_name_and_type_and_its_inbox_refuses_past_its_bound() {
+        let mut directory = Directory::default();
+        let mut inbox = directory.announce::<u32>("counter", 1);
+        assert!(directory.find::<String>("counter").is_none());
+        let post = directory.find::<u32>("counter").unwrap();
+        assert_eq!(post.send(7), Ok(()));
+        assert_eq!(post.send(8), Err(SendFault::Full(8)));
+        assert_eq!((post.refused(), post.depth(), inbox.ready()), (1, 1, Some(7)));
+    }
+}
--- /dev/null
+++ b/crates/kernel/src/inbox.rs
@@ -0,0 +1,75 @@
+//! A bounded inbox of one message type, and the post box that others hold of it.
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use tokio::sync::mpsc;
+
+#[derive(Debug, PartialEq, Eq)]
+pub enum SendFault<M> {
+    Full(M),
+    Closed(M),
+}
+
+pub struct Inbox<M> {
+    queue: mpsc::Receiver<M>,
+}
+
+pub struct Post<M> {
+    queue: mpsc::Sender<M>,
+    refused: Arc<AtomicU64>,
+}
+
+impl<M> Clone for Post<M> {
+    fn clone(&self) -> Self {
+        Post { queue: self.queue.clone(), refused: self.refused.clone() }
+    }
+}
+
+pub fn inbox<M>(bound: usize) -> (Post<M>, Inbox<M>) {
+    let (sender, queue) = mpsc::channel(bound);
+    (Post { queue: sender, refused: Arc::default() }, Inbox { queue })
+}
+
+impl<M> Inbox<M> {
+    pub async fn next(&mut self) -> Option<M> {
+        self.queue.recv().await
+    }
+
+    pub fn ready(&mut self) -> Option<M> {
+        self.queue.try_recv().ok()
+    }
+
+    pub fn depth(&self) -> usize {
+        self.queue.len()
+    }
+}
+
+impl<M> Post<M> {
+    pub fn send(&self, message: M) -> Result<(), SendFault<M>> {
+        self.queue.try_send(message).map_err(|fault| match fault {
+            mpsc::error::TrySendError::Full(message) => {
+                self.refused.fetch_add(1, Ordering::Relaxed);
+                SendFault::Full(message)
+            }
+            mpsc::error::TrySendError::Closed(message) => SendFault::Closed(message),
+        })
+    }
+
+    /// For a sender that itself must slow down, such as a connection's reader.
+    pub async fn send_waiting(&self, message: M) -> bool {
+        self.queue.send(message).await.is_ok()
+    }
+
+    /// For a plain thread that owns no runtime.
+    pub fn send_blocking(&self, message: M) -> bool {
+        self.queue.blocking_send(message).is_ok()
+    }
+
+    pub fn refused(&self) -> u64 {
+        self.refused.load(Ordering::Relaxed)
+    }
+
+    pub fn depth(&self) -> usize {
+        self.queue.max_capacity() - self.queue.capacity()
+    }
+}
--- a/crates/kernel/src/lib.rs
+++ b/crates/kernel/src/lib.rs
@@ -1,1 +1,8 @@
+//! The micro-kernel: services announce an inbox under a name, others find it by that name.
+//! Every inbox is bounded; a full one refuses at once and counts the refusal.
 
+mod directory;
+mod inbox;
+
+pub use directory::Directory;
+pub use inbox::{Inbox, Post, SendFault, inbox};
