--- /dev/null
+++ b/crates/control/src/api.rs
@@ -0,0 +1,265 @@
+//! The operators' HTTP/1.1 API: read, replace and patch the configuration, look up an operation,
+//! look at one node's view and watch it change. Everything but health needs a bearer token.
+
+use crate::api_calls::{ApiCall, ApiReply};
+use crate::service::ControlMsg;
+use crate::tokens::Tokens;
+use axum::Router;
+use axum::body::{Body, Bytes};
+use axum::extract::{DefaultBodyLimit, Path, State};
+use axum::http::{HeaderMap, StatusCode, header};
+use axum::response::{IntoResponse, Response};
+use axum::routing::{get, put};
+use bindings::Kind;
+use kernel::Post;
+use serde_json::{Map, Value, json};
+use tokio::sync::{oneshot, watch};
+use wire::ItemLine;
+
+#[derive(Clone)]
+pub struct Api {
+    pub control: Post<ControlMsg>,
+    pub tokens: Tokens,
+    pub view: watch::Receiver<String>,
+}
+
+pub fn router(api: Api, body: usize) -> Router {
+    Router::new()
+        .route("/health", get(|| async { "ok\n" }))
+        .route("/ready", get(ready))
+        .route("/metrics", get(metrics))
+        .route("/v1/status", get(status))
+        .route("/v1/watch", get(watch_view))
+        .route("/v1/operations/{op}", get(operation))
+        .route("/v1/configuration", get(read).put(replace).patch(patch))
+        .route("/v1/{kind}", get(read_kind))
+        .route("/v1/{kind}/{tenant}/{name}", put(put_one).get(read_one).delete(delete_one))
+        .layer(DefaultBodyLimit::max(body))
+        .with_state(api)
+}
+
+fn refuse(status: u16, told: &str) -> Response {
+    answer(ApiReply::new(status, json!({"outcome": "refused", "fault": told})), None)
+}
+
+fn answer(reply: ApiReply, op: Option<&str>) -> Response {
+    let status = StatusCode::from_u16(reply.status).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
+    let mut response = (status, [(header::CONTENT_TYPE, "application/json")], reply.body).into_response();
+    let mut put = |name: &'static str, value: String| {
+        if let Ok(value) = value.parse() {
+            response.headers_mut().insert(name, value);
+        }
+    };
+    if let Some(revision) = reply.revision {
+        put("etag", format!("\"{revision}\""));
+    }
+    if let Some(seconds) = reply.retry_after {
+        put("retry-after", seconds.to_string());
+    }
+    if let Some(op) = op {
+        put("operation-id", op.to_owned());
+    }
+    response
+}
+
+impl Api {
+    fn scope(&self, headers: &HeaderMap) -> Option<String> {
+        self.tokens.scope(headers.get(header::AUTHORIZATION).and_then(|value| value.to_str().ok()))
+    }
+
+    async fn ask(&self, call: ApiCall) -> ApiReply {
+        let (reply, told) = oneshot::channel();
+        let busy = || {
+            let mut reply = ApiReply::new(503, json!({"outcome": "not-run", "fault": "too busy"}));
+            reply.retry_after = Some(1);
+            reply
+        };
+        if self.control.send(ControlMsg::Call { call, reply }).is_err() {
+            return busy();
+        }
+        told.await.unwrap_or_else(|_| ApiReply::new(504, json!({"outcome": "unknown", "fault": "stopping"})))
+    }
+
+    async fn change(&self, headers: &HeaderMap, whole: bool, items: Vec<ItemLine>) -> Response {
+        let Some(scope) = self.scope(headers) else { return refuse(401, "a bearer token is needed") };
+        let text = |name: &str| headers.get(name).and_then(|value| value.to_str().ok()).map(str::to_owned);
+        let base = match text("if-match").as_deref().map(|tag| tag.trim().trim_matches('"').to_owned()) {
+            None => return refuse(428, "If-Match with the revision the change is based on, or *, is needed"),
+            Some(tag) if tag == "*" => None,
+            Some(tag) => match tag.parse() {
+                Ok(revision) => Some(revision),
+                Err(_) => return refuse(400, "If-Match is a revision number in quotes, or *"),
+            },
+        };
+        let op = text("operation-id").unwrap_or_else(|| format!("{:032x}", rand::random::<u128>()));
+        if env::word(&op).is_err() {
+            return refuse(400, "Operation-Id is 1 to 64 letters, digits, '-', '_' or '.'");
+        }
+        let reply = self.ask(ApiCall::Change { op: op.clone(), base, whole, scope, items }).await;
+        if reply.status != 200 {
+            events::event!(change_refused, "operation {op}: {}", reply.status);
+        }
+        answer(reply, Some(&op))
+    }
+}
+
+fn item(key: &str, value: Option<&Value>) -> ItemLine {
+    let raw = value.map(|value| value.to_string().into_bytes()).unwrap_or_default();
+    ItemLine { key: key.into(), gone: value.is_none() as u8, value: raw.into() }
+}
+
+async fn ready(State(api): State<Api>) -> Response {
+    let view: Value = serde_json::from_str(&api.view.borrow()).unwrap_or_default();
+    let chained = view["role"].as_str().is_some_and(|role| role != "out");
+    if chained { "ready\n".into_response() } else { (StatusCode::SERVICE_UNAVAILABLE, "not in the chain\n").into_response() }
+}
+
+async fn metrics(State(api): State<Api>) -> String {
+    let view: Value = serde_json::from_str(&api.view.borrow()).unwrap_or_default();
+    let mut page = String::new();
+    for (name, at) in [
+        ("view_number", "/view/number"),
+        ("entries_synced", "/positions/synced"),
+        ("entries_committed", "/positions/committed"),
+        ("revision_active", "/revision/active"),
+        ("revision_latest", "/revision/latest"),
+        ("step_active", "/revision/active_step"),
+        ("roster_number", "/roster"),
+        ("claims", "/claims"),
+        ("deferred", "/deferred"),
+        ("waits", "/waits"),
+        ("jobs", "/jobs"),
+    ] {
+        let value = view.pointer(at).and_then(Value::as_u64).unwrap_or_default();
+        page.push_str(&format!("heronlink_registry_{name} {value}\n"));
+    }
+    let members = view["members"].as_array().map_or(0, Vec::len);
+    page.push_str(&format!("heronlink_registry_members {members}\n"));
+    page.push_str(&format!("heronlink_registry_inbox_depth {}\n", api.control.depth()));
+    page.push_str(&format!("heronlink_registry_inbox_refused_total {}\n", api.control.refused()));
+    page
+}
+
+async fn status(State(api): State<Api>, headers: HeaderMap) -> Response {
+    if api.scope(&headers).is_none() {
+        return refuse(401, "a bearer token is needed");
+    }
+    answer(api.ask(ApiCall::Status).await, None)
+}
+
+async fn watch_view(State(api): State<Api>, headers: HeaderMap) -> Response {
+    if api.scope(&headers).as_deref() != Some("") {
+        return refuse(401, "a bearer token for all tenants is needed");
+    }
+    let mut view = api.view.clone();
+    view.mark_changed();
+    let lines = Lines { view };
+    ([(header::CONTENT_TYPE, "application/x-ndjson")], Body::new(lines.into_body())).into_response()
+}
+
+struct Lines {
+    view: watch::Receiver<String>,
+}
+
+impl Lines {
+    fn into_body(self) -> http_body_util::StreamBody<impl futures_lite::Stream<Item = Result<http_body::Frame<Bytes>, std::convert::Infallible>>> {
+        http_body_util::StreamBody::new(futures_lite::stream::unfold(self.view, |mut view| async move {
+            view.changed().await.ok()?;
+            let line = format!("{}\n", *view.borrow_and_update());
+            Some((Ok(http_body::Frame::data(Bytes::from(line))), view))
+        }))
+    }
+}
+
+async fn operation(State(api): State<Api>, Path(op): Path<String>, headers: HeaderMap) -> Response {
+    if api.scope(&headers).is_none() {
+        return refuse(401, "a bearer token is needed");
+    }
+    answer(api.ask(ApiCall::Operation { op }).await, None)
+}
+
+async fn read(State(api): State<Api>, headers: HeaderMap) -> Response {
+    let Some(scope) = api.scope(&headers) else { return refuse(401, "a bearer token is needed") };
+    answer(api.ask(ApiCall::Configuration { scope }).await, None)
+}
+
+async fn read_part(api: &Api, headers: &HeaderMap, pointer: &str) -> Response {
+    let Some(scope) = api.scope(headers) else { return refuse(401, "a bearer token is needed") };
+    let mut reply = api.ask(ApiCall::Configuration { scope }).await;
+    if reply.status == 200 {
+        let whole: Value = serde_json::from_str(&reply.body).unwrap_or_default();
+        match whole.pointer(pointer) {
+            Some(part) => reply.body = part.to_string(),
+            None => return refuse(404, "no such resource"),
+        }
+    }
+    answer(reply, None)
+}
+
+async fn read_kind(State(api): State<Api>, Path(kind): Path<String>, headers: HeaderMap) -> Response {
+    read_part(&api, &headers, &format!("/{kind}")).await
+}
+
+async fn read_one(
+    State(api): State<Api>,
+    Path((kind, tenant, name)): Path<(String, String, String)>,
+    headers: HeaderMap,
+) -> Response {
+    read_part(&api, &headers, &format!("/{kind}/{tenant}~1{name}")).await
+}
+
+async fn put_one(
+    State(api): State<Api>,
+    Path((kind, tenant, name)): Path<(String, String, String)>,
+    headers: HeaderMap,
+    body: Bytes,
+) -> Response {
+    let Ok(value) = serde_json::from_slice::<Value>(&body) else { return refuse(400, "the body is not JSON") };
+    api.change(&headers, false, vec![item(&format!("{kind}/{tenant}/{name}"), Some(&value))]).await
+}
+
+async fn delete_one(
+    State(api): State<Api>,
+    Path((kind, tenant, name)): Path<(String, String, String)>,
+    headers: HeaderMap,
+) -> Response {
+    api.change(&headers, false, vec![item(&format!("{kind}/{tenant}/{name}"), None)]).await
+}
+
+async fn replace(State(api): State<Api>, headers: HeaderMap, body: Bytes) -> Response {
+    let Ok(Value::Object(whole)) = serde_json::from_slice::<Value>(&body) else {
+        return refuse(400, "the body is not a JSON object");
+    };
+    let mut items = Vec::new();
+    for (kind, list) in &whole {
+        if kind == "revision" {
+            continue;
+        }
+        let (Some(_), Value::Object(list)) = (Kind::from_word(kind), list) else {
+            return refuse(422, &format!("{kind}: kinds are function-bindings, weight-sheets, headcount-plans, each an object"));
+        };
+        items.extend(list.iter().map(|(name, value)| item(&format!("{kind}/{name}"), Some(value))));
+    }
+    api.change(&headers, true, items).await
+}
+
+async fn patch(State(api): State<Api>, headers: HeaderMap, body: Bytes) -> Response {
+    let Ok(patch) = serde_json::from_slice::<Map<String, Value>>(&body) else {
+        return refuse(400, "the body is not a JSON object");
+    };
+    if let Some(odd) = patch.keys().find(|key| !["name", "set", "remove"].contains(&key.as_str())) {
+        return refuse(422, &format!("{odd}: a patch has name, set and remove"));
+    }
+    let mut items = Vec::new();
+    match patch.get("set") {
+        None => {}
+        Some(Value::Object(list)) => items.extend(list.iter().map(|(key, value)| item(key, Some(value)))),
+        Some(_) => return refuse(422, "set: an object of kind/tenant/name to resource"),
+    }
+    match patch.get("remove") {
+        None => {}
+        Some(Value::Array(list)) => items.extend(list.iter().filter_map(Value::as_str).map(|key| item(key, None))),
+        Some(_) => return refuse(422, "remove: a list of kind/tenant/name"),
+    }
+    api.change(&headers, false, items).await
+}
--- /dev/null
+++ b/crates/control/src/api_calls.rs
@@ -0,0 +1,25 @@
+//! What an operator can ask of a registry, and the reply as a status, a tag and a JSON body.
+
+use wire::ItemLine;
+
+#[derive(Clone, Debug)]
+pub enum ApiCall {
+    Change { op: String, base: Option<u64>, whole: bool, scope: String, items: Vec<ItemLine> },
+    Configuration { scope: String },
+    Operation { op: String },
+    Status,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ApiReply {
+    pub status: u16,
+    pub revision: Option<u64>,
+    pub body: String,
+    pub retry_after: Option<u32>,
+}
+
+impl ApiReply {
+    pub fn new(status: u16, body: serde_json::Value) -> Self {
+        ApiReply { status, revision: None, body: body.to_string(), retry_after: None }
+    }
+}
--- /dev/null
+++ b/crates/control/src/apply.rs
@@ -0,0 +1,68 @@
+//! What an entry does to the state. The same entry on the same state gives the same changes and
+//! the same receipt on every member; nothing here reads a clock, a file or a random number.
+
+use crate::apply_change::{activate, change, quorum};
+use crate::apply_member::{join, lapse, leaving, tick};
+use crate::apply_task::{claim, finish, release, settle, store};
+use crate::command::{Command, Receipt};
+use crate::keys;
+use chain::{Effect, State, Value};
+
+pub struct Draft<'a> {
+    pub state: &'a State,
+    pub changes: Vec<(String, Option<Value>)>,
+}
+
+impl Draft<'_> {
+    pub fn put(&mut self, key: impl Into<String>, value: impl Into<Value>) {
+        self.changes.push((key.into(), Some(value.into())));
+    }
+    pub fn put_number(&mut self, key: &str, number: u64) {
+        self.put(key, keys::value(number));
+    }
+    pub fn drop(&mut self, key: impl Into<String>) {
+        self.changes.push((key.into(), None));
+    }
+    pub fn number(&self, key: &str) -> u64 {
+        keys::number(self.state, key)
+    }
+    /// Marks a record to be forgotten so many ticks from now.
+    pub fn expire(&mut self, key: &str, ticks: u64) {
+        let due = self.number(keys::TICKS) + ticks;
+        self.put(format!("x/{due:012}/{key}"), Vec::new());
+    }
+}
+
+pub fn apply(state: &State, _seq: u64, body: &[u8]) -> Effect {
+    let mut draft = Draft { state, changes: Vec::new() };
+    let receipt = match wire::from_bytes::<Command>(body) {
+        Some(command) => carry_out(&mut draft, command),
+        None => Receipt::Refused { status: 400, body: b"\"an entry that cannot be read\"".to_vec().into() },
+    };
+    Effect { changes: draft.changes, receipt: wire::to_bytes(&receipt) }
+}
+
+fn carry_out(draft: &mut Draft, command: Command) -> Receipt {
+    match command {
+        Command::Change { op, base, any, whole, scope, items } => {
+            change(draft, op.as_str(), (any == 0).then_some(base), whole != 0, scope.as_str(), items.into_vec())
+        }
+        Command::Quorum { after, members } => quorum(draft, after, members.into_vec()),
+        Command::Activate { step } => activate(draft, step),
+        Command::Join { id, incarnation, address, zone, ops } => join(draft, id, incarnation, address, zone, ops),
+        Command::Lapse { id, incarnation } => lapse(draft, id, incarnation),
+        Command::Leaving { id, incarnation } => leaving(draft, id, incarnation),
+        Command::Claim { scope, digest, member, incarnation, ask } => {
+            claim(draft, scope.as_str(), digest, (member, incarnation, ask))
+        }
+        Command::Settle { scope, member, incarnation, ask, answer } => {
+            settle(draft, scope.as_str(), (member, incarnation, ask), answer)
+        }
+        Command::Release { scope, member, incarnation, ask } => {
+            release(draft, scope.as_str(), (member, incarnation, ask))
+        }
+        Command::Store { id, function, digest, task } => store(draft, id.as_str(), function, digest, task),
+        Command::Finish { id, function, answer } => finish(draft, id.as_str(), function.as_str(), answer),
+        Command::Tick { number } => tick(draft, number),
+    }
+}
--- /dev/null
+++ b/crates/control/src/apply_change.rs
@@ -0,0 +1,149 @@
+//! Configuration: compare-and-set on the latest revision, checked whole, kept as a numbered step
+//! until it is activated. A change asked again under its operation id gets its first receipt.
+
+use crate::apply::Draft;
+use crate::command::{OpRecord, Receipt};
+use crate::keys;
+use bindings::Fault;
+use std::collections::BTreeMap;
+use wire::{ItemLine, NodeId, StepLine};
+
+const OP_TICKS: u64 = 86_400;
+const STEPS_KEPT: u64 = 256;
+const RESOURCES: usize = 50_000;
+
+pub fn change(
+    draft: &mut Draft,
+    op: &str,
+    base: Option<u64>,
+    whole: bool,
+    scope: &str,
+    items: Vec<ItemLine>,
+) -> Receipt {
+    let op_key = format!("o/{op}");
+    if let Some(known) = draft.state.get(&op_key).and_then(|raw| wire::from_bytes::<OpRecord>(raw)) {
+        return known.receipt;
+    }
+    let receipt = match draw_up(draft, base, whole, scope, items) {
+        Ok(changed) => stage(draft, changed),
+        Err((status, body)) => Receipt::Refused { status, body: body.into_bytes().into() },
+    };
+    draft.put(op_key.clone(), wire::to_bytes(&OpRecord { receipt: receipt.clone() }));
+    draft.expire(&op_key, OP_TICKS);
+    receipt
+}
+
+type Refusal = (u16, String);
+
+fn draw_up(
+    draft: &Draft,
+    base: Option<u64>,
+    whole: bool,
+    scope: &str,
+    items: Vec<ItemLine>,
+) -> Result<Vec<ItemLine>, Refusal> {
+    let revision = draft.number(keys::LATEST_REVISION);
+    if base.is_some_and(|base| base != revision) {
+        return Err((412, format!("{{\"fault\":\"stale revision\",\"latest\":{revision}}}")));
+    }
+    let in_scope = |key: &str| scope.is_empty() || key.split('/').nth(1) == Some(scope);
+    if let Some(item) = items.iter().find(|item| !in_scope(item.key.as_str())) {
+        let told = Fault { path: item.key.as_str().into(), fault: "another tenant's resource".into() };
+        return Err((403, serde_json::to_string(&[told]).unwrap_or_default()));
+    }
+    let mut pairs: BTreeMap<&str, &[u8]> = keys::with_prefix(draft.state, keys::LATEST_PAIRS)
+        .map(|(key, value)| (&key[keys::LATEST_PAIRS.len()..], &value[..]))
+        .collect();
+    let mut changed: BTreeMap<&str, ItemLine> = BTreeMap::new();
+    if whole {
+        let dropped: Vec<&str> = pairs.keys().copied().filter(|key| in_scope(key)).collect();
+        for key in dropped {
+            pairs.remove(key);
+            changed.insert(key, ItemLine { key: key.into(), gone: 1, value: Vec::new().into() });
+        }
+    }
+    for item in &items {
+        let key = item.key.as_str();
+        if item.gone != 0 {
+            pairs.remove(key);
+        } else {
+            pairs.insert(key, item.value.as_slice());
+        }
+        changed.insert(key, item.clone());
+    }
+    let mut faults = bindings::check(pairs.iter().map(|(key, value)| (*key, *value)));
+    if pairs.len() > RESOURCES {
+        faults.push(Fault { path: String::new(), fault: format!("no more than {RESOURCES} resources") });
+    }
+    if !faults.is_empty() {
+        let taken = |fault: &Fault| fault.fault.contains("is taken by") && !scope.is_empty();
+        let status = if faults.iter().all(taken) { 409 } else { 422 };
+        return Err((status, serde_json::to_string(&faults).unwrap_or_default()));
+    }
+    let latest = |key: &str| draft.state.get(&format!("{}{key}", keys::LATEST_PAIRS));
+    changed.retain(|key, item| match latest(key) {
+        Some(value) => item.gone != 0 || value[..] != *item.value.as_slice(),
+        None => item.gone == 0,
+    });
+    Ok(changed.into_values().collect())
+}
+
+fn stage(draft: &mut Draft, items: Vec<ItemLine>) -> Receipt {
+    let revision = draft.number(keys::LATEST_REVISION) + 1;
+    for item in &items {
+        let key = format!("{}{}", keys::LATEST_PAIRS, item.key.as_str());
+        if item.gone != 0 {
+            draft.drop(key);
+        } else {
+            draft.put(key, item.value.as_slice().to_vec());
+        }
+    }
+    draft.put_number(keys::LATEST_REVISION, revision);
+    let latest = draft.number(keys::LATEST);
+    let quorum = keys::quorum(draft.state, latest);
+    let step = add_step(draft, revision, quorum, items);
+    Receipt::Changed { step, revision }
+}
+
+fn add_step(draft: &mut Draft, revision: u64, quorum: Vec<NodeId>, items: Vec<ItemLine>) -> u64 {
+    let number = draft.number(keys::LATEST) + 1;
+    let step = StepLine { number, revision, quorum: quorum.into(), items: items.into() };
+    draft.put(keys::step_key(number), wire::to_bytes(&step));
+    draft.put_number(keys::LATEST, number);
+    number
+}
+
+pub fn quorum(draft: &mut Draft, after: u64, members: Vec<NodeId>) -> Receipt {
+    let latest = draft.number(keys::LATEST);
+    if latest == after && latest == draft.number(keys::ACTIVE) {
+        let revision = draft.number(keys::LATEST_REVISION);
+        add_step(draft, revision, members, Vec::new());
+    }
+    Receipt::Plain
+}
+
+pub fn activate(draft: &mut Draft, to: u64) -> Receipt {
+    let active = draft.number(keys::ACTIVE);
+    if to <= active || to > draft.number(keys::LATEST) {
+        return Receipt::Plain;
+    }
+    for number in active + 1..=to {
+        let Some(step) = keys::step(draft.state, number) else { continue };
+        for item in step.items.iter() {
+            let key = format!("{}{}", keys::ACTIVE_PAIRS, item.key.as_str());
+            if item.gone != 0 {
+                draft.drop(key);
+            } else {
+                draft.put(key, item.value.as_slice().to_vec());
+            }
+        }
+        draft.put_number(keys::ACTIVE_REVISION, step.revision);
+    }
+    draft.put_number(keys::ACTIVE, to);
+    let old: Vec<String> = keys::with_prefix(draft.state, "s/")
+        .map(|(key, _)| key.clone())
+        .take_while(|key| *key < keys::step_key(to.saturating_sub(STEPS_KEPT)))
+        .collect();
+    old.into_iter().for_each(|key| draft.drop(key));
+    Receipt::Plain
+}
--- /dev/null
+++ b/crates/control/src/apply_task.rs
@@ -0,0 +1,117 @@
+//! The ledger of run-once keys and the store of deferred tasks. A key is granted to one asker
+//! only; it is released only by that asker's own word that it never dispatched. A key held by a
+//! router that is no longer a member has an outcome nobody knows, and is answered so.
+
+use crate::apply::Draft;
+use crate::command::{ClaimRecord, ClaimState, DeferredRecord, Receipt};
+use crate::keys;
+use holds::MemberLine;
+use wire::{Blob, NodeId, Text};
+
+const KEY_TICKS: u64 = 1800;
+const DONE_TICKS: u64 = 3600;
+const CLAIMS: u64 = 300_000;
+const DEFERRED: u64 = 50_000;
+
+type Asker = (NodeId, u64, u64);
+
+fn owner(record: &ClaimRecord) -> Asker {
+    (record.member, record.incarnation, record.ask)
+}
+
+fn receipt(state: ClaimState, answer: Blob) -> Receipt {
+    Receipt::Claim { state, answer }
+}
+
+pub fn claim(draft: &mut Draft, scope: &str, digest: Blob, asker: Asker) -> Receipt {
+    let key = format!("k/{scope}");
+    let Some(record) = draft.state.get(&key).and_then(|raw| wire::from_bytes::<ClaimRecord>(raw)) else {
+        let count = draft.number(keys::CLAIMS);
+        if count >= CLAIMS {
+            return receipt(ClaimState::Full, Blob::default());
+        }
+        let (member, incarnation, ask) = asker;
+        let due = draft.number(keys::TICKS) + KEY_TICKS;
+        let record = ClaimRecord { digest, member, incarnation, ask, due, settled: 0, answer: Blob::default() };
+        draft.put(key.clone(), wire::to_bytes(&record));
+        draft.put_number(keys::CLAIMS, count + 1);
+        draft.expire(&key, KEY_TICKS);
+        return receipt(ClaimState::Granted, Blob::default());
+    };
+    if record.digest != digest {
+        return receipt(ClaimState::OtherBody, Blob::default());
+    }
+    if record.settled != 0 {
+        return receipt(ClaimState::Settled, record.answer);
+    }
+    if owner(&record) == asker {
+        return receipt(ClaimState::Granted, Blob::default());
+    }
+    let holder = draft.state.get(&keys::member_key(record.member));
+    let lives = holder
+        .and_then(|raw| wire::from_bytes::<MemberLine>(raw))
+        .is_some_and(|line| line.incarnation == record.incarnation);
+    let state = if lives { ClaimState::Running } else { ClaimState::Unknown };
+    receipt(state, Blob::default())
+}
+
+pub fn settle(draft: &mut Draft, scope: &str, asker: Asker, answer: Blob) -> Receipt {
+    let key = format!("k/{scope}");
+    if let Some(mut record) = draft.state.get(&key).and_then(|raw| wire::from_bytes::<ClaimRecord>(raw))
+        && owner(&record) == asker
+        && record.settled == 0
+    {
+        record.settled = 1;
+        record.answer = answer;
+        draft.put(key, wire::to_bytes(&record));
+    }
+    Receipt::Plain
+}
+
+pub fn release(draft: &mut Draft, scope: &str, asker: Asker) -> Receipt {
+    let key = format!("k/{scope}");
+    if let Some(record) = draft.state.get(&key).and_then(|raw| wire::from_bytes::<ClaimRecord>(raw))
+        && owner(&record) == asker
+        && record.settled == 0
+    {
+        draft.drop(key);
+        let count = draft.number(keys::CLAIMS);
+        draft.put_number(keys::CLAIMS, count.saturating_sub(1));
+    }
+    Receipt::Plain
+}
+
+pub fn store(draft: &mut Draft, id: &str, function: Text, digest: Blob, task: Blob) -> Receipt {
+    let key = format!("d/{id}");
+    if let Some(record) = draft.state.get(&key).and_then(|raw| wire::from_bytes::<DeferredRecord>(raw)) {
+        let state = match () {
+            () if record.digest != digest => ClaimState::OtherBody,
+            () if record.done != 0 => ClaimState::Settled,
+            () => ClaimState::Running,
+        };
+        return Receipt::Stored { state, answer: record.answer };
+    }
+    let count = draft.number(keys::STORED);
+    if count >= DEFERRED {
+        return Receipt::Stored { state: ClaimState::Full, answer: Blob::default() };
+    }
+    draft.put(format!("p/{}/{id}", function.as_str()), task.into_vec());
+    let record = DeferredRecord { function, digest, done: 0, answer: Blob::default() };
+    draft.put(key, wire::to_bytes(&record));
+    draft.put_number(keys::STORED, count + 1);
+    Receipt::Stored { state: ClaimState::Granted, answer: Blob::default() }
+}
+
+pub fn finish(draft: &mut Draft, id: &str, function: &str, answer: Blob) -> Receipt {
+    let key = format!("d/{id}");
+    if let Some(mut record) = draft.state.get(&key).and_then(|raw| wire::from_bytes::<DeferredRecord>(raw))
+        && record.done == 0
+    {
+        record.done = 1;
+        record.answer = answer;
+        draft.drop(format!("p/{function}/{id}"));
+        draft.put(key.clone(), wire::to_bytes(&record));
+        draft.expire(&key, DONE_TICKS);
+    }
+    Receipt::Plain
+}
--- /dev/null
+++ b/crates/control/src/command.rs
@@ -0,0 +1,89 @@
+//! The entries of the chain and the receipts its tail gives for them, as deku records.
+
+use deku::prelude::*;
+use wire::{Blob, ItemLine, List, NodeId, Text};
+
+#[derive(Clone, Debug, PartialEq, Eq, DekuRead, DekuWrite)]
+#[deku(id_type = "u8")]
+pub enum Command {
+    #[deku(id = "1")]
+    Change { op: Text, base: u64, any: u8, whole: u8, scope: Text, items: List<ItemLine> },
+    #[deku(id = "2")]
+    Quorum { after: u64, members: List<NodeId> },
+    #[deku(id = "3")]
+    Activate { step: u64 },
+    #[deku(id = "4")]
+    Join { id: NodeId, incarnation: u64, address: Text, zone: Text, ops: Text },
+    #[deku(id = "5")]
+    Lapse { id: NodeId, incarnation: u64 },
+    #[deku(id = "6")]
+    Leaving { id: NodeId, incarnation: u64 },
+    #[deku(id = "7")]
+    Claim { scope: Text, digest: Blob, member: NodeId, incarnation: u64, ask: u64 },
+    #[deku(id = "8")]
+    Settle { scope: Text, member: NodeId, incarnation: u64, ask: u64, answer: Blob },
+    #[deku(id = "9")]
+    Release { scope: Text, member: NodeId, incarnation: u64, ask: u64 },
+    #[deku(id = "10")]
+    Store { id: Text, function: Text, digest: Blob, task: Blob },
+    #[deku(id = "11")]
+    Finish { id: Text, function: Text, answer: Blob },
+    #[deku(id = "12")]
+    Tick { number: u64 },
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, DekuRead, DekuWrite)]
+#[deku(id_type = "u8")]
+pub enum Receipt {
+    #[deku(id = "1")]
+    Changed { step: u64, revision: u64 },
+    #[deku(id = "2")]
+    Refused { status: u16, body: Blob },
+    #[deku(id = "3")]
+    Claim { state: ClaimState, answer: Blob },
+    #[deku(id = "4")]
+    Stored { state: ClaimState, answer: Blob },
+    #[deku(id = "5")]
+    Plain,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, DekuRead, DekuWrite)]
+#[deku(id_type = "u8")]
+pub enum ClaimState {
+    #[deku(id = "1")]
+    Granted,
+    #[deku(id = "2")]
+    Running,
+    #[deku(id = "3")]
+    Settled,
+    #[deku(id = "4")]
+    Unknown,
+    #[deku(id = "5")]
+    OtherBody,
+    #[deku(id = "6")]
+    Full,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, DekuRead, DekuWrite)]
+pub struct ClaimRecord {
+    pub digest: Blob,
+    pub member: NodeId,
+    pub incarnation: u64,
+    pub ask: u64,
+    pub due: u64,
+    pub settled: u8,
+    pub answer: Blob,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, DekuRead, DekuWrite)]
+pub struct DeferredRecord {
+    pub function: Text,
+    pub digest: Blob,
+    pub done: u8,
+    pub answer: Blob,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, DekuRead, DekuWrite)]
+pub struct OpRecord {
+    pub receipt: Receipt,
+}
--- /dev/null
+++ b/crates/control/src/core.rs
@@ -0,0 +1,234 @@
+//! A registry as one state machine over its chain member: it takes ticks, frames, finished writes
+//! and operators' calls, and returns frames, writes and replies. The service feeds it from real
+//! sockets and disks, the simulator from seeded ones.
+
+use crate::api_calls::{ApiCall, ApiReply};
+use crate::command::Command;
+use crate::keys;
+use crate::operators::{Activation, ReadJob};
+use chain::{Batch, Input, Member, Output, State};
+use holds::Sessions;
+use std::collections::{BTreeMap, VecDeque};
+use std::time::Duration;
+use wire::{ChainMsg, HoldMsg, NodeId, OpNo, View};
+
+#[derive(Clone, Debug)]
+pub struct CoreTiming {
+    pub lapse: Duration,
+    pub settle: Duration,
+    pub call: Duration,
+    pub tick: Duration,
+    pub calm: Duration,
+}
+
+impl Default for CoreTiming {
+    fn default() -> Self {
+        CoreTiming {
+            lapse: Duration::from_millis(2500),
+            settle: Duration::from_millis(1800),
+            call: Duration::from_secs(10),
+            tick: Duration::from_secs(1),
+            calm: Duration::from_secs(2),
+        }
+    }
+}
+
+#[derive(Debug)]
+pub enum CoreInput {
+    Tick,
+    Chain { from: NodeId, message: ChainMsg },
+    Written { ticket: u64 },
+    DiskFault,
+    Router { from: NodeId, incarnation: u64, message: HoldMsg },
+    Call { ask: u64, call: ApiCall },
+    HandOver { optimizer: NodeId },
+}
+
+#[derive(Debug)]
+pub enum CoreOutput {
+    Registry { to: NodeId, message: ChainMsg },
+    Seeds { message: ChainMsg },
+    Write { ticket: u64, batch: Batch },
+    Router { to: NodeId, message: HoldMsg },
+    Reply { ask: u64, reply: ApiReply },
+    Viewed { view: View },
+    Activated { step: u64 },
+}
+
+pub enum Wait {
+    Duty,
+    Router { to: NodeId, ask: u64 },
+    Change { ask: u64, op: String },
+}
+
+pub struct Core {
+    pub(crate) member: Member,
+    pub(crate) timing: CoreTiming,
+    pub(crate) now: Duration,
+    pub(crate) outs: Vec<CoreOutput>,
+    pub(crate) sessions: Sessions,
+    pub(crate) tail_since: Option<Duration>,
+    pub(crate) jobs: VecDeque<(u64, NodeId, u64, HoldMsg)>,
+    pub(crate) waits: BTreeMap<u64, (Wait, Duration)>,
+    pub(crate) next_op: u64,
+    pub(crate) reads: BTreeMap<u64, ReadJob>,
+    pub(crate) activations: Vec<Activation>,
+    pub(crate) steps_seen: VecDeque<(u64, u64)>,
+    pub(crate) effective: u64,
+    pub(crate) ticked: Duration,
+    pub(crate) dutied: Duration,
+    pub(crate) roster_pushed: u64,
+    pub(crate) members_since: (Vec<NodeId>, Duration),
+}
+
+impl Core {
+    pub fn new(member: Member, timing: CoreTiming, first_op: u64) -> Self {
+        Core {
+            member,
+            timing,
+            now: Duration::ZERO,
+            outs: Vec::new(),
+            sessions: Sessions::default(),
+            tail_since: None,
+            jobs: VecDeque::new(),
+            waits: BTreeMap::new(),
+            next_op: first_op,
+            reads: BTreeMap::new(),
+            activations: Vec::new(),
+            steps_seen: VecDeque::new(),
+            effective: 0,
+            ticked: Duration::ZERO,
+            dutied: Duration::ZERO,
+            roster_pushed: 0,
+            members_since: (Vec::new(), Duration::ZERO),
+        }
+    }
+
+    pub fn member(&self) -> &Member {
+        &self.member
+    }
+
+    pub fn state(&self) -> &State {
+        self.member.synced_state()
+    }
+
+    pub fn me(&self) -> NodeId {
+        self.member.seat().id
+    }
+
+    pub fn step(&mut self, now: Duration, input: CoreInput) -> Vec<CoreOutput> {
+        self.now = now;
+        match input {
+            CoreInput::Tick => {
+                self.chain(Input::Tick);
+                self.tick();
+            }
+            CoreInput::Chain { from, message } => self.chain(Input::Frame { from, message }),
+            CoreInput::Written { ticket } => self.chain(Input::Written { ticket }),
+            CoreInput::DiskFault => self.chain(Input::DiskFault),
+            CoreInput::Router { from, incarnation, message } => self.router(from, incarnation, message),
+            CoreInput::Call { ask, call } => self.call(ask, call),
+            CoreInput::HandOver { optimizer } => self.chain(Input::HandOver { optimizer }),
+        }
+        self.after();
+        let mut outs = Vec::new();
+        loop {
+            let batch = std::mem::take(&mut self.outs);
+            if batch.is_empty() {
+                return outs;
+            }
+            for out in batch {
+                match out {
+                    CoreOutput::Router { to, message } if to == self.me() => {
+                        self.router(to, 0, message);
+                        self.after();
+                    }
+                    other => outs.push(other),
+                }
+            }
+        }
+    }
+
+    pub(crate) fn chain(&mut self, input: Input) {
+        for output in self.member.step(self.now, input) {
+            match output {
+                Output::Send { to, message } => self.outs.push(CoreOutput::Registry { to, message }),
+                Output::SendSeeds { message } => self.outs.push(CoreOutput::Seeds { message }),
+                Output::Write { ticket, batch } => self.outs.push(CoreOutput::Write { ticket, batch }),
+                Output::Viewed { view } => self.outs.push(CoreOutput::Viewed { view }),
+                Output::Done { op, entered, receipt } => self.done(op, entered, receipt),
+                Output::Confirmed { round } => self.confirmed(round),
+                Output::Committed { .. } => {}
+            }
+        }
+    }
+
+    pub(crate) fn enter(&mut self, wait: Wait, command: &Command) {
+        self.enter_raw(wait, command.to_entry());
+    }
+
+    pub(crate) fn enter_raw(&mut self, wait: Wait, body: Vec<u8>) {
+        self.next_op += 1;
+        let number = self.next_op;
+        self.waits.insert(number, (wait, self.now + self.timing.call));
+        self.chain(Input::Enter { op: OpNo { origin: self.me(), number }, body });
+    }
+
+    fn done(&mut self, op: OpNo, entered: bool, receipt: Vec<u8>) {
+        let Some((wait, _)) = self.waits.remove(&op.number) else { return };
+        match wait {
+            Wait::Duty => {}
+            Wait::Router { to, ask } => {
+                let message = HoldMsg::EnterReceipt { ask, state: entered as u8, body: receipt.into() };
+                self.outs.push(CoreOutput::Router { to, message });
+            }
+            Wait::Change { ask, op } => self.change_done(ask, op, entered, &receipt),
+        }
+    }
+
+    fn tick(&mut self) {
+        let now = self.now;
+        let late: Vec<u64> = self.waits.iter().filter(|(_, (_, due))| now > *due).map(|(op, _)| *op).collect();
+        for op in late {
+            match self.waits.remove(&op) {
+                Some((Wait::Router { to, ask }, _)) => {
+                    let message = HoldMsg::EnterReceipt { ask, state: 2, body: Vec::new().into() };
+                    self.outs.push(CoreOutput::Router { to, message });
+                }
+                Some((Wait::Change { ask, op }, _)) => self.unknown(ask, &op),
+                _ => {}
+            }
+        }
+        self.tick_calls();
+        self.duties();
+    }
+
+    /// Follows what became synced and committed since: steps in force, the tail's role, pushes.
+    fn after(&mut self) {
+        let (_, synced, committed) = self.member.positions();
+        let active = keys::number(self.state(), keys::ACTIVE);
+        if self.steps_seen.back().map_or(self.effective, |(_, step)| *step) != active {
+            self.steps_seen.push_back((synced, active));
+        }
+        while let Some((seq, step)) = self.steps_seen.front().copied() {
+            if committed < seq {
+                break;
+            }
+            self.steps_seen.pop_front();
+            self.effective = step;
+            self.outs.push(CoreOutput::Activated { step });
+            self.activated(step);
+        }
+        let tail = self.member.is_current_tail();
+        if !tail {
+            self.tail_since = None;
+        } else if self.tail_since.is_none() {
+            self.tail_since = Some(self.now);
+            self.sessions = Sessions::default();
+            self.roster_pushed = 0;
+        }
+        if tail && committed >= synced {
+            self.push();
+        }
+    }
+}
--- /dev/null
+++ b/crates/control/src/duties.rs
@@ -0,0 +1,77 @@
+//! What the current tail does of its own accord, and only just after a majority has confirmed its
+//! view: lapse silent routers, activate steps that all have staged, renew the quorum of machines,
+//! and tick the chain's clock.
+
+use crate::command::Command;
+use crate::core::{Core, Wait};
+use crate::keys;
+use std::time::Duration;
+use wire::NodeId;
+
+const EVERY: Duration = Duration::from_millis(50);
+
+impl Core {
+    pub(crate) fn duties(&mut self) {
+        if self.tail_since.is_none() || self.now < self.dutied + EVERY {
+            return;
+        }
+        self.dutied = self.now;
+        self.ask_round();
+    }
+
+    pub(crate) fn ask_round(&mut self) -> u64 {
+        let round = self.member.ask_confirm();
+        self.chain(chain::Input::Confirm);
+        round
+    }
+
+    pub(crate) fn duties_confirmed(&mut self) {
+        let Some(since) = self.tail_since else { return };
+        let members = keys::incarnations(self.state());
+        self.sessions.align(self.now, &members, self.timing.lapse);
+        if self.waits.values().any(|(wait, _)| matches!(wait, Wait::Duty)) {
+            return;
+        }
+        if self.now >= self.ticked + self.timing.tick {
+            self.ticked = self.now;
+            let number = keys::number(self.state(), keys::TICKS) + 1;
+            self.enter(Wait::Duty, &Command::Tick { number });
+        }
+        for (id, incarnation) in self.sessions.lapsed(self.now, self.timing.lapse) {
+            self.enter(Wait::Duty, &Command::Lapse { id, incarnation });
+        }
+        if self.now >= since + self.timing.settle {
+            self.activate_staged();
+            self.renew_quorum(members.into_keys().collect());
+        }
+    }
+
+    fn activate_staged(&mut self) {
+        let active = keys::number(self.state(), keys::ACTIVE);
+        let latest = keys::number(self.state(), keys::LATEST);
+        let mut quorums = vec![keys::quorum(self.state(), active)];
+        let mut ready = active;
+        for step in active + 1..=latest {
+            quorums.push(keys::quorum(self.state(), step));
+            if self.sessions.staged_by_all(step, &quorums) {
+                ready = step;
+            }
+        }
+        if ready > active {
+            self.enter(Wait::Duty, &Command::Activate { step: ready });
+        }
+    }
+
+    fn renew_quorum(&mut self, members: Vec<NodeId>) {
+        if self.members_since.0 != members {
+            self.members_since = (members, self.now);
+            return;
+        }
+        let active = keys::number(self.state(), keys::ACTIVE);
+        let latest = keys::number(self.state(), keys::LATEST);
+        let calm = self.now >= self.members_since.1 + self.timing.calm;
+        if calm && active == latest && !members.is_empty() && keys::quorum(self.state(), active) != members {
+            self.enter(Wait::Duty, &Command::Quorum { after: latest, members: members.into() });
+        }
+    }
+}
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -1,1 +1,29 @@
+//! The control plane as a library: what the chain's entries mean (`apply`), the tail's duties and
+//! the answers to routers and operators (`Core`, a state machine), and the service around it:
+//! HTTP for operators, the optimizer on its own thread, links, disk.
 
+mod api;
+mod api_calls;
+mod apply;
+mod apply_change;
+mod apply_member;
+mod apply_task;
+mod command;
+mod core;
+mod duties;
+mod keys;
+mod operators;
+mod optimizer;
+mod routers;
+mod service;
+mod settings;
+mod status;
+mod tokens;
+
+pub use api_calls::{ApiCall, ApiReply};
+pub use apply::apply;
+pub use command::{ClaimRecord, ClaimState, Command, DeferredRecord, OpRecord, Receipt};
+pub use core::{Core, CoreInput, CoreOutput, CoreTiming};
+pub use keys::{number, member_key};
+pub use service::run;
+pub use settings::RegistryEnv;
--- /dev/null
+++ b/crates/control/src/settings.rs
@@ -0,0 +1,34 @@
+//! The registry's settings.
+
+use crate::tokens::well_formed;
+use env::{address, any, in_range, non_empty, seeds, word};
+use std::path::{Path, PathBuf};
+use std::time::Duration;
+
+fn folder(path: &Path) -> Result<(), String> {
+    if path.as_os_str().is_empty() { Err("it must be given".into()) } else { Ok(()) }
+}
+
+env::settings! {
+    pub struct RegistryEnv {
+        cluster: String = "heronlink".into(), word, "name of the cluster; frames and data files of another are refused";
+        zone: String = "a".into(), word, "zone this machine stands in";
+        address: String = String::new(), address, "IP number and port for heronlink's own processes";
+        api: String = String::new(), address, "IP number and port for operators (HTTP/1.1, JSON)";
+        seeds: Vec<String> = Vec::new(), seeds, "addresses of the three registries, own address among them or not";
+        data: PathBuf = PathBuf::new(), |path: &PathBuf| folder(path), "folder for the data file";
+        tokens: Vec<String> = Vec::new(), well_formed, "bearer tokens, tenant=SECRET or *=SECRET, parted by commas";
+        hold: Duration = Duration::from_millis(1500), in_range(Duration::from_millis(500), Duration::from_secs(10)), "how long a proof of revision lasts; the same on every machine";
+        call: Duration = Duration::from_secs(10), in_range(Duration::from_secs(1), Duration::from_secs(60)), "how long an operator's call may take before its outcome is told as unknown";
+        body: usize = 4 * 1024 * 1024, in_range(1024, 5 * 1024 * 1024), "longest body of an operator's call in bytes";
+        solve: Duration = Duration::from_millis(1000), in_range(Duration::from_millis(10), Duration::from_secs(10)), "limit on one solve of a headcount plan";
+        log_level: String = "info".into(), |level: &String| one_of_levels(level), "error, warn, info, debug or trace";
+        log_file: String = String::new(), any, "log file, rolled over by size; empty for standard error";
+    }
+}
+
+fn one_of_levels(level: &str) -> Result<(), String> {
+    non_empty(&level.to_owned())?;
+    let known = ["error", "warn", "info", "debug", "trace"].contains(&level);
+    if known { Ok(()) } else { Err("allowed are error, warn, info, debug, trace".into()) }
+}
--- /dev/null
+++ b/crates/control/src/status.rs
@@ -0,0 +1,51 @@
+//! A registry's view of the system as JSON, for status calls and for the live watch.
+
+use crate::core::Core;
+use crate::keys;
+use serde_json::{Value, json};
+
+impl Core {
+    pub fn status(&self) -> Value {
+        let view = self.member.view();
+        let (last, synced, committed) = self.member.positions();
+        let state = self.state();
+        let hex = |id: u64| format!("{id:016x}");
+        let members: Vec<Value> = keys::members(state)
+            .iter()
+            .map(|line| {
+                let session = self.sessions.table.get(&line.id);
+                json!({
+                    "id": hex(line.id), "address": line.address.as_str(), "zone": line.zone.as_str(),
+                    "ops": line.ops.as_str(), "leaving": line.leaving != 0,
+                    "staged": session.map(|s| s.staged), "active": session.map(|s| s.active),
+                })
+            })
+            .collect();
+        json!({
+            "program": "registry",
+            "id": hex(self.me()),
+            "view": {
+                "number": view.number,
+                "chain": view.chain.iter().map(|id| hex(*id)).collect::<Vec<_>>(),
+                "voters": view.voters.iter().map(|s| json!({"id": hex(s.id), "address": s.address.as_str()})).collect::<Vec<_>>(),
+                "fresh": (view.fresh != 0).then(|| hex(view.fresh)),
+                "optimizer": hex(view.optimizer),
+                "suspects": self.member.suspects().into_iter().map(hex).collect::<Vec<_>>(),
+            },
+            "role": if self.member.is_head() { "head" } else if self.member.is_tail() { "tail" }
+                else if view.chain.as_slice().contains(&self.me()) { "middle" } else { "out" },
+            "current_tail": self.tail_since.is_some(),
+            "positions": {"last": last, "synced": synced, "committed": committed},
+            "revision": {
+                "active": keys::number(state, keys::ACTIVE_REVISION), "latest": keys::number(state, keys::LATEST_REVISION),
+                "active_step": keys::number(state, keys::ACTIVE), "latest_step": keys::number(state, keys::LATEST),
+            },
+            "roster": keys::number(state, keys::ROSTER),
+            "ticks": keys::number(state, keys::TICKS),
+            "claims": keys::number(state, keys::CLAIMS),
+            "deferred": keys::number(state, keys::STORED),
+            "members": members,
+            "waits": self.waits.len(), "jobs": self.jobs.len(),
+        })
+    }
+}
--- a/crates/holds/src/sessions.rs
+++ b/crates/holds/src/sessions.rs
@@ -12,9 +12,10 @@
     pub staged: u64,
     pub active: u64,
     pub roster: u64,
-    pub lapsing: bool,
+    pub ghost: bool,
     pub pushed: u64,
     pub pushed_at: Duration,
+    pub told: u64,
 }
 
 #[derive(Clone, Debug, Default)]
@@ -23,28 +24,39 @@
 }
 
 impl Sessions {
-    /// Brings the table in line with the members the chain's state names.
-    pub fn align(&mut self, now: Duration, members: &BTreeMap<NodeId, u64>) {
-        self.table.retain(|id, session| members.get(id) == Some(&session.incarnation));
+    /// Brings the table in line with the members the chain's state names. One that is named no
+    /// longer but was given a proof not long ago stays as a ghost until that proof has run out.
+    pub fn align(&mut self, now: Duration, members: &BTreeMap<NodeId, u64>, after: Duration) {
+        for (id, session) in &mut self.table {
+            session.ghost = members.get(id) != Some(&session.incarnation);
+        }
+        self.table.retain(|_, session| !session.ghost || now <= session.proved + after);
         for (id, incarnation) in members {
-            self.table.entry(*id).or_insert_with(|| Session {
-                incarnation: *incarnation,
-                proved: now,
-                ..Session::default()
-            });
+            match self.table.get_mut(id) {
+                Some(session) if session.incarnation == *incarnation => {}
+                Some(session) => {
+                    let proved = session.proved;
+                    *session = Session { incarnation: *incarnation, proved, ..Session::default() };
+                }
+                None => {
+                    let session = Session { incarnation: *incarnation, proved: now, ..Session::default() };
+                    self.table.insert(*id, session);
+                }
+            }
         }
     }
 
     pub fn lapsed(&self, now: Duration, after: Duration) -> Vec<(NodeId, u64)> {
-        let silent = |session: &&Session| now > session.proved + after;
+        let silent = |session: &&Session| !session.ghost && now > session.proved + after;
         self.table.iter().filter(|(_, s)| silent(s)).map(|(id, s)| (*id, s.incarnation)).collect()
     }
 
     /// Whether every member has staged the step, and the machines that have are a majority of
     /// each quorum given. An empty quorum asks nothing.
-    pub fn staged_by_all(&self, step: u64, quorums: &[&[NodeId]]) -> bool {
+    pub fn staged_by_all(&self, step: u64, quorums: &[Vec<NodeId>]) -> bool {
         let has = |id: &NodeId| self.table.get(id).is_some_and(|session| session.staged >= step);
+        let most = |quorum: &Vec<NodeId>| quorum.iter().filter(|id| has(id)).count() * 2 > quorum.len();
         self.table.values().all(|session| session.staged >= step)
-            && quorums.iter().all(|quorum| quorum.is_empty() || quorum.iter().filter(|id| has(id)).count() * 2 > quorum.len())
+            && quorums.iter().all(|quorum| quorum.is_empty() || most(quorum))
     }
 }
--- a/crates/kernel/src/inbox.rs
+++ b/crates/kernel/src/inbox.rs
@@ -35,6 +35,11 @@
         self.queue.recv().await
     }
 
+    /// For a plain thread that owns no runtime.
+    pub fn next_blocking(&mut self) -> Option<M> {
+        self.queue.blocking_recv()
+    }
+
     pub fn ready(&mut self) -> Option<M> {
         self.queue.try_recv().ok()
     }
--- /dev/null
+++ b/crates/scaler/src/demand.rs
@@ -0,0 +1,73 @@
+//! From a forecast rate to demand, to the letter of the source: rate x response time x 0.05, plus
+//! three-sample means of waiting tasks x 0.1 and held tasks x 1.0. The source leaves the unit of
+//! the response time open. It is taken here in units of 50 ms, so that the first term is the mean
+//! number of tasks in flight and every term counts tasks; an instance's capacity is then its limit
+//! at the sheet's target usage, and never less than the one task any instance can do.
+
+use crate::forecast::Forecast;
+use crate::window::Sample;
+use bindings::WeightSheet;
+use std::time::Duration;
+
+const UNIT: Duration = Duration::from_millis(50);
+
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Level {
+    pub response: Duration,
+    pub waiting: f64,
+    pub held: f64,
+}
+
+impl Level {
+    /// Means of the last three samples, the newest of which may be a gauge read just now.
+    pub fn mean<'a>(samples: impl Iterator<Item = &'a Sample>) -> Level {
+        let three: Vec<&Sample> = samples.take(3).collect();
+        let count = three.len().max(1) as f64;
+        let answered: Vec<f64> = three.iter().map(|s| s.response.as_secs_f64()).filter(|s| *s > 0.0).collect();
+        Level {
+            response: Duration::from_secs_f64(answered.iter().sum::<f64>() / answered.len().max(1) as f64),
+            waiting: three.iter().map(|s| s.waiting).sum::<f64>() / count,
+            held: three.iter().map(|s| s.held).sum::<f64>() / count,
+        }
+    }
+}
+
+pub fn demand(rates: &[f64], level: Level, sheet: &WeightSheet) -> Vec<f64> {
+    let units = level.response.as_secs_f64() / UNIT.as_secs_f64();
+    let standing = level.waiting * sheet.waiting_weight + level.held * sheet.held_weight;
+    rates.iter().map(|rate| rate * units * sheet.work_weight + standing).collect()
+}
+
+/// Demand, and the coverage the plan is held to: the upper band where the sheet is risk-aware.
+pub fn coverage(forecast: &Forecast, level: Level, sheet: &WeightSheet) -> (Vec<f64>, Vec<f64>) {
+    let mean = demand(&forecast.mean, level, sheet);
+    let covered = if sheet.risk_aware { demand(&forecast.upper, level, sheet) } else { mean.clone() };
+    (mean, covered)
+}
+
+pub fn capacity(instance_limit: u32, sheet: &WeightSheet) -> f64 {
+    (f64::from(instance_limit) * sheet.target_usage).max(1.0)
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn sample(response_ms: u64, waiting: f64, held: f64) -> Sample {
+        Sample { rate: 0.0, response: Duration::from_millis(response_ms), waiting, held }
+    }
+
+    #[test]
+    fn one_rare_held_task_books_one_instance_and_a_busy_function_does_not_starve() {
+        let sheet = WeightSheet::default();
+        let rare = Level::mean([sample(0, 0.0, 1.0), sample(0, 0.0, 0.0), sample(0, 0.0, 0.0)].iter());
+        let asked = demand(&[0.0], rare, &sheet)[0];
+        assert!((asked - 1.0 / 3.0).abs() < 1e-12);
+        assert_eq!((asked / capacity(1, &sheet)).ceil(), 1.0);
+        // 60 a second at 200 ms keep 12 tasks in flight; limit 5 at 0.6 is 3 a piece: 4 instances.
+        let busy = Level::mean([sample(200, 0.0, 0.0)].iter());
+        let asked = demand(&[60.0], busy, &sheet)[0];
+        assert!((asked - 12.0).abs() < 1e-9);
+        assert_eq!((asked / capacity(5, &sheet)).ceil(), 4.0);
+    }
+}
--- /dev/null
+++ b/crates/scaler/src/fourier.rs
@@ -0,0 +1,19 @@
+//! The exogenous terms: two harmonics each of the day and of the week, as functions of time alone,
+//! so the future ones are known.
+
+use std::time::Duration;
+
+pub const COLUMNS: usize = 8;
+const DAY: f64 = 86_400.0;
+const WEEK: f64 = 7.0 * DAY;
+
+pub fn row(at: Duration) -> [f64; COLUMNS] {
+    let seconds = at.as_secs_f64();
+    let mut row = [0.0; COLUMNS];
+    for (place, (period, harmonic)) in [(DAY, 1.0), (DAY, 2.0), (WEEK, 1.0), (WEEK, 2.0)].into_iter().enumerate() {
+        let angle = std::f64::consts::TAU * harmonic * seconds / period;
+        row[2 * place] = angle.sin();
+        row[2 * place + 1] = angle.cos();
+    }
+    row
+}
--- a/crates/scaler/src/lib.rs
+++ b/crates/scaler/src/lib.rs
@@ -1,1 +1,19 @@
+//! The source design's scaler: a window of fifteen-second samples, a SARIMAX forecast with daily
+//! and weekly Fourier terms, its conversion to demand, an integer plan that counts the startup
+//! delay, and the playing of that plan by elapsed step. `Optimizer` is one host's whole state.
 
+mod arma;
+mod demand;
+mod forecast;
+mod fourier;
+mod optimizer;
+mod plan;
+mod player;
+mod window;
+
+pub use demand::{Level, capacity, demand};
+pub use forecast::{Forecast, Model, persistence};
+pub use optimizer::{Optimizer, Planned};
+pub use plan::{Plan, PlanFault, PlanTask, plan};
+pub use player::{Player, PlayerTiming, Situation, Verdict, fallback};
+pub use window::{Sample, Window};
--- /dev/null
+++ b/crates/scaler/src/optimizer.rs
@@ -0,0 +1,76 @@
+//! The optimizer's host: windows of all functions, staggered fits, demand and plan. It answers
+//! with the counts from the startup delay on, or with the fallback where no plan could be made.
+
+use crate::demand::{Level, capacity, coverage};
+use crate::plan::{PlanTask, plan};
+use crate::player::fallback;
+use crate::window::{STEP, Sample, Window};
+use bindings::Function;
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+const HORIZON: usize = 4;
+const FITS_PER_SECOND: f64 = 8.0;
+
+pub struct Planned {
+    pub desired: Vec<u32>,
+    pub step: Duration,
+    pub fault: Option<String>,
+}
+
+#[derive(Default)]
+pub struct Optimizer {
+    windows: BTreeMap<String, Window>,
+    fits_left: f64,
+    refilled: Duration,
+}
+
+impl Optimizer {
+    pub fn sample(&mut self, now: Duration, function: &str, sample: Sample) {
+        self.windows.entry(function.to_owned()).or_default().take(now, sample);
+    }
+
+    /// Forgets functions that are bound no longer.
+    pub fn keep_only(&mut self, known: impl Fn(&str) -> bool) {
+        self.windows.retain(|name, _| known(name));
+    }
+
+    pub fn plan(&mut self, now: Duration, function: &Function, current: u32, gauge: Sample, limit: Duration) -> Planned {
+        let gained = now.saturating_sub(self.refilled).as_secs_f64() * FITS_PER_SECOND;
+        self.fits_left = (self.fits_left + gained).min(FITS_PER_SECOND);
+        self.refilled = now;
+        let sheet = &function.sheet;
+        let delay = sheet.startup_delay_steps as usize;
+        let steps = delay + HORIZON;
+        let window = self.windows.entry(function.name.clone()).or_default();
+        let left = &mut self.fits_left;
+        let mut may_fit = || {
+            let may = *left >= 1.0;
+            *left -= if may { 1.0 } else { 0.0 };
+            may
+        };
+        let forecast = window.forecast(now, steps, &mut may_fit);
+        let gauge = Sample { response: Duration::ZERO, ..gauge };
+        let level = Level::mean(std::iter::once(&gauge).chain(window.last_three()));
+        let level = Level { response: Level::mean(window.last_three()).response, ..level };
+        let (demand, covered) = coverage(&forecast, level, sheet);
+        let task = PlanTask {
+            current,
+            min: function.min,
+            max: function.max,
+            capacity: capacity(function.instance_limit, sheet),
+            demand: &demand,
+            coverage: &covered,
+            sheet,
+            limit,
+        };
+        match plan(&task) {
+            Ok(found) => Planned { desired: found.counts[delay..].to_vec(), step: STEP, fault: None },
+            Err(fault) => {
+                let present = demand.iter().any(|d| *d > 0.0);
+                let count = fallback(current, present, function.min, function.max);
+                Planned { desired: vec![count], step: STEP, fault: Some(fault.to_string()) }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/scaler/src/player.rs
@@ -0,0 +1,176 @@
+//! The serving side of one function: plays desired[elapsed / step], asks again when the plan has
+//! run out, retries once, and on failure holds the count or starts one under demand. Two small
+//! exceptions: held tasks with nothing running or starting start one at once, and held tasks
+//! beyond what the played step can serve ask for a new plan early, at most once a second.
+
+use std::time::Duration;
+
+#[derive(Clone, Debug)]
+pub struct PlayerTiming {
+    pub timeout: Duration,
+    pub backoff: Duration,
+    pub early: Duration,
+    pub rest: Duration,
+}
+
+impl Default for PlayerTiming {
+    fn default() -> Self {
+        PlayerTiming {
+            timeout: Duration::from_secs(2),
+            backoff: Duration::from_millis(200),
+            early: Duration::from_secs(1),
+            rest: Duration::from_secs(5),
+        }
+    }
+}
+
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Situation {
+    pub running: u32,
+    pub starting: u32,
+    pub held: u32,
+    pub in_flight: u32,
+    pub capacity: f64,
+    pub min: u32,
+    pub max: u32,
+    pub fixed: Option<u32>,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Verdict {
+    pub desired: u32,
+    pub ask: bool,
+}
+
+#[derive(Clone, Debug, Default)]
+pub struct Player {
+    plan: Option<(Vec<u32>, Duration, Duration)>,
+    asked: Option<(u64, Duration)>,
+    tries: u32,
+    resting: Option<Duration>,
+    early_at: Option<Duration>,
+    fence: u64,
+    pub fallbacks: u64,
+    pub early_asks: u64,
+}
+
+pub fn fallback(current: u32, demand: bool, min: u32, max: u32) -> u32 {
+    let count = if demand && current == 0 { 1 } else { current };
+    count.clamp(min.min(max), max)
+}
+
+impl Player {
+    pub fn played(&self, now: Duration) -> Option<u32> {
+        let (counts, step, from) = self.plan.as_ref()?;
+        let place = now.saturating_sub(*from).as_millis() / step.as_millis().max(1);
+        counts.get(place as usize).copied()
+    }
+
+    pub fn plan(&self) -> &[u32] {
+        self.plan.as_ref().map_or(&[], |(counts, ..)| counts.as_slice())
+    }
+
+    /// Says what the count should be now, and whether a plan is to be asked for under `ask`.
+    pub fn step(&mut self, now: Duration, ask: u64, situation: Situation, timing: &PlayerTiming) -> Verdict {
+        let Situation { running, starting, held, in_flight, capacity, min, max, fixed } = situation;
+        if let Some(count) = fixed {
+            return Verdict { desired: count, ask: false };
+        }
+        if let Some((_, at)) = self.asked
+            && now > at + timing.timeout
+        {
+            self.asked = None;
+            self.tries += 1;
+            self.resting = Some(now + if self.tries < 2 { timing.backoff } else { timing.rest });
+            if self.tries >= 2 {
+                self.tries = 0;
+                self.fallbacks += 1;
+            }
+        }
+        let count = running + starting;
+        let played = self.played(now);
+        let beyond = played.is_some_and(|step| f64::from(held + in_flight) > f64::from(step.max(count)) * capacity);
+        let early = held > 0 && beyond && self.early_at.is_none_or(|at| now >= at + timing.early);
+        let rested = self.resting.is_none_or(|until| now >= until);
+        let wanted = played.is_none() || early;
+        let asks = wanted && rested && self.asked.is_none();
+        if asks {
+            self.asked = Some((ask, now));
+            if early {
+                self.early_at = Some(now);
+                self.early_asks += 1;
+            }
+        }
+        let demand = held + in_flight > 0;
+        let desired = played.unwrap_or_else(|| fallback(count, demand, min, max));
+        let woken = if held > 0 && count == 0 { desired.max(1) } else { desired };
+        Verdict { desired: woken.clamp(min.min(max), max), ask: asks }
+    }
+
+    /// Takes a plan asked for under `ask`, unless a later host has already been heard.
+    pub fn take(&mut self, now: Duration, ask: u64, fence: u64, desired: Vec<u32>, step: Duration) -> bool {
+        let due = self.asked.is_some_and(|(known, _)| known == ask);
+        if !due || fence < self.fence || desired.is_empty() || step.is_zero() {
+            return false;
+        }
+        self.fence = fence;
+        self.asked = None;
+        self.tries = 0;
+        self.resting = None;
+        self.plan = Some((desired, step.min(Duration::from_secs(3600)), now));
+        true
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    const S: Duration = Duration::from_secs(1);
+
+    fn situation(running: u32, held: u32) -> Situation {
+        Situation { running, held, capacity: 3.0, min: 0, max: 9, ..Situation::default() }
+    }
+
+    #[test]
+    fn plans_are_played_by_elapsed_step_and_asked_for_when_they_run_out() {
+        let (timing, mut player) = (PlayerTiming::default(), Player::default());
+        assert_eq!(player.step(S, 1, situation(4, 0), &timing), Verdict { desired: 4, ask: true });
+        assert!(player.take(S, 1, 5, vec![3, 6], 15 * S));
+        assert_eq!(player.step(10 * S, 2, situation(4, 0), &timing), Verdict { desired: 3, ask: false });
+        assert_eq!(player.step(17 * S, 3, situation(3, 0), &timing), Verdict { desired: 6, ask: false });
+        assert_eq!(player.step(32 * S, 4, situation(6, 0), &timing), Verdict { desired: 6, ask: true });
+        assert!(!player.take(32 * S, 4, 4, vec![1], 15 * S), "a fenced-off host's plan");
+        assert!(!player.take(32 * S, 3, 6, vec![1], 15 * S), "an answer to an older ask");
+    }
+
+    #[test]
+    fn one_retry_then_the_count_is_held_and_one_is_started_under_demand() {
+        let (timing, mut player) = (PlayerTiming::default(), Player::default());
+        let mut asks = 0;
+        for tenth in 0..70u32 {
+            let now = tenth * S / 10;
+            asks += u32::from(player.step(now, u64::from(tenth), situation(2, 0), &timing).ask);
+        }
+        assert_eq!((asks, player.fallbacks), (2, 1));
+        assert_eq!(player.step(7 * S, 99, situation(0, 1), &timing).desired, 1);
+        assert_eq!(player.step(7 * S, 99, situation(0, 0), &timing).desired, 0);
+    }
+
+    #[test]
+    fn held_tasks_beyond_the_step_ask_early_but_not_more_than_once_a_second() {
+        let (timing, mut player) = (PlayerTiming::default(), Player::default());
+        player.step(S, 1, situation(1, 0), &timing);
+        player.take(S, 1, 1, vec![1; 8], 15 * S);
+        let mut asks = 0;
+        for tenth in 0..30u32 {
+            let now = 2 * S + tenth * S / 10;
+            let verdict = player.step(now, u64::from(100 + tenth), situation(1, 7), &timing);
+            if verdict.ask {
+                asks += 1;
+                player.take(now, u64::from(100 + tenth), 1, vec![1; 8], 15 * S);
+            }
+        }
+        assert_eq!((asks, player.early_asks), (3, 3));
+    }
+}
--- /dev/null
+++ b/crates/scaler/src/window.rs
@@ -0,0 +1,90 @@
+//! One function's window: up to 240 minutes of samples at a fifteen-second step, and the fit kept
+//! from it for five minutes, as long as the newest ten observations stay within half of its mean.
+
+use crate::forecast::{Forecast, Model, persistence};
+use std::collections::VecDeque;
+use std::time::Duration;
+
+pub const STEP: Duration = Duration::from_secs(15);
+pub const LENGTH: usize = 240 * 60 / 15;
+const FIT_LASTS: Duration = Duration::from_secs(300);
+const RECENT: usize = 10;
+
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Sample {
+    pub rate: f64,
+    pub response: Duration,
+    pub waiting: f64,
+    pub held: f64,
+}
+
+#[derive(Default)]
+pub struct Window {
+    samples: VecDeque<Sample>,
+    first: u32,
+    fitted: Option<(Model, Duration, f64)>,
+    failed: Option<Duration>,
+    newest: Option<Duration>,
+}
+
+impl Window {
+    /// Takes a sample; steps that brought none are filled with the sample before.
+    pub fn take(&mut self, now: Duration, sample: Sample) {
+        if let Some(newest) = self.newest {
+            let missed = (now.saturating_sub(newest).as_secs_f64() / STEP.as_secs_f64()).round() as usize;
+            let before = self.samples.back().copied().unwrap_or_default();
+            for _ in 1..missed.min(LENGTH) {
+                self.push(before);
+            }
+        }
+        self.newest = Some(now);
+        self.push(sample);
+    }
+
+    fn push(&mut self, sample: Sample) {
+        self.samples.push_back(sample);
+        if self.samples.len() > LENGTH {
+            self.samples.pop_front();
+            self.first = self.first.wrapping_add(1);
+        }
+    }
+
+    pub fn last_three(&self) -> impl Iterator<Item = &Sample> {
+        self.samples.iter().rev().take(3)
+    }
+
+    pub fn len(&self) -> usize {
+        self.samples.len()
+    }
+
+    pub fn is_empty(&self) -> bool {
+        self.samples.is_empty()
+    }
+
+    fn needs_fit(&self, now: Duration, rates: &[f64]) -> bool {
+        let recent = &rates[rates.len().saturating_sub(RECENT)..];
+        let mean = recent.iter().sum::<f64>() / recent.len().max(1) as f64;
+        match &self.fitted {
+            Some((_, at, fitted_mean)) => {
+                now > *at + FIT_LASTS || (mean - fitted_mean).abs() > 0.5 * fitted_mean.abs().max(0.1)
+            }
+            None => self.failed.is_none_or(|at| now > at + STEP),
+        }
+    }
+
+    /// Forecasts the rate; fits only where `may_fit` lets it, else uses the fit there is.
+    pub fn forecast(&mut self, now: Duration, steps: usize, may_fit: &mut dyn FnMut() -> bool) -> Forecast {
+        let rates: Vec<f64> = self.samples.iter().map(|sample| sample.rate).collect();
+        let from = STEP * self.first;
+        if self.needs_fit(now, &rates) && may_fit() {
+            let recent = &rates[rates.len().saturating_sub(RECENT)..];
+            let mean = recent.iter().sum::<f64>() / recent.len().max(1) as f64;
+            self.fitted = Model::fit(&rates, from, STEP).map(|model| (model, now, mean));
+            self.failed = self.fitted.is_none().then_some(now);
+        }
+        match &self.fitted {
+            Some((model, ..)) => model.forecast(&rates, from, STEP, steps),
+            None => persistence(&rates, steps),
+        }
+    }
+}
