--- a/crates/control/src/apply.rs
+++ b/crates/control/src/apply.rs
@@ -4,7 +4,7 @@
 use crate::apply_change::{activate, change, quorum};
 use crate::apply_member::{join, lapse, leaving, tick};
 use crate::apply_task::{claim, finish, release, settle, store};
-use crate::command::{Command, Receipt};
+use wire::{Command, Receipt};
 use crate::keys;
 use chain::{Effect, State, Value};
 
--- a/crates/control/src/apply_change.rs
+++ b/crates/control/src/apply_change.rs
@@ -2,7 +2,7 @@
 //! until it is activated. A change asked again under its operation id gets its first receipt.
 
 use crate::apply::Draft;
-use crate::command::{OpRecord, Receipt};
+use wire::{OpRecord, Receipt};
 use crate::keys;
 use bindings::Fault;
 use std::collections::BTreeMap;
--- a/crates/control/src/apply_member.rs
+++ b/crates/control/src/apply_member.rs
@@ -2,7 +2,7 @@
 //! chain's own ticks, by which records are forgotten without trusting any wall clock.
 
 use crate::apply::Draft;
-use crate::command::{ClaimRecord, Command, Receipt};
+use wire::{ClaimRecord, Receipt};
 use crate::keys;
 use holds::MemberLine;
 use wire::{NodeId, Text};
@@ -86,9 +86,3 @@
         other => other.is_some(),
     }
 }
-
-impl Command {
-    pub fn to_entry(&self) -> Vec<u8> {
-        wire::to_bytes(self)
-    }
-}
--- a/crates/control/src/apply_task.rs
+++ b/crates/control/src/apply_task.rs
@@ -3,7 +3,7 @@
 //! router that is no longer a member has an outcome nobody knows, and is answered so.
 
 use crate::apply::Draft;
-use crate::command::{ClaimRecord, ClaimState, DeferredRecord, Receipt};
+use wire::{ClaimRecord, ClaimState, DeferredRecord, Receipt};
 use crate::keys;
 use holds::MemberLine;
 use wire::{Blob, NodeId, Text};
--- a/crates/control/src/core.rs
+++ b/crates/control/src/core.rs
@@ -3,7 +3,7 @@
 //! sockets and disks, the simulator from seeded ones.
 
 use crate::api_calls::{ApiCall, ApiReply};
-use crate::command::Command;
+use wire::Command;
 use crate::keys;
 use crate::operators::{Activation, ReadJob};
 use chain::{Batch, Input, Member, Output, State};
@@ -164,7 +164,7 @@
     }
 
     pub(crate) fn enter(&mut self, wait: Wait, command: &Command) {
-        self.enter_raw(wait, command.to_entry());
+        self.enter_raw(wait, wire::to_bytes(command));
     }
 
     pub(crate) fn enter_raw(&mut self, wait: Wait, body: Vec<u8>) {
--- a/crates/control/src/duties.rs
+++ b/crates/control/src/duties.rs
@@ -2,7 +2,7 @@
 //! view: lapse silent routers, activate steps that all have staged, renew the quorum of machines,
 //! and tick the chain's clock.
 
-use crate::command::Command;
+use wire::Command;
 use crate::core::{Core, Wait};
 use crate::keys;
 use std::time::Duration;
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -8,7 +8,6 @@
 mod apply_change;
 mod apply_member;
 mod apply_task;
-mod command;
 mod core;
 mod duties;
 mod keys;
@@ -22,7 +21,6 @@
 
 pub use api_calls::{ApiCall, ApiReply};
 pub use apply::apply;
-pub use command::{ClaimRecord, ClaimState, Command, DeferredRecord, OpRecord, Receipt};
 pub use core::{Core, CoreInput, CoreOutput, CoreTiming};
 pub use keys::{number, member_key};
 pub use service::run;
--- a/crates/control/src/operators.rs
+++ b/crates/control/src/operators.rs
@@ -3,7 +3,7 @@
 //! A read goes to the tail, in pieces, all of one step.
 
 use crate::api_calls::{ApiCall, ApiReply};
-use crate::command::{Command, OpRecord, Receipt};
+use wire::{Command, OpRecord, Receipt};
 use crate::core::{Core, CoreOutput, Wait};
 use bindings::Kind;
 use serde_json::{Map, Value, json};
--- a/crates/control/src/routers.rs
+++ b/crates/control/src/routers.rs
@@ -26,13 +26,13 @@
             HoldMsg::Join { address, zone, ops } => {
                 if self.tail_since.is_some() {
                     let id = from;
-                    let command = crate::command::Command::Join { id, incarnation, address, zone, ops };
+                    let command = wire::Command::Join { id, incarnation, address, zone, ops };
                     self.enter(Wait::Duty, &command);
                 }
             }
             HoldMsg::Leave { .. } => {
                 if self.tail_since.is_some() {
-                    self.enter(Wait::Duty, &crate::command::Command::Leaving { id: from, incarnation });
+                    self.enter(Wait::Duty, &wire::Command::Leaving { id: from, incarnation });
                 }
             }
             HoldMsg::Staged { number } => {
--- a/crates/control/src/service.rs
+++ b/crates/control/src/service.rs
@@ -106,7 +106,7 @@
     let host = Host { me, solve: settings.solve, links: find(&directory, "links") };
     thread("optimizer", move || optimizer::run(host, optimizer_inbox, Inbox::next_blocking)).map_err(|f| f.to_string())?;
     let written = control.clone();
-    let disk = Disk::start(store, move |result| drop(written.send_blocking(ControlMsg::Written(result))))
+    let disk = Disk::start(store, move |result| { written.send_blocking(ControlMsg::Written(result)); })
         .map_err(|fault| fault.to_string())?;
     let member = Member::new(seat, stored, Timing::default(), apply, Duration::ZERO);
     let timing = CoreTiming { call: settings.call, lapse: settings.hold + settings.hold * 2 / 3, ..CoreTiming::default() };
--- a/crates/wire/src/carry.rs
+++ b/crates/wire/src/carry.rs
@@ -31,9 +31,44 @@
 #[derive(Clone, Debug, PartialEq, Eq, DekuRead, DekuWrite)]
 pub struct SlotLine {
     pub instance: Text,
+    pub address: Text,
+    pub ready: u8,
     pub busy: u32,
 }
 
+#[derive(Clone, Debug, PartialEq, Eq, DekuRead, DekuWrite)]
+pub struct HeaderLine {
+    pub name: Text,
+    pub value: Blob,
+}
+
+#[derive(Clone, Debug, Default, PartialEq, Eq, DekuRead, DekuWrite)]
+pub struct RequestHead {
+    pub method: Text,
+    pub target: Text,
+    pub headers: List<HeaderLine>,
+}
+
+#[derive(Clone, Debug, Default, PartialEq, Eq, DekuRead, DekuWrite)]
+pub struct AnswerHead {
+    pub headers: List<HeaderLine>,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, DekuRead, DekuWrite)]
+pub struct StoredAnswer {
+    pub outcome: Outcome,
+    pub status: u16,
+    pub head: Blob,
+    pub body: Blob,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, DekuRead, DekuWrite)]
+pub struct StoredTask {
+    pub binding: Text,
+    pub head: Blob,
+    pub body: Blob,
+}
+
 #[derive(Clone, Debug, PartialEq, Eq, DekuRead, DekuWrite)]
 #[deku(id_type = "u8")]
 pub enum CarryMsg {
@@ -43,6 +78,7 @@
         function: Text,
         binding: Text,
         left_ms: u32,
+        tries: u8,
         respond_async: u8,
         key: Text,
         head: Blob,
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -6,12 +6,14 @@
 mod chain;
 mod codec;
 mod hold;
+mod ledger;
 mod parts;
 mod plan;
 
-pub use carry::{CarryMsg, Outcome, SlotLine};
+pub use carry::{AnswerHead, CarryMsg, HeaderLine, Outcome, RequestHead, SlotLine, StoredAnswer, StoredTask};
 pub use chain::{ChainMsg, EntryLine, OpNo, PairLine, Seat, View};
 pub use codec::{FORMAT, Frame, FrameFault, LIMIT, Message, decode, encode, read_frame, write_frame};
+pub use ledger::{ClaimRecord, ClaimState, Command, DeferredRecord, OpRecord, Receipt};
 pub use hold::{HoldMsg, ItemLine, StepLine};
 pub use parts::{Blob, List, Text, from_bytes, to_bytes};
 pub use plan::{PlanMsg, SampleLine};
