--- a/crates/bindings/src/book.rs
+++ b/crates/bindings/src/book.rs
@@ -1,8 +1,8 @@
 //! A configuration as a router reads it: routes to bindings, functions with their limits, sheet
 //! and bounds. It is built anew for each revision and shared from then on.
 
-use crate::resources::{FunctionBinding, HeadcountPlan, Kind, WeightSheet};
-use std::collections::BTreeMap;
+use crate::resources::{Class, FunctionBinding, HeadcountPlan, Kind, WeightSheet};
+use std::collections::{BTreeMap, BTreeSet};
 
 #[derive(Clone, Debug)]
 pub struct Function {
@@ -25,6 +25,7 @@
     routes: BTreeMap<String, String>,
     bindings: BTreeMap<String, FunctionBinding>,
     functions: BTreeMap<String, Function>,
+    deferred: BTreeSet<String>,
 }
 
 impl Book {
@@ -49,6 +50,9 @@
         for (name, binding) in &book.bindings {
             let tenant = name.split('/').next().unwrap_or_default().to_owned();
             let function_name = format!("{tenant}/{}", binding.function);
+            if binding.class == Class::Deferred {
+                book.deferred.insert(function_name.clone());
+            }
             let plan = plans.get(&function_name).cloned().unwrap_or_default();
             let max = plan.max.unwrap_or(binding.max).min(binding.max);
             let function = Function {
@@ -89,6 +93,9 @@
     pub fn functions(&self) -> impl Iterator<Item = &Function> {
         self.functions.values()
     }
+    pub fn takes_deferred(&self, function: &str) -> bool {
+        self.deferred.contains(function)
+    }
     pub fn routes(&self) -> usize {
         self.routes.len()
     }
--- /dev/null
+++ b/crates/control/src/control_loop.rs
@@ -0,0 +1,154 @@
+//! The control thread's loop: feeds the core from its inbox and carries out what it returns.
+
+use crate::api_calls::ApiReply;
+use crate::core::{Core, CoreInput, CoreOutput};
+use crate::keys;
+use crate::optimizer::OptimizerMsg;
+use crate::service::ControlMsg;
+use bindings::Book;
+use chain::Disk;
+use events::event;
+use kernel::{Inbox, Post, wait_for_signal};
+use links::{LinkEvent, LinkOrder};
+use std::collections::BTreeMap;
+use std::time::{Duration, Instant};
+use tokio::sync::{oneshot, watch};
+use wire::{Message, View};
+
+const TICK: Duration = Duration::from_millis(10);
+const VIEW_EVERY: Duration = Duration::from_millis(200);
+
+pub struct Control {
+    pub core: Core,
+    pub disk: Disk,
+    pub links: Post<LinkOrder>,
+    pub optimizer: Post<OptimizerMsg>,
+    pub calls: BTreeMap<u64, oneshot::Sender<ApiReply>>,
+    pub next_call: u64,
+    pub view: watch::Sender<String>,
+    pub shown: Instant,
+    pub seeds: Vec<String>,
+}
+
+impl Control {
+    pub async fn run(mut self, post: Post<ControlMsg>, mut inbox: Inbox<ControlMsg>) {
+        let begun = Instant::now();
+        self.dial(&View::default());
+        tokio::task::spawn_local(async move {
+            wait_for_signal().await;
+            post.send_waiting(ControlMsg::Stop).await;
+        });
+        let mut ticks = tokio::time::interval(TICK);
+        ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+        loop {
+            let input = tokio::select! {
+                biased;
+                _ = ticks.tick() => Some(CoreInput::Tick),
+                message = inbox.next() => match message {
+                    Some(ControlMsg::Stop) | None => return self.leave(begun.elapsed()).await,
+                    Some(message) => self.input(message),
+                },
+            };
+            if let Some(input) = input {
+                let outputs = self.core.step(begun.elapsed(), input);
+                self.carry_out(outputs);
+            }
+            self.show();
+        }
+    }
+
+    fn input(&mut self, message: ControlMsg) -> Option<CoreInput> {
+        match message {
+            ControlMsg::Link(LinkEvent::Frame { from, incarnation, message }) => match message {
+                Message::Chain(message) => Some(CoreInput::Chain { from, message }),
+                Message::Hold(message) => Some(CoreInput::Router { from, incarnation, message }),
+                _ => None,
+            },
+            ControlMsg::Link(_) | ControlMsg::Stop => None,
+            ControlMsg::Written(Ok(ticket)) => Some(CoreInput::Written { ticket }),
+            ControlMsg::Written(Err(fault)) => {
+                event!(disk_fault, "{fault}");
+                Some(CoreInput::DiskFault)
+            }
+            ControlMsg::Call { call, reply } => {
+                self.next_call += 1;
+                self.calls.insert(self.next_call, reply);
+                Some(CoreInput::Call { ask: self.next_call, call })
+            }
+        }
+    }
+
+    fn order(&self, order: LinkOrder) {
+        if self.links.send(order).is_err() {
+            event!(inbox_full, "links");
+        }
+    }
+
+    fn dial(&self, view: &View) {
+        let seats = view.voters.iter().map(|seat| seat.address.as_str().to_owned());
+        self.order(LinkOrder::Dial { addresses: self.seeds.iter().cloned().chain(seats).collect() });
+    }
+
+    fn carry_out(&mut self, outputs: Vec<CoreOutput>) {
+        for output in outputs {
+            match output {
+                CoreOutput::Registry { to, message } => self.order(LinkOrder::Send { to, message: Message::Chain(message) }),
+                CoreOutput::Router { to, message } => self.order(LinkOrder::Send { to, message: Message::Hold(message) }),
+                CoreOutput::Seeds { message } => {
+                    for address in self.seeds.clone() {
+                        self.order(LinkOrder::SendAddress { address, message: Message::Chain(message.clone()) });
+                    }
+                }
+                CoreOutput::Write { ticket, batch } => {
+                    if !self.disk.write(ticket, batch) {
+                        event!(disk_fault, "the disk's thread takes no more writes");
+                    }
+                }
+                CoreOutput::Reply { ask, reply } => {
+                    if let Some(waiting) = self.calls.remove(&ask) {
+                        let _ = waiting.send(reply);
+                    }
+                }
+                CoreOutput::Viewed { view } => {
+                    let chain: Vec<String> = view.chain.iter().map(|id| format!("{id:016x}")).collect();
+                    event!(view_adopted, "view {} chain {}", view.number, chain.join(" "));
+                    self.dial(&view);
+                    let _ = self.optimizer.send(OptimizerMsg::Viewed { view });
+                }
+                CoreOutput::Activated { step } => {
+                    event!(step_activated, "step {step}");
+                    let prefix = keys::ACTIVE_PAIRS;
+                    let pairs = keys::with_prefix(self.core.state(), prefix).map(|(k, v)| (&k[prefix.len()..], &v[..]));
+                    let book = Box::new(Book::build(step, 0, pairs));
+                    let _ = self.optimizer.send(OptimizerMsg::Book { book });
+                }
+            }
+        }
+    }
+
+    fn show(&mut self) {
+        if self.shown.elapsed() >= VIEW_EVERY {
+            self.shown = Instant::now();
+            let status = self.core.status().to_string();
+            self.view.send_if_modified(|old| {
+                let differs = *old != status;
+                *old = status;
+                differs
+            });
+        }
+    }
+
+    /// A planned stop: the optimizer's duty goes to a successor this node names.
+    async fn leave(mut self, now: Duration) {
+        event!(stopping);
+        let view = self.core.member().view().clone();
+        let me = self.core.me();
+        if view.optimizer == me
+            && let Some(successor) = view.chain.iter().copied().find(|id| *id != me)
+        {
+            let outputs = self.core.step(now, CoreInput::HandOver { optimizer: successor });
+            self.carry_out(outputs);
+            tokio::time::sleep(Duration::from_millis(100)).await;
+        }
+    }
+}
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -8,6 +8,7 @@
 mod apply_change;
 mod apply_member;
 mod apply_task;
+mod control_loop;
 mod core;
 mod duties;
 mod keys;
--- a/crates/holds/src/follower.rs
+++ b/crates/holds/src/follower.rs
@@ -111,6 +111,9 @@
     pub fn pairs(&self) -> impl Iterator<Item = (&str, &[u8])> {
         self.pairs.iter().map(|(key, value)| (key.as_str(), value.as_slice()))
     }
+    pub fn me(&self) -> NodeId {
+        self.me
+    }
     pub fn step_number(&self) -> u64 {
         self.step
     }
@@ -161,6 +164,14 @@
         self.standings.take(event)
     }
 
+    /// The moment until which this router may serve by its step, as far as it knows now.
+    pub fn serves_until(&self) -> Duration {
+        let limit = if self.is_guarded() { self.timing.guard } else { self.timing.hold };
+        let by_core = self.proof.map_or(Duration::ZERO, |asked| asked + limit);
+        let by_peers = self.peer_proof.filter(|_| !self.is_guarded()).map_or(Duration::ZERO, |asked| asked + self.timing.guard);
+        by_core.max(by_peers)
+    }
+
     pub(crate) fn is_guarded(&self) -> bool {
         self.staged_number().max(self.latest_known) > self.step
     }
--- a/crates/holds/src/lib.rs
+++ b/crates/holds/src/lib.rs
@@ -10,6 +10,6 @@
 mod standing;
 
 pub use follower::{Follower, FollowerInput, FollowerOutput, FollowerTiming};
-pub use roster::{MemberLine, Roster};
+pub use roster::{MemberLine, Roster, mix};
 pub use sessions::{Session, Sessions};
 pub use standing::{Standing, StandingEvent, Standings};
--- a/crates/kernel/src/lib.rs
+++ b/crates/kernel/src/lib.rs
@@ -3,6 +3,8 @@
 
 mod directory;
 mod inbox;
+mod program;
 
 pub use directory::Directory;
 pub use inbox::{Inbox, Post, SendFault, inbox};
+pub use program::{adopt, find, listen, local, thread, wait_for_signal};
--- /dev/null
+++ b/crates/traffic/src/control_loop.rs
@@ -0,0 +1,206 @@
+//! The router's control thread: the follower, fed from registries and peers. Each step's pass is
+//! written before anything it returns is sent, so a staged step is never acknowledged while the
+//! traffic thread still holds a longer pass.
+
+use crate::pass_cell::PassCell;
+use crate::plane::TrafficMsg;
+use bindings::Book;
+use events::event;
+use holds::{Follower, FollowerInput, FollowerOutput, Standing};
+use kernel::{Inbox, Post};
+use links::{LinkEvent, LinkOrder};
+use serde_json::json;
+use std::collections::BTreeSet;
+use std::time::{Duration, Instant};
+use tokio::sync::{oneshot, watch};
+use wire::{HoldMsg, Message, NodeId};
+
+const TICK: Duration = Duration::from_millis(10);
+const NEAR: Duration = Duration::from_millis(2500);
+const LAST_CALLS: Duration = Duration::from_millis(700);
+
+pub enum ControlMsg {
+    Link(LinkEvent),
+    Stop,
+}
+
+pub struct Control {
+    pub begun: Instant,
+    pub follower: Follower,
+    pub pass: PassCell,
+    pub links: Post<LinkOrder>,
+    pub traffic: Post<TrafficMsg>,
+    pub seeds: Vec<String>,
+    pub seats: Vec<String>,
+    pub registries: BTreeSet<NodeId>,
+    pub told: (bool, Option<NodeId>),
+    pub told_at: Instant,
+    pub heard: Option<Instant>,
+    pub standing: Standing,
+    pub view: watch::Sender<String>,
+    pub grace: Duration,
+}
+
+impl Control {
+    pub async fn run(mut self, mut inbox: Inbox<ControlMsg>, stop: watch::Sender<bool>) {
+        self.dial();
+        let mut ticks = tokio::time::interval(TICK);
+        ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+        let mut leaving: Option<(Instant, oneshot::Receiver<()>)> = None;
+        loop {
+            tokio::select! {
+                biased;
+                _ = ticks.tick() => {
+                    self.feed(FollowerInput::Tick);
+                    self.tell_core();
+                }
+                message = inbox.next() => match message {
+                    Some(ControlMsg::Link(event)) => self.link_event(event),
+                    Some(ControlMsg::Stop) if leaving.is_none() => {
+                        event!(stopping);
+                        self.feed(FollowerInput::Leave);
+                        let (done, finished) = oneshot::channel();
+                        let _ = self.traffic.send(TrafficMsg::Leave { done });
+                        leaving = Some((Instant::now(), finished));
+                    }
+                    Some(ControlMsg::Stop) => {}
+                    None => return,
+                },
+            }
+            if let Some((since, finished)) = &mut leaving {
+                let handed = since.elapsed() > LAST_CALLS && (self.is_handed_over() || since.elapsed() > self.grace / 2);
+                if handed && !*stop.borrow() {
+                    let _ = stop.send(true);
+                }
+                let finished = *stop.borrow() && finished.try_recv().is_ok();
+                if finished || since.elapsed() > self.grace {
+                    return;
+                }
+            }
+        }
+    }
+
+    fn is_handed_over(&self) -> bool {
+        let me = self.follower.me();
+        self.follower.roster().member(me).is_none_or(|line| line.leaving != 0)
+    }
+
+    fn link_event(&mut self, event: LinkEvent) {
+        match event {
+            LinkEvent::Frame { from, message: Message::Hold(message), .. } => {
+                let peer = matches!(message, HoldMsg::PeerAsk { .. } | HoldMsg::PeerReceipt { .. });
+                if peer {
+                    return self.feed(FollowerInput::Peer { from, message });
+                }
+                self.registries.insert(from);
+                if let HoldMsg::Proof { .. } = &message {
+                    self.heard = Some(Instant::now());
+                }
+                self.feed(FollowerInput::Registry { from, message });
+            }
+            LinkEvent::Up { id, address, .. } => {
+                if self.seeds.contains(&address) || self.seats.contains(&address) {
+                    self.registries.insert(id);
+                }
+            }
+            LinkEvent::Down { id } => drop(self.registries.remove(&id)),
+            LinkEvent::Frame { .. } => {}
+        }
+    }
+
+    fn feed(&mut self, input: FollowerInput) {
+        let now = self.begun.elapsed();
+        let outputs = self.follower.step(now, input);
+        self.pass.set(self.follower.step_number(), self.follower.serves_until());
+        for output in outputs {
+            match output {
+                FollowerOutput::ToRegistry { to: Some(to), message } => self.send(to, message),
+                FollowerOutput::ToRegistry { to: None, message } => {
+                    for to in self.registries.clone() {
+                        self.send(to, message.clone());
+                    }
+                }
+                FollowerOutput::ToPeer { to, message } => self.send(to, message),
+                FollowerOutput::Activated { step, revision } => {
+                    event!(step_activated, "step {step} revision {revision}");
+                    let book = Book::build(step, revision, self.follower.pairs());
+                    self.tell(TrafficMsg::Book(Box::new(book)));
+                    self.show();
+                }
+                FollowerOutput::Rostered { .. } => {
+                    self.tell(TrafficMsg::Roster(Box::new(self.follower.roster().clone())));
+                    self.dial();
+                    self.show();
+                }
+                FollowerOutput::Seats { addresses } => {
+                    if addresses != self.seats {
+                        self.seats = addresses;
+                        self.dial();
+                    }
+                }
+                FollowerOutput::Standing { standing } => {
+                    match standing {
+                        Standing::Waiting => event!(proof_lost),
+                        Standing::ByCore => event!(proof_back),
+                        Standing::ByPeers => event!(peer_proof),
+                    }
+                    self.standing = standing;
+                    self.show();
+                }
+            }
+        }
+    }
+
+    fn send(&self, to: NodeId, message: HoldMsg) {
+        if self.links.send(LinkOrder::Send { to, message: Message::Hold(message) }).is_err() {
+            event!(inbox_full, "links");
+        }
+    }
+
+    fn tell(&self, message: TrafficMsg) {
+        if self.traffic.send(message).is_err() {
+            event!(inbox_full, "traffic");
+        }
+    }
+
+    fn tell_core(&mut self) {
+        let near = self.heard.is_some_and(|at| at.elapsed() < NEAR);
+        let known = (near, self.follower.tail());
+        if known != self.told || self.told_at.elapsed() > NEAR / 5 {
+            self.told = known;
+            self.told_at = Instant::now();
+            let registries = self.registries.iter().copied().collect();
+            self.tell(TrafficMsg::Core { tail: self.follower.tail(), near, registries });
+            self.show();
+        }
+    }
+
+    fn dial(&self) {
+        let members = self.follower.roster().members.iter().map(|line| line.address.as_str().to_owned());
+        let addresses = self.seeds.iter().chain(&self.seats).cloned().chain(members).collect();
+        if self.links.send(LinkOrder::Dial { addresses }).is_err() {
+            event!(inbox_full, "links");
+        }
+    }
+
+    fn show(&self) {
+        let roster = self.follower.roster();
+        let members: Vec<_> = roster
+            .members
+            .iter()
+            .map(|line| json!({"id": format!("{:016x}", line.id), "address": line.address.as_str(), "zone": line.zone.as_str(), "leaving": line.leaving != 0}))
+            .collect();
+        let page = json!({
+            "program": "router", "id": format!("{:016x}", self.follower.me()),
+            "revision": self.follower.revision(), "step": self.follower.step_number(),
+            "staged": self.follower.staged_number(), "roster": roster.number, "members": members,
+            "standing": format!("{:?}", self.standing), "tail": self.follower.tail().map(|id| format!("{id:016x}")),
+        });
+        self.view.send_if_modified(|old| {
+            let text = page.to_string();
+            let differs = *old != text;
+            *old = text;
+            differs
+        });
+    }
+}
--- /dev/null
+++ b/crates/traffic/src/desk.rs
@@ -0,0 +1,99 @@
+//! One function at its home: its held tasks, its instances, its budget and its part of the plan.
+
+use crate::budget::{Budget, Window};
+use crate::instance::{Instance, Phase};
+use bindings::Function;
+use scaler::Player;
+use std::collections::{BTreeMap, VecDeque};
+use std::time::Duration;
+use wire::NodeId;
+
+const TURNED_LENGTH: Duration = Duration::from_secs(5);
+const TURNED_MOST: usize = 9;
+
+pub struct Desk {
+    pub function: Function,
+    pub held: VecDeque<u64>,
+    pub instances: BTreeMap<String, Instance>,
+    pub player: Player,
+    pub budget: Budget,
+    pub turned: Window,
+    pub in_flight: u32,
+    pub adopting: Option<(Duration, bool)>,
+    pub leaving: Option<(NodeId, Duration)>,
+    pub arrivals: u32,
+    pub answered: u32,
+    pub answer_time: Duration,
+    pub waiting_sum: f64,
+    pub held_sum: f64,
+    pub looks: u32,
+    pub read_at: Option<Duration>,
+    pub refused_until: Duration,
+    pub desired: u32,
+}
+
+impl Desk {
+    pub fn new(now: Duration, function: Function, fresh: bool, adopting: Option<(Duration, bool)>) -> Desk {
+        Desk {
+            function,
+            held: VecDeque::new(),
+            instances: BTreeMap::new(),
+            player: Player::default(),
+            budget: Budget::new(now, fresh),
+            turned: Window::new(TURNED_LENGTH),
+            in_flight: 0,
+            adopting,
+            leaving: None,
+            arrivals: 0,
+            answered: 0,
+            answer_time: Duration::ZERO,
+            waiting_sum: 0.0,
+            held_sum: 0.0,
+            looks: 0,
+            read_at: None,
+            refused_until: Duration::ZERO,
+            desired: 0,
+        }
+    }
+
+    pub fn count(&self, phase: Phase) -> u32 {
+        self.instances.values().filter(|instance| instance.phase() == phase).count() as u32
+    }
+
+    /// Whether one more task may go out without risking an eleventh turn-away in five seconds.
+    pub fn may_risk(&mut self, now: Duration) -> bool {
+        let turned = self.turned.count(now);
+        turned == 0 || turned + (self.in_flight as usize) < TURNED_MOST
+    }
+
+    pub fn roomiest(&self, now: Duration) -> Option<String> {
+        let limit = self.function.instance_limit;
+        self.instances
+            .iter()
+            .map(|(id, instance)| (instance.room(now, limit), id))
+            .filter(|(room, _)| *room > 0)
+            .max_by_key(|(room, id)| (*room, std::cmp::Reverse(*id)))
+            .map(|(_, id)| id.clone())
+    }
+
+    /// Reduces at once what an instance is sent after it turned a task away; it grows back slowly.
+    pub fn turned_away(&mut self, now: Duration, id: &str) {
+        self.turned.add(now);
+        let limit = self.function.instance_limit;
+        if let Some(instance) = self.instances.get_mut(id) {
+            instance.allowed = (instance.busy.min(limit) / 2).max(1);
+            instance.allowed_at = now;
+            instance.paused_until = now + Duration::from_millis(400);
+        }
+    }
+
+    pub fn grow_back(&mut self, now: Duration) {
+        let limit = self.function.instance_limit;
+        for instance in self.instances.values_mut() {
+            if instance.allowed < limit && now > instance.allowed_at + Duration::from_secs(1) {
+                instance.allowed += 1;
+                instance.allowed_at = now;
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/traffic/src/front.rs
@@ -0,0 +1,273 @@
+//! Meeting callers: one record a task, worked by passes. A task waits while this router has no
+//! proof of its revision or no link to the home, is carried once it has, and is answered with the
+//! truth: what the home said, `not-run` only if it was never carried, `unknown` when in doubt.
+
+use crate::front_types::{Call, FrontInput, FrontLimits, FrontOutput, Record, Reply, Stage};
+use bindings::Book;
+use holds::Roster;
+use std::collections::{BTreeMap, BTreeSet};
+use std::rc::Rc;
+use std::time::Duration;
+use wire::{CarryMsg, NodeId, Outcome};
+
+const DEFAULT_DEADLINE: Duration = Duration::from_secs(4);
+const RETRY: Duration = Duration::from_millis(25);
+
+pub struct Front {
+    me: NodeId,
+    incarnation: u64,
+    limits: FrontLimits,
+    table: BTreeMap<u64, Record>,
+    by_ask: BTreeMap<u64, u64>,
+    per_tenant: BTreeMap<String, usize>,
+    linked: BTreeSet<NodeId>,
+    book: Option<Rc<Book>>,
+    roster: Rc<Roster>,
+    next: u64,
+    now: Duration,
+    may_serve: bool,
+    outs: Vec<FrontOutput>,
+    pub refusals: u64,
+}
+
+impl Front {
+    pub fn new(me: NodeId, incarnation: u64, limits: FrontLimits) -> Self {
+        Front {
+            me,
+            incarnation,
+            limits,
+            table: BTreeMap::new(),
+            by_ask: BTreeMap::new(),
+            per_tenant: BTreeMap::new(),
+            linked: BTreeSet::new(),
+            book: None,
+            roster: Rc::default(),
+            next: 0,
+            now: Duration::ZERO,
+            may_serve: false,
+            outs: Vec::new(),
+            refusals: 0,
+        }
+    }
+
+    pub fn depth(&self) -> usize {
+        self.table.len()
+    }
+
+    pub fn step(&mut self, now: Duration, may_serve: bool, input: FrontInput) -> Vec<FrontOutput> {
+        self.now = now;
+        self.may_serve = may_serve;
+        match input {
+            FrontInput::Task { ask, call } => self.let_in(ask, call),
+            FrontInput::Carried { from, message } => self.carried(from, message),
+            FrontInput::Link { id, up: true } => drop(self.linked.insert(id)),
+            FrontInput::Link { id, up: false } => {
+                self.linked.remove(&id);
+                self.doubt_home(|home| home == id);
+            }
+            FrontInput::Book { book } => {
+                self.book = Some(book);
+                self.pass();
+            }
+            FrontInput::Roster { roster } => {
+                self.roster = roster;
+                let members: BTreeSet<NodeId> = self.roster.members.iter().map(|member| member.id).collect();
+                self.doubt_home(|home| !members.contains(&home));
+                self.pass();
+            }
+            FrontInput::Gone { ask } => {
+                if let Some(task) = self.by_ask.get(&ask).copied()
+                    && self.table.get(&task).is_some_and(|record| record.stage == Stage::Waiting && !record.doubt)
+                {
+                    self.remove(task);
+                }
+            }
+            FrontInput::Tick => self.pass(),
+        }
+        std::mem::take(&mut self.outs)
+    }
+
+    fn let_in(&mut self, ask: u64, call: Call) {
+        if self.table.len() >= self.limits.table {
+            let reply = Reply::own(503, Some(Outcome::NotRun), "this router is full").again(self.spread(ask, 1));
+            self.refusals += 1;
+            return self.outs.push(FrontOutput::Reply { ask, reply });
+        }
+        self.next += 1;
+        let task = self.next;
+        let key = match &call.key {
+            Some(key) => format!("k-{key}"),
+            None => format!("a-{:x}-{:x}-{task:x}", self.me, self.incarnation),
+        };
+        let record = Record {
+            ask,
+            call,
+            key,
+            binding: String::new(),
+            function: String::new(),
+            tenant: String::new(),
+            class: None,
+            begun: self.now,
+            due: self.now + DEFAULT_DEADLINE,
+            stage: Stage::Waiting,
+            again_at: self.now,
+            tries: 0,
+            doubt: false,
+        };
+        self.table.insert(task, record);
+        self.by_ask.insert(ask, task);
+        self.attempt(task);
+    }
+
+    fn spread(&self, seed: u64, least: u32) -> u32 {
+        least + ((seed.wrapping_mul(0x9e37_79b9_7f4a_7c15) >> 33) % 4) as u32
+    }
+
+    fn remove(&mut self, task: u64) {
+        if let Some(record) = self.table.remove(&task) {
+            self.by_ask.remove(&record.ask);
+            if let Some(count) = self.per_tenant.get_mut(&record.tenant) {
+                *count = count.saturating_sub(1);
+            }
+        }
+    }
+
+    fn answer(&mut self, task: u64, reply: Reply) {
+        if let Some(record) = self.table.get(&task) {
+            let ask = record.ask;
+            if reply.outcome == Some(Outcome::NotRun) {
+                self.refusals += 1;
+            }
+            self.outs.push(FrontOutput::Reply { ask, reply });
+            self.remove(task);
+        }
+    }
+
+    /// Looks the route up anew each time: a waiting task follows the newest revision.
+    fn resolve(&mut self, task: u64) -> bool {
+        let (Some(book), Some(record)) = (self.book.clone(), self.table.get_mut(&task)) else { return false };
+        let Some((name, binding)) = book.find_route(&record.call.path) else {
+            if record.doubt {
+                return false;
+            }
+            self.answer(task, Reply::own(404, None, "no such route"));
+            return false;
+        };
+        let tenant = name.split('/').next().unwrap_or_default();
+        if record.binding != name {
+            if record.tenant != tenant {
+                let count = self.per_tenant.entry(tenant.to_owned()).or_default();
+                if *count >= self.limits.per_tenant {
+                    let again = self.spread(task, 1);
+                    let reply = Reply::own(503, Some(Outcome::NotRun), "this tenant's tasks fill their share");
+                    self.answer(task, reply.again(again));
+                    return false;
+                }
+                *count += 1;
+                if let Some(count) = self.per_tenant.get_mut(&record.tenant) {
+                    *count = count.saturating_sub(1);
+                }
+            }
+            record.tenant = tenant.to_owned();
+            record.binding = name.to_owned();
+            record.due = record.begun + Duration::from_millis(binding.deadline_ms.into());
+        }
+        record.function = format!("{tenant}/{}", binding.function);
+        record.class = Some(binding.class);
+        true
+    }
+
+    fn attempt(&mut self, task: u64) {
+        if !self.may_serve || !self.resolve(task) {
+            return;
+        }
+        let Some(record) = self.table.get_mut(&task) else { return };
+        let Some(home) = self.roster.home(&record.function) else { return };
+        if (home != self.me && !self.linked.contains(&home)) || record.due <= self.now {
+            record.again_at = self.now + RETRY;
+            return;
+        }
+        record.stage = Stage::Carried { home };
+        let message = CarryMsg::Carry {
+            task,
+            function: record.function.as_str().into(),
+            binding: record.binding.as_str().into(),
+            left_ms: (record.due - self.now).as_millis() as u32,
+            tries: record.tries,
+            respond_async: record.call.respond_async as u8,
+            key: record.key.as_str().into(),
+            head: wire::to_bytes(&record.call.head).into(),
+            body: record.call.body.clone().into(),
+        };
+        self.outs.push(FrontOutput::Carry { to: home, message });
+    }
+
+    fn carried(&mut self, from: NodeId, message: CarryMsg) {
+        let task = match &message {
+            CarryMsg::Carried { task, .. } | CarryMsg::NotHome { task } => *task,
+            _ => return,
+        };
+        let Some(record) = self.table.get_mut(&task) else { return };
+        if record.stage != (Stage::Carried { home: from }) {
+            return;
+        }
+        match message {
+            CarryMsg::Carried { outcome, status, retry_after, head, body, .. } => {
+                let outcome = if outcome == Outcome::NotRun && record.doubt { Outcome::Unknown } else { outcome };
+                let status = if outcome == Outcome::Unknown && status == 503 { 504 } else { status };
+                let reply = Reply {
+                    outcome: Some(outcome),
+                    status,
+                    retry_after,
+                    head: head.into_vec(),
+                    body: body.into_vec(),
+                    told: if outcome == Outcome::Unknown { "the outcome is not known" } else { "" },
+                };
+                self.answer(task, reply);
+            }
+            _ => {
+                record.stage = Stage::Waiting;
+                record.again_at = self.now + RETRY;
+            }
+        }
+    }
+
+    /// The home was lost with tasks on it: what they came to is in doubt, and they are tried on
+    /// with the next home, which knows from the ledger or the budget whether it may run them.
+    fn doubt_home(&mut self, lost: impl Fn(NodeId) -> bool) {
+        for record in self.table.values_mut() {
+            if let Stage::Carried { home } = record.stage
+                && home != self.me
+                && lost(home)
+            {
+                record.stage = Stage::Waiting;
+                record.again_at = self.now;
+                record.tries = record.tries.saturating_add(1);
+                record.doubt = true;
+            }
+        }
+    }
+
+    fn pass(&mut self) {
+        let now = self.now;
+        let tasks: Vec<u64> = self.table.keys().copied().collect();
+        for task in tasks {
+            let Some(record) = self.table.get(&task) else { continue };
+            match record.stage {
+                Stage::Waiting if now + self.limits.margin >= record.due => {
+                    let reply = if record.doubt {
+                        Reply::own(504, Some(Outcome::Unknown), "the outcome is not known")
+                    } else {
+                        Reply::own(503, Some(Outcome::NotRun), "not run in time").again(self.spread(task, 1))
+                    };
+                    self.answer(task, reply);
+                }
+                Stage::Waiting if now >= record.again_at => self.attempt(task),
+                Stage::Carried { .. } if now >= record.due + self.limits.slack => {
+                    self.answer(task, Reply::own(504, Some(Outcome::Unknown), "the outcome is not known"));
+                }
+                _ => {}
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/traffic/src/front_types.rs
@@ -0,0 +1,93 @@
+//! What the front takes and returns, and the record it keeps of each task.
+
+use bindings::{Book, Class};
+use holds::Roster;
+use std::rc::Rc;
+use std::time::Duration;
+use wire::{CarryMsg, NodeId, Outcome, RequestHead};
+
+#[derive(Clone, Debug)]
+pub struct Call {
+    pub path: String,
+    pub head: RequestHead,
+    pub body: Vec<u8>,
+    pub key: Option<String>,
+    pub respond_async: bool,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Reply {
+    pub outcome: Option<Outcome>,
+    pub status: u16,
+    pub retry_after: u32,
+    pub head: Vec<u8>,
+    pub body: Vec<u8>,
+    pub told: &'static str,
+}
+
+impl Reply {
+    pub fn own(status: u16, outcome: Option<Outcome>, told: &'static str) -> Reply {
+        Reply { outcome, status, retry_after: 0, head: Vec::new(), body: Vec::new(), told }
+    }
+    pub fn again(mut self, seconds: u32) -> Reply {
+        self.retry_after = seconds;
+        self
+    }
+}
+
+pub enum FrontInput {
+    Task { ask: u64, call: Call },
+    Carried { from: NodeId, message: CarryMsg },
+    Link { id: NodeId, up: bool },
+    Book { book: Rc<Book> },
+    Roster { roster: Rc<Roster> },
+    Gone { ask: u64 },
+    Tick,
+}
+
+#[derive(Debug, PartialEq)]
+pub enum FrontOutput {
+    Reply { ask: u64, reply: Reply },
+    Carry { to: NodeId, message: CarryMsg },
+}
+
+#[derive(Clone, Debug)]
+pub struct FrontLimits {
+    pub table: usize,
+    pub per_tenant: usize,
+    pub margin: Duration,
+    pub slack: Duration,
+}
+
+impl Default for FrontLimits {
+    fn default() -> Self {
+        FrontLimits {
+            table: 8192,
+            per_tenant: 2048,
+            margin: Duration::from_millis(150),
+            slack: Duration::from_millis(400),
+        }
+    }
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Stage {
+    Waiting,
+    Carried { home: NodeId },
+}
+
+pub struct Record {
+    pub ask: u64,
+    pub call: Call,
+    pub key: String,
+    pub binding: String,
+    pub function: String,
+    pub tenant: String,
+    pub class: Option<Class>,
+    pub begun: Duration,
+    pub due: Duration,
+    pub stage: Stage,
+    pub again_at: Duration,
+    pub tries: u8,
+    pub doubt: bool,
+}
--- /dev/null
+++ b/crates/traffic/src/handover.rs
@@ -0,0 +1,171 @@
+//! Homes moving: a desk opened for a function gained, waiting for the old home's table or, after
+//! a crash, for the platform's list and a pause; and a desk closing for a function lost, which
+//! hands its table over, gives back what was never dispatched and finishes what was.
+
+use crate::desk::Desk;
+use crate::home::Home;
+use crate::home_types::{HomeOutput, Place};
+use crate::instance::{Instance, InstanceEvent, Phase};
+use events::event;
+use std::time::Duration;
+use wire::{CarryMsg, NodeId, SlotLine};
+
+const REPEAT: Duration = Duration::from_millis(200);
+const FOREIGN: Duration = Duration::from_millis(600);
+const FOREIGN_ON_CRASH: Duration = Duration::from_millis(1000);
+
+impl Home {
+    /// Opens and closes desks so that they are those of the book's functions homed here.
+    pub(crate) fn align_desks(&mut self, first: bool) {
+        let Some(book) = self.book.clone() else { return };
+        if self.roster.number == 0 {
+            return;
+        }
+        let now = self.now;
+        for function in book.functions() {
+            let mine = self.is_home(&function.name);
+            match self.desks.get_mut(&function.name) {
+                Some(desk) => {
+                    desk.function = function.clone();
+                    if mine && desk.leaving.is_some() {
+                        desk.leaving = None;
+                    }
+                }
+                None if mine => {
+                    event!(home_taken, "{}", function.name);
+                    let desk = Desk::new(now, function.clone(), first, Some((now, false)));
+                    self.desks.insert(function.name.clone(), desk);
+                }
+                None => {}
+            }
+        }
+        let names: Vec<String> = self.desks.keys().cloned().collect();
+        for name in names {
+            let next = self.roster.home(&name).filter(|home| *home != self.me);
+            let bound = book.function(&name).is_some();
+            let Some(desk) = self.desks.get_mut(&name) else { continue };
+            match next {
+                Some(next) if desk.leaving.is_none_or(|(known, _)| known != next) => {
+                    desk.leaving = Some((next, now));
+                    let held: Vec<u64> = desk.held.drain(..).collect();
+                    held.into_iter().for_each(|number| self.send_back(number));
+                    self.hand_over(&name);
+                }
+                None if !bound => {
+                    let held: Vec<u64> = desk.held.iter().copied().collect();
+                    held.into_iter().for_each(|number| self.send_back(number));
+                }
+                _ => {}
+            }
+        }
+        self.drop_moved_deferred();
+    }
+
+    fn drop_moved_deferred(&mut self) {
+        let moved: Vec<u64> = self
+            .tasks
+            .iter()
+            .filter(|(_, task)| task.stored.is_some() && task.place == Place::Held && !self.is_home(&task.function))
+            .map(|(number, _)| *number)
+            .collect();
+        for number in moved {
+            self.accept(number);
+            self.forget(number);
+        }
+    }
+
+    fn hand_over(&mut self, name: &str) {
+        let now = self.now;
+        let Some(desk) = self.desks.get_mut(name) else { return };
+        let Some((next, _)) = desk.leaving else { return };
+        desk.leaving = Some((next, now));
+        let (requests, seconds) = desk.budget.counts(now);
+        let slots: Vec<SlotLine> = desk
+            .instances
+            .iter()
+            .filter(|(_, instance)| matches!(instance.phase(), Phase::Ready | Phase::Starting))
+            .map(|(id, instance)| SlotLine {
+                instance: id.as_str().into(),
+                address: instance.address.as_str().into(),
+                ready: (instance.phase() == Phase::Ready) as u8,
+                busy: instance.busy,
+            })
+            .collect();
+        let message = CarryMsg::Handover {
+            function: name.into(),
+            roster: self.roster.number,
+            slots: slots.into(),
+            requests: requests as u32,
+            seconds: seconds as u32,
+        };
+        self.outs.push(HomeOutput::Carry { to: next, message });
+    }
+
+    pub(crate) fn take_handover(
+        &mut self,
+        _from: NodeId,
+        name: &str,
+        roster: u64,
+        slots: Vec<SlotLine>,
+        requests: u32,
+        seconds: u32,
+    ) {
+        let now = self.now;
+        let mine = self.is_home(name) && roster <= self.roster.number;
+        let Some(desk) = self.desks.get_mut(name).filter(|_| mine) else { return };
+        if desk.leaving.is_some() {
+            return;
+        }
+        let first = desk.adopting.take().is_some();
+        if first {
+            desk.budget.take_over(now, requests, seconds);
+        }
+        for slot in slots {
+            let id = slot.instance.as_str();
+            if self.stopped.contains_key(id) {
+                continue;
+            }
+            let address = slot.address.as_str();
+            let instance = desk.instances.entry(id.to_owned()).or_insert_with(|| Instance::new(now, address));
+            if instance.address.is_empty() {
+                instance.address = address.to_owned();
+            }
+            if slot.ready != 0 {
+                instance.take(now, InstanceEvent::Ready);
+            }
+            instance.foreign = slot.busy;
+            instance.foreign_until = now + FOREIGN;
+        }
+    }
+
+    /// Ends adoptions whose time has come, and closes desks that have nothing left to finish.
+    pub(crate) fn handover_pass(&mut self) {
+        let now = self.now;
+        for desk in self.desks.values_mut() {
+            if let Some((since, listed)) = desk.adopting
+                && ((listed && now > since + FOREIGN_ON_CRASH / 2) || now > since + self.timing.adopt)
+            {
+                desk.adopting = None;
+                for instance in desk.instances.values_mut() {
+                    instance.allowed = 1;
+                    instance.allowed_at = now;
+                    instance.foreign = 1;
+                    instance.foreign_until = now + FOREIGN_ON_CRASH / 2;
+                }
+            }
+        }
+        let due: Vec<String> = self
+            .desks
+            .iter()
+            .filter(|(_, desk)| desk.leaving.is_some_and(|(_, at)| now >= at + REPEAT))
+            .map(|(name, _)| name.clone())
+            .collect();
+        for name in due {
+            self.hand_over(&name);
+            let done = self.desks.get(&name).is_some_and(|desk| desk.in_flight == 0 && desk.held.is_empty());
+            if done {
+                self.desks.remove(&name);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/traffic/src/home.rs
@@ -0,0 +1,269 @@
+//! A home as one state machine: a table of task records and a desk for each function it is home
+//! to. Inputs change records; passes over the table decide what is dispatched, given up, started
+//! and stopped. Nothing is dispatched without a valid pass and the home's own place in the roster.
+
+use crate::desk::Desk;
+use crate::home_types::{HomeInput, HomeOutput, HomeTask, HomeTiming, Ledger, LedgerAsk, Place, TaskId};
+use bindings::{Book, Class};
+use holds::Roster;
+use sha2::{Digest, Sha256};
+use std::collections::BTreeMap;
+use std::rc::Rc;
+use std::time::Duration;
+use wire::{CarryMsg, NodeId, Outcome};
+
+pub struct Home {
+    pub(crate) me: NodeId,
+    pub(crate) incarnation: u64,
+    pub(crate) timing: HomeTiming,
+    pub(crate) now: Duration,
+    pub(crate) may_serve: bool,
+    pub(crate) core_near: bool,
+    pub(crate) leaving: bool,
+    pub(crate) book: Option<Rc<Book>>,
+    pub(crate) roster: Rc<Roster>,
+    pub(crate) tasks: BTreeMap<u64, HomeTask>,
+    pub(crate) by_id: BTreeMap<TaskId, u64>,
+    pub(crate) desks: BTreeMap<String, Desk>,
+    pub(crate) asks: BTreeMap<u64, LedgerAsk>,
+    pub(crate) plan_asks: BTreeMap<u64, String>,
+    pub(crate) running: BTreeMap<u64, (u64, String, String, Duration)>,
+    pub(crate) stopped: BTreeMap<String, Duration>,
+    pub(crate) unbound: BTreeMap<String, Duration>,
+    pub(crate) finished: BTreeMap<String, Duration>,
+    pub(crate) next: u64,
+    pub(crate) starts_left: f64,
+    pub(crate) refilled: Duration,
+    pub(crate) scaled: Duration,
+    pub(crate) sampled: Duration,
+    pub(crate) outs: Vec<HomeOutput>,
+    pub refusals: u64,
+}
+
+impl Home {
+    pub fn new(me: NodeId, incarnation: u64, timing: HomeTiming) -> Self {
+        Home {
+            me,
+            incarnation,
+            timing,
+            now: Duration::ZERO,
+            may_serve: false,
+            core_near: false,
+            leaving: false,
+            book: None,
+            roster: Rc::default(),
+            tasks: BTreeMap::new(),
+            by_id: BTreeMap::new(),
+            desks: BTreeMap::new(),
+            asks: BTreeMap::new(),
+            plan_asks: BTreeMap::new(),
+            running: BTreeMap::new(),
+            stopped: BTreeMap::new(),
+            unbound: BTreeMap::new(),
+            finished: BTreeMap::new(),
+            next: 0,
+            starts_left: 4.0,
+            refilled: Duration::ZERO,
+            scaled: Duration::ZERO,
+            sampled: Duration::ZERO,
+            outs: Vec::new(),
+            refusals: 0,
+        }
+    }
+
+    pub fn step(&mut self, now: Duration, may_serve: bool, input: HomeInput) -> Vec<HomeOutput> {
+        self.now = now;
+        self.may_serve = may_serve;
+        match input {
+            HomeInput::Carry { from, message: carry @ CarryMsg::Carry { .. } } => self.let_in(from, carry),
+            HomeInput::Carry { from, message: CarryMsg::Handover { function, roster, slots, requests, seconds } } => {
+                self.take_handover(from, function.as_str(), roster, slots.into_vec(), requests, seconds)
+            }
+            HomeInput::Carry { .. } => {}
+            HomeInput::Dispatched { number, verdict } => self.dispatched(number, verdict),
+            HomeInput::Ledger { message } => self.ledger_receipt(message),
+            HomeInput::Platform { report, listed_at } => self.platform(report, listed_at),
+            HomeInput::Plan { message } => self.plan_receipt(message),
+            HomeInput::Book { book } => {
+                self.book = Some(book);
+                self.align_desks(false);
+            }
+            HomeInput::Roster { roster } => {
+                let first = self.roster.number == 0;
+                self.roster = roster;
+                self.align_desks(first);
+            }
+            HomeInput::Core { near } => self.core_near = near,
+            HomeInput::Leave => self.leaving = true,
+            HomeInput::Tick => self.tick(),
+        }
+        self.dispatch_pass();
+        std::mem::take(&mut self.outs)
+    }
+
+    pub fn depths(&self) -> (usize, usize, usize) {
+        (self.tasks.len(), self.running.len(), self.asks.len())
+    }
+
+    pub fn is_idle(&self) -> bool {
+        self.tasks.values().all(|task| !task.caller) && self.running.is_empty() && self.asks.is_empty()
+    }
+
+    pub(crate) fn number(&mut self) -> u64 {
+        self.next += 1;
+        self.next
+    }
+
+    pub(crate) fn is_home(&self, function: &str) -> bool {
+        self.roster.home(function) == Some(self.me)
+    }
+
+    pub(crate) fn spread(&self, number: u64, least: u32) -> u32 {
+        least + (holds::mix(&[&number.to_le_bytes(), &self.me.to_le_bytes()]) % 4) as u32
+    }
+
+    fn let_in(&mut self, from: NodeId, carry: CarryMsg) {
+        let CarryMsg::Carry { task, function, binding, left_ms, tries, respond_async, key, head, body } = carry else {
+            return;
+        };
+        let id = TaskId { from, task };
+        if self.by_id.contains_key(&id) {
+            return;
+        }
+        let bound = self.book.as_ref().and_then(|book| book.binding(binding.as_str())).cloned();
+        let tenant = function.as_str().split('/').next().unwrap_or_default();
+        let (Some(bound), true, Some(desk)) =
+            (bound, self.is_home(function.as_str()), self.desks.get_mut(function.as_str()))
+        else {
+            return self.outs.push(HomeOutput::Carry { to: from, message: CarryMsg::NotHome { task } });
+        };
+        if format!("{tenant}/{}", bound.function) != function.as_str() || desk.leaving.is_some() {
+            return self.outs.push(HomeOutput::Carry { to: from, message: CarryMsg::NotHome { task } });
+        }
+        desk.arrivals += 1;
+        let full = desk.held.len() >= self.timing.function_inbox;
+        let low = bound.class == Class::Deferred || bound.player_weight <= 0.0;
+        if tries == 0 {
+            desk.budget.request(self.now);
+        }
+        let spent = tries > 0 && bound.class == Class::Ordinary && !desk.budget.try_second(self.now);
+        let scope = format!("{}/{}", binding.as_str(), key.as_str());
+        let mut hasher = Sha256::new();
+        hasher.update(head_identity(head.as_slice()));
+        hasher.update(body.as_slice());
+        let digest = hasher.finalize().to_vec();
+        let number = self.number();
+        let record = HomeTask {
+            id,
+            function: function.as_str().into(),
+            binding: binding.as_str().into(),
+            class: bound.class,
+            due: self.now + Duration::from_millis(left_ms.into()),
+            arrived: self.now,
+            not_before: self.now,
+            place: Place::Held,
+            scope,
+            digest,
+            head: head.into_vec(),
+            body: body.into_vec(),
+            claim: 0,
+            stored: None,
+            respond_async: respond_async != 0,
+            caller: true,
+            dispatches: 0,
+            reached: tries > 0 && bound.class == Class::Ordinary,
+            low,
+        };
+        self.tasks.insert(number, record);
+        self.by_id.insert(id, number);
+        if full {
+            return self.refuse(number, "this function's inbox is full");
+        }
+        if spent {
+            return self.answer_own(number, Outcome::Unknown, 504, 2);
+        }
+        match bound.class {
+            Class::Ordinary => self.hold(number),
+            _ if !self.core_near => self.refuse(number, "the core cannot be reached"),
+            Class::Once => self.claim(number),
+            Class::Deferred => self.store(number),
+        }
+    }
+
+    pub(crate) fn hold(&mut self, number: u64) {
+        let Some(task) = self.tasks.get_mut(&number) else { return };
+        task.place = Place::Held;
+        if let Some(desk) = self.desks.get_mut(&task.function) {
+            if task.low {
+                desk.held.push_back(number);
+            } else {
+                let players = desk.held.iter().take_while(|n| self.tasks.get(n).is_some_and(|task| !task.low)).count();
+                desk.held.insert(players, number);
+            }
+        }
+    }
+
+    pub(crate) fn refuse(&mut self, number: u64, _told: &str) {
+        let again = self.spread(number, 1);
+        self.answer_own(number, Outcome::NotRun, 503, again);
+    }
+
+    pub(crate) fn answer_own(&mut self, number: u64, outcome: Outcome, status: u16, retry_after: u32) {
+        self.answer(number, outcome, status, retry_after, Vec::new(), Vec::new());
+    }
+
+    /// Answers the caller, if one still waits, and drops the record unless it must live on.
+    pub(crate) fn answer(
+        &mut self,
+        number: u64,
+        outcome: Outcome,
+        status: u16,
+        retry_after: u32,
+        head: Vec<u8>,
+        body: Vec<u8>,
+    ) {
+        let Some(task) = self.tasks.get_mut(&number) else { return };
+        if task.caller {
+            if outcome == Outcome::NotRun {
+                self.refusals += 1;
+            }
+            let (to, id) = (task.id.from, task.id.task);
+            task.caller = false;
+            let message =
+                CarryMsg::Carried { task: id, outcome, status, retry_after, head: head.into(), body: body.into() };
+            self.outs.push(HomeOutput::Carry { to, message });
+        }
+        let lives_on = task.stored.is_some() && outcome == Outcome::Accepted;
+        if !lives_on {
+            self.forget(number);
+        }
+    }
+
+    pub(crate) fn forget(&mut self, number: u64) {
+        if let Some(task) = self.tasks.remove(&number) {
+            self.by_id.remove(&task.id);
+            if let Some(desk) = self.desks.get_mut(&task.function) {
+                desk.held.retain(|held| *held != number);
+            }
+        }
+    }
+}
+
+/// What makes a repeat the same request: method, target and body, not the hop's own headers.
+fn head_identity(head: &[u8]) -> Vec<u8> {
+    match wire::from_bytes::<wire::RequestHead>(head) {
+        Some(head) => format!("{} {}\n", head.method.as_str(), head.target.as_str()).into_bytes(),
+        None => head.to_vec(),
+    }
+}
+
+impl Home {
+    pub(crate) fn ask_chain(&mut self, kind: Ledger, task: u64, function: &str, body: Vec<u8>, lasts: Duration) -> u64 {
+        let ask = self.number();
+        let due = self.now + lasts;
+        let record = LedgerAsk { kind, task, function: function.to_owned(), body: body.clone(), sent: self.now, due };
+        self.asks.insert(ask, record);
+        self.outs.push(HomeOutput::Enter { ask, body });
+        ask
+    }
+}
--- /dev/null
+++ b/crates/traffic/src/home_types.rs
@@ -0,0 +1,125 @@
+//! What a home takes and returns, the record it keeps of each task, and what it asked of the chain.
+
+use crate::dispatch::{DispatchOrder, Verdict};
+use bindings::{Book, Class};
+use holds::Roster;
+use platform::{PlatformOrder, PlatformReport};
+use std::rc::Rc;
+use std::time::Duration;
+use wire::{CarryMsg, HoldMsg, NodeId, PlanMsg, SampleLine};
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct TaskId {
+    pub from: NodeId,
+    pub task: u64,
+}
+
+pub enum HomeInput {
+    Carry { from: NodeId, message: CarryMsg },
+    Dispatched { number: u64, verdict: Verdict },
+    Ledger { message: HoldMsg },
+    Platform { report: PlatformReport, listed_at: Duration },
+    Plan { message: PlanMsg },
+    Book { book: Rc<Book> },
+    Roster { roster: Rc<Roster> },
+    Core { near: bool },
+    Leave,
+    Tick,
+}
+
+#[derive(Debug)]
+pub enum HomeOutput {
+    Carry { to: NodeId, message: CarryMsg },
+    Enter { ask: u64, body: Vec<u8> },
+    Read { ask: u64, prefix: String },
+    Dispatch(DispatchOrder),
+    Platform(PlatformOrder),
+    PlanAsk { message: PlanMsg },
+    Samples { lines: Vec<SampleLine> },
+}
+
+#[derive(Clone, Debug)]
+pub struct HomeTiming {
+    pub margin: Duration,
+    pub resend: Duration,
+    pub follow: Duration,
+    pub adopt: Duration,
+    pub sample: Duration,
+    pub overlay: Duration,
+    pub start_expiry: Duration,
+    pub deferred_read: Duration,
+    pub deferred_limit: Duration,
+    pub function_inbox: usize,
+    pub starts_per_second: f64,
+    pub player: scaler::PlayerTiming,
+}
+
+impl Default for HomeTiming {
+    fn default() -> Self {
+        HomeTiming {
+            margin: Duration::from_millis(60),
+            resend: Duration::from_millis(700),
+            follow: Duration::from_millis(150),
+            adopt: Duration::from_millis(1500),
+            sample: Duration::from_secs(15),
+            overlay: Duration::from_secs(30),
+            start_expiry: Duration::from_secs(10),
+            deferred_read: Duration::from_secs(10),
+            deferred_limit: Duration::from_secs(20),
+            function_inbox: 512,
+            starts_per_second: 64.0,
+            player: scaler::PlayerTiming::default(),
+        }
+    }
+}
+
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Place {
+    Claiming,
+    Storing,
+    Held,
+    Running { number: u64 },
+    Following { at: Duration },
+    Releasing,
+}
+
+pub struct HomeTask {
+    pub id: TaskId,
+    pub function: String,
+    pub binding: String,
+    pub class: Class,
+    pub due: Duration,
+    pub arrived: Duration,
+    pub not_before: Duration,
+    pub place: Place,
+    pub scope: String,
+    pub digest: Vec<u8>,
+    pub head: Vec<u8>,
+    pub body: Vec<u8>,
+    pub claim: u64,
+    pub stored: Option<String>,
+    pub respond_async: bool,
+    pub caller: bool,
+    pub dispatches: u32,
+    pub reached: bool,
+    pub low: bool,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Ledger {
+    Claim,
+    Settle,
+    Release,
+    Store,
+    Finish,
+    Deferred,
+}
+
+pub struct LedgerAsk {
+    pub kind: Ledger,
+    pub task: u64,
+    pub function: String,
+    pub body: Vec<u8>,
+    pub sent: Duration,
+    pub due: Duration,
+}
--- /dev/null
+++ b/crates/traffic/src/instance.rs
@@ -0,0 +1,142 @@
+//! One instance as its home knows it: a state machine from starting to gone. Nothing is sent to
+//! one that is draining or gone, from the moment that is learned.
+
+use statig::prelude::*;
+use std::time::Duration;
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum InstanceEvent {
+    Ready,
+    Drain,
+    Lost,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Phase {
+    Starting,
+    Ready,
+    Draining,
+    Gone,
+}
+
+#[derive(Default)]
+pub struct Life;
+
+#[state_machine(initial = "State::starting()", state(derive(Debug)))]
+impl Life {
+    #[state(superstate = "known")]
+    fn starting(event: &InstanceEvent) -> Outcome<State> {
+        match event {
+            InstanceEvent::Ready => Transition(State::ready()),
+            _ => Super,
+        }
+    }
+
+    #[state(superstate = "known")]
+    fn ready(event: &InstanceEvent) -> Outcome<State> {
+        match event {
+            InstanceEvent::Ready => Handled,
+            _ => Super,
+        }
+    }
+
+    #[state(superstate = "known")]
+    fn draining(event: &InstanceEvent) -> Outcome<State> {
+        match event {
+            InstanceEvent::Lost => Super,
+            _ => Handled,
+        }
+    }
+
+    #[state]
+    fn gone() -> Outcome<State> {
+        Handled
+    }
+
+    #[superstate]
+    fn known(event: &InstanceEvent) -> Outcome<State> {
+        match event {
+            InstanceEvent::Drain => Transition(State::draining()),
+            InstanceEvent::Lost => Transition(State::gone()),
+            InstanceEvent::Ready => Handled,
+        }
+    }
+}
+
+pub struct Instance {
+    life: StateMachine<Life>,
+    pub address: String,
+    pub busy: u32,
+    pub foreign: u32,
+    pub foreign_until: Duration,
+    pub allowed: u32,
+    pub allowed_at: Duration,
+    pub paused_until: Duration,
+    pub ordered: Duration,
+    pub changed: Duration,
+    pub stopping: Option<Duration>,
+    pub listed: bool,
+}
+
+impl Instance {
+    pub fn new(now: Duration, address: &str) -> Instance {
+        Instance {
+            life: Life.state_machine(),
+            address: address.to_owned(),
+            busy: 0,
+            foreign: 0,
+            foreign_until: Duration::ZERO,
+            allowed: u32::MAX,
+            allowed_at: now,
+            paused_until: Duration::ZERO,
+            ordered: now,
+            changed: now,
+            stopping: None,
+            listed: false,
+        }
+    }
+
+    pub fn take(&mut self, now: Duration, event: InstanceEvent) {
+        let before = self.phase();
+        self.life.handle(&event);
+        if self.phase() != before {
+            self.changed = now;
+        }
+    }
+
+    pub fn phase(&self) -> Phase {
+        match self.life.state() {
+            State::Starting {} => Phase::Starting,
+            State::Ready {} => Phase::Ready,
+            State::Draining {} => Phase::Draining,
+            State::Gone {} => Phase::Gone,
+        }
+    }
+
+    /// Tasks this home may have on it now: its limit, less others' tasks, less what it turned away.
+    pub fn room(&self, now: Duration, limit: u32) -> u32 {
+        if self.phase() != Phase::Ready || now < self.paused_until || self.address.is_empty() {
+            return 0;
+        }
+        let foreign = if now < self.foreign_until { self.foreign } else { 0 };
+        limit.min(self.allowed).saturating_sub(self.busy + foreign)
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn nothing_leads_back_from_draining_or_gone() {
+        let mut instance = Instance::new(Duration::ZERO, "127.0.0.1:1");
+        instance.take(Duration::ZERO, InstanceEvent::Ready);
+        assert_eq!(instance.room(Duration::ZERO, 4), 4);
+        instance.take(Duration::ZERO, InstanceEvent::Drain);
+        instance.take(Duration::ZERO, InstanceEvent::Ready);
+        assert_eq!((instance.phase(), instance.room(Duration::ZERO, 4)), (Phase::Draining, 0));
+        instance.take(Duration::ZERO, InstanceEvent::Lost);
+        instance.take(Duration::ZERO, InstanceEvent::Ready);
+        assert_eq!(instance.phase(), Phase::Gone);
+    }
+}
--- /dev/null
+++ b/crates/traffic/src/keeper.rs
@@ -0,0 +1,87 @@
+//! Keeping the deferred promise: pending tasks of the functions homed here are read back from the
+//! chain's store, after a home has moved or restarted and now and then besides, and run to the end.
+
+use crate::home::Home;
+use crate::home_types::{HomeOutput, HomeTask, Ledger, LedgerAsk, Place, TaskId};
+use bindings::Class;
+use std::time::Duration;
+use wire::{ItemLine, StoredTask};
+
+const READS_AT_ONCE: usize = 4;
+
+impl Home {
+    pub(crate) fn deferred_pass(&mut self) {
+        let now = self.now;
+        let Some(book) = self.book.clone() else { return };
+        if !self.core_near || !self.may_serve {
+            return;
+        }
+        let reading = self.asks.values().filter(|ask| ask.kind == Ledger::Deferred).count();
+        let due: Vec<String> = self
+            .desks
+            .iter()
+            .filter(|(_, desk)| desk.leaving.is_none() && desk.adopting.is_none())
+            .filter(|(_, desk)| desk.read_at.is_none_or(|at| now >= at + self.timing.deferred_read))
+            .filter(|(name, _)| book.takes_deferred(name))
+            .map(|(name, _)| name.clone())
+            .take(READS_AT_ONCE.saturating_sub(reading))
+            .collect();
+        for name in due {
+            if let Some(desk) = self.desks.get_mut(&name) {
+                desk.read_at = Some(now);
+            }
+            let ask = self.number();
+            let record = LedgerAsk {
+                kind: Ledger::Deferred,
+                task: 0,
+                function: name.clone(),
+                body: Vec::new(),
+                sent: now,
+                due: now + Duration::from_secs(3),
+            };
+            self.asks.insert(ask, record);
+            self.outs.push(HomeOutput::Read { ask, prefix: format!("p/{name}/") });
+        }
+    }
+
+    pub(crate) fn take_deferred(&mut self, ask: u64, items: Vec<ItemLine>) {
+        let Some(record) = self.asks.remove(&ask) else { return };
+        let name = record.function;
+        if !self.is_home(&name) || !self.desks.contains_key(&name) {
+            return;
+        }
+        for item in items {
+            let id = item.key.as_str().rsplit('/').next().unwrap_or_default().to_owned();
+            let known = self.tasks.values().any(|task| task.stored.as_deref() == Some(id.as_str()));
+            let room = self.desks.get(&name).is_some_and(|desk| desk.held.len() < self.timing.function_inbox / 2);
+            let Some(kept) = wire::from_bytes::<StoredTask>(item.value.as_slice()) else { continue };
+            if known || !room || self.finished.contains_key(&id) {
+                continue;
+            }
+            let number = self.number();
+            let task = HomeTask {
+                id: TaskId { from: 0, task: number },
+                function: name.clone(),
+                binding: kept.binding.as_str().into(),
+                class: Class::Deferred,
+                due: Duration::MAX,
+                arrived: self.now,
+                not_before: self.now,
+                place: Place::Held,
+                scope: String::new(),
+                digest: Vec::new(),
+                head: kept.head.into_vec(),
+                body: kept.body.into_vec(),
+                claim: 0,
+                stored: Some(id),
+                respond_async: false,
+                caller: false,
+                dispatches: 1,
+                reached: true,
+                low: true,
+            };
+            self.tasks.insert(number, task);
+            self.hold(number);
+        }
+    }
+}
--- /dev/null
+++ b/crates/traffic/src/ledger.rs
@@ -0,0 +1,202 @@
+//! The home's talk with the chain: claiming a run-once key before dispatch, settling it after,
+//! releasing it only when it was never dispatched, and storing deferred tasks before they are
+//! promised. Each ask may be sent again; the chain gives the same receipt.
+
+use crate::home::Home;
+use crate::home_types::{Ledger, Place};
+use std::time::Duration;
+use wire::{ClaimState, Command, HoldMsg, Outcome, Receipt, StoredAnswer, StoredTask};
+
+const LASTING: Duration = Duration::from_secs(60);
+
+impl Home {
+    pub(crate) fn claim(&mut self, number: u64) {
+        let (me, incarnation) = (self.me, self.incarnation);
+        let Some(task) = self.tasks.get_mut(&number) else { return };
+        task.place = Place::Claiming;
+        task.claim = number;
+        let command = Command::Claim {
+            scope: task.scope.as_str().into(),
+            digest: task.digest.clone().into(),
+            member: me,
+            incarnation,
+            ask: number,
+        };
+        let (function, left) = (task.function.clone(), task.due.saturating_sub(self.now));
+        self.ask_chain(Ledger::Claim, number, &function, wire::to_bytes(&command), left);
+    }
+
+    pub(crate) fn release(&mut self, number: u64) {
+        let Some(task) = self.tasks.get(&number) else { return };
+        let command = Command::Release {
+            scope: task.scope.as_str().into(),
+            member: self.me,
+            incarnation: self.incarnation,
+            ask: task.claim,
+        };
+        let function = task.function.clone();
+        self.ask_chain(Ledger::Release, number, &function, wire::to_bytes(&command), LASTING);
+    }
+
+    pub(crate) fn settle(&mut self, number: u64, answer: &StoredAnswer) {
+        let Some(task) = self.tasks.get(&number) else { return };
+        let command = Command::Settle {
+            scope: task.scope.as_str().into(),
+            member: self.me,
+            incarnation: self.incarnation,
+            ask: task.claim,
+            answer: wire::to_bytes(answer).into(),
+        };
+        let function = task.function.clone();
+        self.ask_chain(Ledger::Settle, number, &function, wire::to_bytes(&command), LASTING);
+    }
+
+    pub(crate) fn store(&mut self, number: u64) {
+        let Some(task) = self.tasks.get_mut(&number) else { return };
+        task.place = Place::Storing;
+        let hash: String = holds::mix(&[task.scope.as_bytes(), b"1"]).to_le_bytes().iter().map(|b| format!("{b:02x}")).collect();
+        let more: String = holds::mix(&[b"2", task.scope.as_bytes()]).to_le_bytes().iter().map(|b| format!("{b:02x}")).collect();
+        let id = format!("{hash}{more}");
+        task.stored = Some(id.clone());
+        let kept = StoredTask {
+            binding: task.binding.as_str().into(),
+            head: task.head.clone().into(),
+            body: task.body.clone().into(),
+        };
+        let command = Command::Store {
+            id: id.into(),
+            function: task.function.as_str().into(),
+            digest: task.digest.clone().into(),
+            task: wire::to_bytes(&kept).into(),
+        };
+        let (function, left) = (task.function.clone(), task.due.saturating_sub(self.now));
+        self.ask_chain(Ledger::Store, number, &function, wire::to_bytes(&command), left);
+    }
+
+    pub(crate) fn finish(&mut self, number: u64, answer: &StoredAnswer) {
+        let Some(task) = self.tasks.get(&number) else { return };
+        let Some(id) = task.stored.clone() else { return };
+        let function = task.function.clone();
+        let command = Command::Finish {
+            id: id.into(),
+            function: function.as_str().into(),
+            answer: wire::to_bytes(answer).into(),
+        };
+        self.ask_chain(Ledger::Finish, number, &function, wire::to_bytes(&command), LASTING);
+    }
+
+    pub(crate) fn ledger_receipt(&mut self, message: HoldMsg) {
+        let (ask, state, body) = match message {
+            HoldMsg::EnterReceipt { ask, state, body } => (ask, state, body),
+            HoldMsg::ReadReceipt { ask, items, .. } => return self.take_deferred(ask, items.into_vec()),
+            _ => return,
+        };
+        if state != 1 {
+            return;
+        }
+        let Some(record) = self.asks.remove(&ask) else { return };
+        let Some(receipt) = wire::from_bytes::<Receipt>(body.as_slice()) else { return };
+        match (record.kind, receipt) {
+            (Ledger::Claim, Receipt::Claim { state, answer }) => self.claimed(record.task, state, answer.as_slice()),
+            (Ledger::Store, Receipt::Stored { state, answer }) => self.stored(record.task, state, answer.as_slice()),
+            (Ledger::Release, _) => {
+                let releasing = self.tasks.get(&record.task).is_some_and(|task| task.place == Place::Releasing);
+                if releasing {
+                    self.not_home(record.task);
+                }
+            }
+            _ => {}
+        }
+    }
+
+    fn claimed(&mut self, number: u64, state: ClaimState, answer: &[u8]) {
+        let mine = self.tasks.get(&number).is_some_and(|task| self.is_home(&task.function));
+        let Some(task) = self.tasks.get_mut(&number) else { return };
+        if task.place != Place::Claiming {
+            return;
+        }
+        match state {
+            ClaimState::Granted if !mine => {
+                task.place = Place::Releasing;
+                self.release(number);
+            }
+            ClaimState::Granted => self.hold(number),
+            ClaimState::Running => task.place = Place::Following { at: self.now + self.timing.follow },
+            ClaimState::Settled => self.answer_stored(number, answer),
+            ClaimState::Unknown => self.answer_own(number, Outcome::Unknown, 504, 0),
+            ClaimState::OtherBody => self.answer_own(number, Outcome::NotRun, 422, 0),
+            ClaimState::Full => self.refuse(number, "the ledger is full"),
+        }
+    }
+
+    fn stored(&mut self, number: u64, state: ClaimState, answer: &[u8]) {
+        let Some(task) = self.tasks.get_mut(&number) else { return };
+        if task.place != Place::Storing {
+            return;
+        }
+        match state {
+            ClaimState::Granted => {
+                let at_once = task.respond_async;
+                self.hold(number);
+                if at_once {
+                    self.accept(number);
+                }
+            }
+            ClaimState::Running => {
+                self.accept(number);
+                self.forget(number);
+            }
+            ClaimState::Settled => self.answer_stored(number, answer),
+            ClaimState::OtherBody => {
+                task.stored = None;
+                self.answer_own(number, Outcome::NotRun, 422, 0);
+            }
+            ClaimState::Full | ClaimState::Unknown => {
+                task.stored = None;
+                self.refuse(number, "the store is full");
+            }
+        }
+    }
+
+    /// 202 with the address under which the task's state can be asked.
+    pub(crate) fn accept(&mut self, number: u64) {
+        let Some(id) = self.tasks.get(&number).and_then(|task| task.stored.clone()) else { return };
+        let body = format!("{{\"task\":\"{id}\",\"status\":\"/.heron/tasks/{id}\"}}");
+        self.answer(number, Outcome::Accepted, 202, 0, Vec::new(), body.into_bytes());
+    }
+
+    fn answer_stored(&mut self, number: u64, raw: &[u8]) {
+        match wire::from_bytes::<StoredAnswer>(raw) {
+            Some(answer) => self.answer(
+                number,
+                answer.outcome,
+                answer.status,
+                0,
+                answer.head.into_vec(),
+                answer.body.into_vec(),
+            ),
+            None => self.answer_own(number, Outcome::Unknown, 504, 0),
+        }
+    }
+
+    /// Sends again what was not answered, and lets go of what is past its time.
+    pub(crate) fn ledger_pass(&mut self) {
+        let now = self.now;
+        let mut again = Vec::new();
+        self.asks.retain(|ask, record| {
+            if now >= record.due {
+                return false;
+            }
+            if now >= record.sent + self.timing.resend {
+                record.sent = now;
+                if record.kind != Ledger::Deferred {
+                    again.push((*ask, record.body.clone()));
+                }
+            }
+            true
+        });
+        for (ask, body) in again {
+            self.outs.push(crate::home_types::HomeOutput::Enter { ask, body });
+        }
+    }
+}
--- a/crates/traffic/src/lib.rs
+++ b/crates/traffic/src/lib.rs
@@ -1,1 +1,37 @@
+//! The data plane as a library. `Front` meets callers and carries tasks; `Home` places the tasks
+//! of the functions it is home to, starts and stops their instances, and keeps the run-once and
+//! deferred promises. Both are state machines over tables of records; around them are the door,
+//! the dispatcher to instances, the platform's adapter and the follower on the control thread.
 
+mod budget;
+mod control_loop;
+mod desk;
+mod dispatch;
+mod door;
+mod front;
+mod front_types;
+mod handover;
+mod head;
+mod home;
+mod home_types;
+mod instance;
+mod keeper;
+mod ledger;
+mod pass_cell;
+mod ops;
+mod passes;
+mod plane;
+mod platform_side;
+mod scale;
+mod service;
+mod settings;
+mod status;
+
+pub use budget::{Budget, Window};
+pub use dispatch::{DispatchOrder, Verdict};
+pub use front::Front;
+pub use front_types::{Call, FrontInput, FrontLimits, FrontOutput, Reply};
+pub use home::Home;
+pub use home_types::{HomeInput, HomeOutput, HomeTiming, Ledger, TaskId};
+pub use service::run;
+pub use settings::RouterEnv;
--- /dev/null
+++ b/crates/traffic/src/ops.rs
@@ -0,0 +1,81 @@
+//! The operations port: health, readiness, metrics, this node's view and a live watch of it.
+
+use axum::Router;
+use axum::body::Body;
+use axum::extract::State;
+use axum::http::StatusCode;
+use axum::response::Response;
+use axum::routing::get;
+use bytes::Bytes;
+use http_body::Frame;
+use http_body_util::StreamBody;
+use serde_json::Value;
+use std::convert::Infallible;
+use tokio::sync::watch;
+
+#[derive(Clone)]
+pub struct Views {
+    pub traffic: watch::Receiver<String>,
+    pub control: watch::Receiver<String>,
+}
+
+pub fn ops_router(views: Views) -> Router {
+    Router::new()
+        .route("/health", get(|| async { "ok\n" }))
+        .route("/ready", get(ready))
+        .route("/metrics", get(metrics))
+        .route("/v1/status", get(|State(views): State<Views>| async move { views.page().to_string() }))
+        .route("/v1/watch", get(watch_view))
+        .with_state(views)
+}
+
+impl Views {
+    fn page(&self) -> Value {
+        let mut page: Value = serde_json::from_str(&self.control.borrow()).unwrap_or_default();
+        page["traffic"] = serde_json::from_str(&self.traffic.borrow()).unwrap_or_default();
+        page
+    }
+}
+
+async fn ready(State(views): State<Views>) -> (StatusCode, &'static str) {
+    match views.page()["standing"].as_str() {
+        Some("ByCore" | "ByPeers") => (StatusCode::OK, "ready\n"),
+        _ => (StatusCode::SERVICE_UNAVAILABLE, "no proof of revision\n"),
+    }
+}
+
+async fn metrics(State(views): State<Views>) -> String {
+    let page = views.page();
+    let mut lines = String::new();
+    for (name, at) in [
+        ("revision", "/revision"),
+        ("step", "/step"),
+        ("staged", "/staged"),
+        ("roster", "/roster"),
+        ("front_tasks", "/traffic/front"),
+        ("front_refusals_total", "/traffic/front_refusals"),
+        ("home_tasks", "/traffic/tasks"),
+        ("home_running", "/traffic/running"),
+        ("home_refusals_total", "/traffic/refusals"),
+        ("inbox_depth", "/traffic/inbox"),
+    ] {
+        let value = page.pointer(at).and_then(Value::as_u64).unwrap_or_default();
+        lines.push_str(&format!("heronlink_router_{name} {value}\n"));
+    }
+    for (word, count) in page["traffic"]["outcomes"].as_object().into_iter().flatten() {
+        lines.push_str(&format!("heronlink_router_outcomes_total{{outcome=\"{word}\"}} {count}\n"));
+    }
+    lines
+}
+
+async fn watch_view(State(views): State<Views>) -> Response {
+    let mut control = views.control.clone();
+    control.mark_changed();
+    let lines = futures_lite::stream::unfold((views, control), |(views, mut control)| async move {
+        control.changed().await.ok()?;
+        control.borrow_and_update();
+        let line = Bytes::from(format!("{}\n", views.page()));
+        Some((Ok::<_, Infallible>(Frame::data(line)), (views, control)))
+    });
+    Response::new(Body::new(StreamBody::new(lines)))
+}
--- /dev/null
+++ b/crates/traffic/src/pass_cell.rs
@@ -0,0 +1,43 @@
+//! The step this router serves by and the moment until which it may, in one word: written by the
+//! control thread, read at each carry and dispatch. It is lowered before a staged step is
+//! acknowledged, so no message between threads can be late for it; and it fits only a book of the
+//! same step, so a new proof never vouches for an old book.
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::Duration;
+
+const TIME_BITS: u32 = 40;
+const STEP_MASK: u64 = (1 << (64 - TIME_BITS)) - 1;
+
+#[derive(Clone, Default)]
+pub struct PassCell {
+    word: Arc<AtomicU64>,
+}
+
+impl PassCell {
+    pub fn set(&self, step: u64, until: Duration) {
+        let millis = (until.as_millis() as u64).min((1 << TIME_BITS) - 1);
+        self.word.store(((step & STEP_MASK) << TIME_BITS) | millis, Ordering::SeqCst);
+    }
+
+    pub fn holds(&self, now: Duration, step: u64) -> bool {
+        let word = self.word.load(Ordering::SeqCst);
+        let until = word & ((1 << TIME_BITS) - 1);
+        word >> TIME_BITS == step & STEP_MASK && (now.as_millis() as u64) < until
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn a_pass_fits_one_step_and_ends_on_time() {
+        let cell = PassCell::default();
+        let ms = Duration::from_millis;
+        assert!(!cell.holds(ms(0), 0));
+        cell.set(7, ms(1500));
+        assert!(cell.holds(ms(1499), 7) && !cell.holds(ms(1500), 7) && !cell.holds(ms(10), 6));
+    }
+}
--- /dev/null
+++ b/crates/traffic/src/plane.rs
@@ -0,0 +1,271 @@
+//! The traffic thread: one loop that owns the front and the home, feeds them from its inbox and
+//! carries out what they return. Tasks a router carries to itself go round here and nowhere else.
+
+use crate::dispatch::{DispatchOrder, Verdict};
+use crate::front::Front;
+use crate::front_types::{Call, FrontInput, FrontOutput, Reply};
+use crate::home::Home;
+use crate::home_types::{HomeInput, HomeOutput};
+use crate::pass_cell::PassCell;
+use bindings::Book;
+use events::event;
+use holds::Roster;
+use kernel::{Inbox, Post};
+use links::{LinkEvent, LinkOrder};
+use platform::{PlatformOrder, PlatformReport};
+use std::collections::{BTreeMap, VecDeque};
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+use tokio::sync::{oneshot, watch};
+use wire::{CarryMsg, DeferredRecord, HoldMsg, Message, NodeId, PlanMsg, StoredAnswer};
+
+const TICK: Duration = Duration::from_millis(10);
+const SHOW: Duration = Duration::from_millis(200);
+const STATUS_BIT: u64 = 1 << 62;
+
+pub enum TrafficMsg {
+    Task { call: Call, reply: oneshot::Sender<Reply> },
+    Status { id: String, reply: oneshot::Sender<Reply> },
+    Link(LinkEvent),
+    Dispatched { number: u64, verdict: Verdict },
+    Platform(PlatformReport),
+    Book(Box<Book>),
+    Roster(Box<Roster>),
+    Core { tail: Option<NodeId>, near: bool, registries: Vec<NodeId> },
+    Leave { done: oneshot::Sender<()> },
+}
+
+pub struct Plane {
+    pub me: NodeId,
+    pub begun: Instant,
+    pub pass: PassCell,
+    pub front: Front,
+    pub home: Home,
+    pub links: Post<LinkOrder>,
+    pub dispatcher: Post<DispatchOrder>,
+    pub platform: Post<PlatformOrder>,
+    pub view: watch::Sender<String>,
+    pub step: u64,
+    pub tail: Option<NodeId>,
+    pub registries: Vec<NodeId>,
+    pub replies: BTreeMap<u64, oneshot::Sender<Reply>>,
+    pub statuses: BTreeMap<u64, (oneshot::Sender<Reply>, Duration)>,
+    pub next: u64,
+    pub done: Option<oneshot::Sender<()>>,
+    pub counts: BTreeMap<&'static str, u64>,
+}
+
+enum Turn {
+    Front(FrontInput),
+    Home(HomeInput),
+}
+
+impl Plane {
+    pub async fn run(mut self, mut inbox: Inbox<TrafficMsg>) {
+        let mut ticks = tokio::time::interval(TICK);
+        ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+        let mut shown = Instant::now();
+        loop {
+            tokio::select! {
+                biased;
+                _ = ticks.tick() => {
+                    self.turn(Turn::Front(FrontInput::Tick));
+                    self.turn(Turn::Home(HomeInput::Tick));
+                    let now = self.begun.elapsed();
+                    self.statuses.retain(|_, (reply, due)| now < *due && !reply.is_closed());
+                    if self.done.is_some() && self.front.depth() == 0 && self.home.is_idle()
+                        && let Some(done) = self.done.take() {
+                        let _ = done.send(());
+                    }
+                }
+                message = inbox.next() => match message {
+                    Some(message) => self.take(message),
+                    None => return,
+                },
+            }
+            if shown.elapsed() >= SHOW {
+                shown = Instant::now();
+                let mut status = self.home.status();
+                status["front"] = self.front.depth().into();
+                status["front_refusals"] = self.front.refusals.into();
+                status["outcomes"] = serde_json::json!(self.counts);
+                status["inbox"] = inbox.depth().into();
+                self.view.send_replace(status.to_string());
+            }
+        }
+    }
+
+    fn take(&mut self, message: TrafficMsg) {
+        match message {
+            TrafficMsg::Task { call, reply } => {
+                self.next += 1;
+                self.replies.insert(self.next, reply);
+                self.turn(Turn::Front(FrontInput::Task { ask: self.next, call }));
+            }
+            TrafficMsg::Status { id, reply } => {
+                self.next += 1;
+                let due = self.begun.elapsed() + Duration::from_secs(4);
+                self.statuses.insert(self.next, (reply, due));
+                let ask = self.next | STATUS_BIT;
+                let message = HoldMsg::Read { ask, prefix: format!("d/{id}").into(), from: "".into() };
+                self.to_core(message);
+            }
+            TrafficMsg::Link(LinkEvent::Up { id, .. }) => self.turn(Turn::Front(FrontInput::Link { id, up: true })),
+            TrafficMsg::Link(LinkEvent::Down { id }) => self.turn(Turn::Front(FrontInput::Link { id, up: false })),
+            TrafficMsg::Link(LinkEvent::Frame { from, message, .. }) => match message {
+                Message::Carry(message) => self.carry(from, message),
+                Message::Plan(message) => self.turn(Turn::Home(HomeInput::Plan { message })),
+                Message::Hold(HoldMsg::ReadReceipt { ask, items, .. }) if ask & STATUS_BIT != 0 => {
+                    let first = items.as_slice().first().map(|item| item.value.as_slice().to_vec());
+                    self.tell_status(ask & !STATUS_BIT, first);
+                }
+                Message::Hold(message) => self.turn(Turn::Home(HomeInput::Ledger { message })),
+                _ => {}
+            },
+            TrafficMsg::Dispatched { number, verdict } => {
+                self.turn(Turn::Home(HomeInput::Dispatched { number, verdict }))
+            }
+            TrafficMsg::Platform(report) => {
+                let listed_at = match &report {
+                    PlatformReport::Listed { asked, .. } => asked.saturating_duration_since(self.begun),
+                    _ => Duration::ZERO,
+                };
+                self.turn(Turn::Home(HomeInput::Platform { report, listed_at }));
+            }
+            TrafficMsg::Book(book) => {
+                self.step = book.step;
+                let book = Rc::new(*book);
+                self.turn(Turn::Home(HomeInput::Book { book: book.clone() }));
+                self.turn(Turn::Front(FrontInput::Book { book }));
+            }
+            TrafficMsg::Roster(roster) => {
+                let roster = Rc::new(*roster);
+                self.turn(Turn::Home(HomeInput::Roster { roster: roster.clone() }));
+                self.turn(Turn::Front(FrontInput::Roster { roster }));
+            }
+            TrafficMsg::Core { tail, near, registries } => {
+                self.tail = tail;
+                self.registries = registries;
+                self.turn(Turn::Home(HomeInput::Core { near }));
+            }
+            TrafficMsg::Leave { done } => {
+                self.done = Some(done);
+                self.turn(Turn::Home(HomeInput::Leave));
+            }
+        }
+    }
+
+    fn carry(&mut self, from: NodeId, message: CarryMsg) {
+        match message {
+            CarryMsg::Carry { .. } | CarryMsg::Handover { .. } => {
+                self.turn(Turn::Home(HomeInput::Carry { from, message }))
+            }
+            _ => self.turn(Turn::Front(FrontInput::Carried { from, message })),
+        }
+    }
+
+    fn tell_status(&mut self, ask: u64, record: Option<Vec<u8>>) {
+        let Some((reply, _)) = self.statuses.remove(&ask) else { return };
+        let told = match record.and_then(|raw| wire::from_bytes::<DeferredRecord>(&raw)) {
+            None => Reply::own(404, None, "no such task"),
+            Some(record) if record.done == 0 => {
+                Reply { body: b"{\"state\":\"pending\"}".to_vec(), ..Reply::own(200, Some(wire::Outcome::Accepted), "") }
+            }
+            Some(record) => match wire::from_bytes::<StoredAnswer>(record.answer.as_slice()) {
+                Some(answer) => Reply {
+                    head: answer.head.into_vec(),
+                    body: answer.body.into_vec(),
+                    ..Reply::own(answer.status, Some(answer.outcome), "")
+                },
+                None => Reply::own(500, None, "the stored answer cannot be read"),
+            },
+        };
+        let _ = reply.send(told);
+    }
+
+    fn link(&self, order: LinkOrder) {
+        if self.links.send(order).is_err() {
+            event!(inbox_full, "links");
+        }
+    }
+
+    fn to_core(&self, message: HoldMsg) {
+        if let Some(to) = self.tail {
+            self.link(LinkOrder::Send { to, message: Message::Hold(message) });
+        }
+    }
+
+    fn turn(&mut self, first: Turn) {
+        let mut turns = VecDeque::from([first]);
+        while let Some(turn) = turns.pop_front() {
+            let now = self.begun.elapsed();
+            let may_serve = self.pass.holds(now, self.step);
+            match turn {
+                Turn::Front(input) => {
+                    for output in self.front.step(now, may_serve, input) {
+                        match output {
+                            FrontOutput::Reply { ask, reply } => self.reply(ask, reply),
+                            FrontOutput::Carry { to, message } if to == self.me => {
+                                turns.push_back(Turn::Home(HomeInput::Carry { from: to, message }));
+                            }
+                            FrontOutput::Carry { to, message } => {
+                                self.link(LinkOrder::Send { to, message: Message::Carry(message) });
+                            }
+                        }
+                    }
+                }
+                Turn::Home(input) => {
+                    for output in self.home.step(now, may_serve, input) {
+                        if let Some(turn) = self.carry_out(output) {
+                            turns.push_back(turn);
+                        }
+                    }
+                }
+            }
+        }
+    }
+
+    fn carry_out(&mut self, output: HomeOutput) -> Option<Turn> {
+        match output {
+            HomeOutput::Carry { to, message } if to == self.me => {
+                return Some(Turn::Front(FrontInput::Carried { from: to, message }));
+            }
+            HomeOutput::Carry { to, message } => self.link(LinkOrder::Send { to, message: Message::Carry(message) }),
+            HomeOutput::Enter { ask, body } => self.to_core(HoldMsg::Enter { ask, body: body.into() }),
+            HomeOutput::Read { ask, prefix } => {
+                self.to_core(HoldMsg::Read { ask, prefix: prefix.into(), from: "".into() });
+            }
+            HomeOutput::Dispatch(order) => {
+                let number = order.number;
+                if self.dispatcher.send(order).is_err() {
+                    event!(inbox_full, "dispatcher");
+                    return Some(Turn::Home(HomeInput::Dispatched { number, verdict: Verdict::NotSent }));
+                }
+            }
+            HomeOutput::Platform(order) => {
+                if self.platform.send(order).is_err() {
+                    event!(inbox_full, "platform");
+                }
+            }
+            HomeOutput::PlanAsk { message } => self.to_registries(Message::Plan(message)),
+            HomeOutput::Samples { lines } => {
+                self.to_registries(Message::Plan(PlanMsg::Samples { lines: lines.into() }));
+            }
+        }
+        None
+    }
+
+    fn to_registries(&self, message: Message) {
+        for to in self.registries.clone() {
+            self.link(LinkOrder::Send { to, message: message.clone() });
+        }
+    }
+
+    fn reply(&mut self, ask: u64, reply: Reply) {
+        let word = reply.outcome.map_or("refused", |outcome| outcome.word());
+        *self.counts.entry(word).or_default() += 1;
+        if let Some(waiting) = self.replies.remove(&ask) {
+            let _ = waiting.send(reply);
+        }
+    }
+}
--- /dev/null
+++ b/crates/traffic/src/scale.rs
@@ -0,0 +1,197 @@
+//! Matching instances to the plan: each desk's player says a count, starts go out under this
+//! router's share of the platform's allowance with waking functions first, and stops drain before
+//! they are ordered. Samples for the forecast are taken on the way.
+
+use crate::home::Home;
+use crate::home_types::HomeOutput;
+use crate::instance::{Instance, InstanceEvent, Phase};
+use events::event;
+use platform::PlatformOrder;
+use scaler::{Situation, capacity};
+use std::time::Duration;
+use wire::{PlanMsg, SampleLine};
+
+const EVERY: Duration = Duration::from_millis(100);
+const BURST: f64 = 8.0;
+const STOP_AGAIN: Duration = Duration::from_secs(4);
+
+impl Home {
+    pub(crate) fn tick(&mut self) {
+        self.handover_pass();
+        self.expire_pass();
+        self.ledger_pass();
+        self.deferred_pass();
+        if self.now < self.scaled + EVERY {
+            return;
+        }
+        let lasted = self.now.saturating_sub(self.refilled).as_secs_f64();
+        self.refilled = self.now;
+        self.scaled = self.now;
+        let members = self.roster.members.as_slice().len().max(1) as f64;
+        self.starts_left = (self.starts_left + lasted * self.timing.starts_per_second / members).min(BURST);
+        let overlay = self.timing.overlay;
+        let now = self.now;
+        self.stopped.retain(|_, at| now < *at + overlay);
+        self.finished.retain(|_, at| now < *at + overlay * 2);
+        if self.may_serve {
+            self.scale_pass();
+        }
+        self.sample_pass();
+    }
+
+    fn scale_pass(&mut self) {
+        let now = self.now;
+        let mut wanting: Vec<(bool, f64, u32, String)> = Vec::new();
+        let names: Vec<String> = self.desks.keys().cloned().collect();
+        for name in names {
+            let ask = self.number();
+            let bound = self.book.as_ref().is_some_and(|book| book.function(&name).is_some());
+            let Some(desk) = self.desks.get_mut(&name) else { continue };
+            if desk.leaving.is_some() || desk.adopting.is_some() {
+                continue;
+            }
+            desk.grow_back(now);
+            let (ready, starting) = (desk.count(Phase::Ready), desk.count(Phase::Starting));
+            let held = desk.held.iter().filter(|n| self.tasks.get(n).is_some_and(|t| now >= t.not_before)).count() as u32;
+            let situation = Situation {
+                running: ready,
+                starting,
+                held,
+                in_flight: desk.in_flight,
+                capacity: capacity(desk.function.instance_limit, &desk.function.sheet),
+                min: desk.function.min,
+                max: desk.function.max,
+                fixed: desk.function.fixed,
+            };
+            let before = desk.player.fallbacks;
+            let verdict = desk.player.step(now, ask, situation, &self.timing.player);
+            if desk.player.fallbacks > before {
+                event!(plan_fallback, "{name}");
+            }
+            desk.desired = if bound { verdict.desired } else { 0 };
+            if verdict.ask && bound {
+                let message = PlanMsg::Ask {
+                    ask,
+                    function: name.as_str().into(),
+                    current: ready + starting,
+                    held: if ready == 0 { held } else { 0 },
+                    waiting: if ready == 0 { 0 } else { held },
+                };
+                self.plan_asks.insert(ask, name.clone());
+                self.outs.push(HomeOutput::PlanAsk { message });
+            }
+            let count = ready + starting;
+            if desk.desired > count && now >= desk.refused_until {
+                let waking = held > 0 && count == 0;
+                wanting.push((waking, desk.function.player_weight, desk.desired - count, name));
+            } else if desk.desired < count {
+                self.drain(&name, count - self.desks[&name].desired);
+            }
+        }
+        self.stop_drained();
+        wanting.sort_by(|a, b| b.0.cmp(&a.0).then(b.1.total_cmp(&a.1)).then(a.2.cmp(&b.2)).then(a.3.cmp(&b.3)));
+        for (_, _, count, name) in wanting {
+            for _ in 0..count {
+                if self.starts_left < 1.0 {
+                    return;
+                }
+                self.starts_left -= 1.0;
+                self.start(&name);
+            }
+        }
+        let oldest = self.next.saturating_sub(100_000);
+        self.plan_asks.retain(|ask, _| *ask > oldest);
+    }
+
+    fn start(&mut self, name: &str) {
+        let number = self.number();
+        let Some(desk) = self.desks.get_mut(name) else { return };
+        let id = format!("{}.{:x}.{:x}.{number:x}", name.replace('/', "."), self.me & 0xffff_ffff, self.incarnation & 0xffff);
+        event!(start_ordered, "{id}");
+        desk.instances.insert(id.clone(), Instance::new(self.now, ""));
+        let service = name.to_owned();
+        let memory_mb = desk.function.memory_mb;
+        self.outs.push(HomeOutput::Platform(PlatformOrder::Start { id, service, memory_mb }));
+    }
+
+    /// Takes the least busy out of use, those still starting first where nobody waits for them.
+    fn drain(&mut self, name: &str, count: u32) {
+        let now = self.now;
+        let Some(desk) = self.desks.get_mut(name) else { return };
+        let mut list: Vec<(u32, bool, String)> = desk
+            .instances
+            .iter()
+            .filter(|(_, instance)| matches!(instance.phase(), Phase::Ready | Phase::Starting))
+            .map(|(id, instance)| (instance.busy, instance.phase() == Phase::Ready, id.clone()))
+            .collect();
+        list.sort();
+        for (_, _, id) in list.into_iter().take(count as usize) {
+            if let Some(instance) = desk.instances.get_mut(&id) {
+                instance.take(now, InstanceEvent::Drain);
+            }
+        }
+    }
+
+    fn stop_drained(&mut self) {
+        let now = self.now;
+        for desk in self.desks.values_mut() {
+            for (id, instance) in &mut desk.instances {
+                let ended = matches!(instance.phase(), Phase::Draining | Phase::Gone);
+                let quiet = instance.busy == 0 && (instance.foreign == 0 || now >= instance.foreign_until);
+                if ended && quiet && instance.stopping.is_none_or(|at| now > at + STOP_AGAIN) {
+                    instance.stopping = Some(now);
+                    self.stopped.insert(id.clone(), now);
+                    event!(stop_ordered, "{id}");
+                    self.outs.push(HomeOutput::Platform(PlatformOrder::Stop { id: id.clone() }));
+                }
+            }
+        }
+    }
+
+    fn sample_pass(&mut self) {
+        let now = self.now;
+        for desk in self.desks.values_mut() {
+            let held = desk.held.len() as f64;
+            desk.looks += 1;
+            if desk.count(Phase::Ready) == 0 {
+                desk.held_sum += held;
+            } else {
+                desk.waiting_sum += held;
+            }
+        }
+        if now < self.sampled + self.timing.sample {
+            return;
+        }
+        let lasted = now.saturating_sub(self.sampled).as_secs_f64();
+        self.sampled = now;
+        let mut lines = Vec::new();
+        for (name, desk) in &mut self.desks {
+            if desk.leaving.is_some() {
+                continue;
+            }
+            let looks = f64::from(desk.looks.max(1));
+            lines.push(SampleLine {
+                function: name.as_str().into(),
+                rate_milli: (f64::from(desk.arrivals) * 1000.0 / lasted) as u64,
+                response_micro: (desk.answer_time.as_micros() / u128::from(desk.answered.max(1))) as u64,
+                waiting_milli: (desk.waiting_sum * 1000.0 / looks) as u64,
+                held_milli: (desk.held_sum * 1000.0 / looks) as u64,
+            });
+            (desk.arrivals, desk.answered, desk.looks) = (0, 0, 0);
+            (desk.answer_time, desk.waiting_sum, desk.held_sum) = (Duration::ZERO, 0.0, 0.0);
+        }
+        self.outs.push(HomeOutput::Samples { lines });
+    }
+
+    pub(crate) fn plan_receipt(&mut self, message: PlanMsg) {
+        let PlanMsg::Receipt { ask, fence, step_ms, desired, .. } = message else { return };
+        let Some(name) = self.plan_asks.remove(&ask) else { return };
+        let now = self.now;
+        if let Some(desk) = self.desks.get_mut(&name) {
+            let step = Duration::from_millis(step_ms.into());
+            if desk.player.take(now, ask, fence, desired.into_vec(), step) {
+                event!(plan_received, "{name}: {:?}", desk.player.plan());
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/traffic/src/service.rs
@@ -0,0 +1,170 @@
+//! A router put together: the follower on the control thread, the plane on the traffic thread,
+//! links, doors, dispatcher and platform on threads of their own, all found by name.
+
+use crate::dispatch::{self, DispatchOrder};
+use crate::door::{self, Door};
+use crate::control_loop::{Control, ControlMsg};
+use crate::front::Front;
+use crate::front_types::FrontLimits;
+use crate::home::Home;
+use crate::home_types::HomeTiming;
+use crate::pass_cell::PassCell;
+use crate::ops::{Views, ops_router};
+use crate::plane::{Plane, TrafficMsg};
+use crate::settings::RouterEnv;
+use doors::DoorLimits;
+use events::event;
+use holds::{Follower, FollowerTiming, Standing, mix};
+use kernel::{Directory, adopt, find, listen, local, thread, wait_for_signal};
+use links::{LinkEvent, LinkOrder, Me};
+use platform::{Client, PlatformOrder};
+use std::collections::{BTreeMap, BTreeSet};
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+use tokio::sync::watch;
+use tokio::task::spawn_local;
+use wire::{HoldMsg, Message, NodeId};
+
+pub fn run(settings: RouterEnv) -> Result<(), String> {
+    let begun = Instant::now();
+    let incarnation = rand::random::<u64>() >> 8;
+    let me: NodeId = mix(&[b"router", settings.cluster.as_bytes(), settings.address.as_bytes()]) | 1;
+    let (peers, callers, ops) = (listen(&settings.address)?, listen(&settings.listen)?, listen(&settings.ops)?);
+    event!(started, "router {me:016x} at {}, callers at {}, operations at {}", settings.address, settings.listen, settings.ops);
+
+    let mut directory = Directory::default();
+    let control_inbox = directory.announce::<ControlMsg>("control", 16_384);
+    let traffic_inbox = directory.announce::<TrafficMsg>("traffic", 16_384);
+    let links_inbox = directory.announce::<LinkOrder>("links", 65_536);
+    let dispatch_inbox = directory.announce::<DispatchOrder>("dispatcher", 8192);
+    let platform_inbox = directory.announce::<PlatformOrder>("platform", 4096);
+    let (view, shown) = watch::channel(String::from("{}"));
+    let (control_view, control_shown) = watch::channel(String::from("{}"));
+    let (stop, stopping) = watch::channel(false);
+    let pass = PassCell::default();
+
+    let names = directory.clone();
+    let myself = Me { id: me, incarnation, cluster: settings.cluster.clone(), address: settings.address.clone() };
+    thread("links", move || local(async move { links::start(myself, adopt(peers), links_inbox, deliver(names)).await }))?;
+    let names = directory.clone();
+    thread("dispatcher", move || {
+        let traffic = find::<TrafficMsg>(&names, "traffic");
+        let report: dispatch::Report = Rc::new(move |number, verdict| {
+            let traffic = traffic.clone();
+            spawn_local(async move { traffic.send_waiting(TrafficMsg::Dispatched { number, verdict }).await });
+        });
+        local(dispatch::run(dispatch_inbox, report));
+    })?;
+    let (names, address, every) = (directory.clone(), settings.platform.clone(), settings.list_every);
+    thread("platform", move || {
+        let traffic = find::<TrafficMsg>(&names, "traffic");
+        let report: Rc<dyn Fn(platform::PlatformReport)> = Rc::new(move |report| {
+            let traffic = traffic.clone();
+            spawn_local(async move { traffic.send_waiting(TrafficMsg::Platform(report)).await });
+        });
+        local(async move { platform::run(Client::new(&address), platform_inbox, report, every).await });
+    })?;
+    let (names, cell, starts) = (directory.clone(), pass.clone(), settings.starts_per_second);
+    thread("traffic", move || {
+        let timing = HomeTiming { starts_per_second: starts, ..HomeTiming::default() };
+        let plane = Plane {
+            me,
+            begun,
+            pass: cell,
+            front: Front::new(me, incarnation, FrontLimits::default()),
+            home: Home::new(me, incarnation, timing),
+            links: find(&names, "links"),
+            dispatcher: find(&names, "dispatcher"),
+            platform: find(&names, "platform"),
+            view,
+            step: 0,
+            tail: None,
+            registries: Vec::new(),
+            replies: BTreeMap::new(),
+            statuses: BTreeMap::new(),
+            next: 0,
+            done: None,
+            counts: BTreeMap::new(),
+        };
+        local(plane.run(traffic_inbox));
+    })?;
+    let limits = DoorLimits {
+        connections: settings.connections,
+        head_bytes: settings.head_bytes,
+        headers: settings.headers,
+        head_time: settings.head_time,
+        life: settings.life,
+        grace: settings.grace,
+    };
+    let door = Door { traffic: find(&directory, "traffic"), body: settings.body, body_time: settings.body_time };
+    let (pages, doors_stop) = (door::router(door), stopping.clone());
+    let doors_thread =
+        thread("doors", move || local(async move { doors::serve(adopt(callers), pages, limits, doors_stop).await }))?;
+    let ops_limits = DoorLimits { connections: 64, life: Duration::from_secs(86_400), ..limits };
+    let (views, ops_stop) = (Views { traffic: shown, control: control_shown }, stopping);
+    thread("operations", move || local(async move { doors::serve(adopt(ops), ops_router(views), ops_limits, ops_stop).await }))?;
+
+    let timing = FollowerTiming { hold: settings.hold, ..FollowerTiming::default() };
+    let control = Control {
+        begun,
+        follower: Follower::new(me, &settings.address, &settings.zone, &settings.ops, timing),
+        pass,
+        links: find(&directory, "links"),
+        traffic: find(&directory, "traffic"),
+        seeds: settings.seeds.clone(),
+        seats: Vec::new(),
+        registries: BTreeSet::new(),
+        told: (false, None),
+        told_at: begun,
+        heard: None,
+        standing: Standing::Waiting,
+        view: control_view,
+        grace: settings.grace,
+    };
+    let post = find::<ControlMsg>(&directory, "control");
+    local(async move {
+        spawn_local(async move {
+            wait_for_signal().await;
+            post.send_waiting(ControlMsg::Stop).await;
+        });
+        control.run(control_inbox, stop).await;
+    });
+    let _ = doors_thread.join();
+    event!(stopped);
+    Ok(())
+}
+
+fn deliver(names: Directory) -> links::Deliver {
+    let control = find::<ControlMsg>(&names, "control");
+    let traffic = find::<TrafficMsg>(&names, "traffic");
+    Rc::new(move |event| {
+        let (control, traffic) = (control.clone(), traffic.clone());
+        Box::pin(async move {
+            match event {
+                LinkEvent::Up { id, incarnation, address } => {
+                    let copy = LinkEvent::Up { id, incarnation, address: address.clone() };
+                    traffic.send_waiting(TrafficMsg::Link(copy)).await;
+                    control.send_waiting(ControlMsg::Link(LinkEvent::Up { id, incarnation, address })).await;
+                }
+                LinkEvent::Down { id } => {
+                    traffic.send_waiting(TrafficMsg::Link(LinkEvent::Down { id })).await;
+                    control.send_waiting(ControlMsg::Link(LinkEvent::Down { id })).await;
+                }
+                LinkEvent::Frame { from, incarnation, message } => {
+                    let for_traffic = matches!(
+                        message,
+                        Message::Carry(_)
+                            | Message::Plan(_)
+                            | Message::Hold(HoldMsg::EnterReceipt { .. } | HoldMsg::ReadReceipt { .. })
+                    );
+                    let event = LinkEvent::Frame { from, incarnation, message };
+                    if for_traffic {
+                        traffic.send_waiting(TrafficMsg::Link(event)).await;
+                    } else {
+                        control.send_waiting(ControlMsg::Link(event)).await;
+                    }
+                }
+            }
+        })
+    })
+}
--- /dev/null
+++ b/crates/traffic/src/settings.rs
@@ -0,0 +1,29 @@
+//! The router's settings.
+
+use env::{address, any, in_range, seeds, word};
+use std::time::Duration;
+
+env::settings! {
+    pub struct RouterEnv {
+        cluster: String = "heronlink".into(), word, "name of the cluster; frames of another are refused";
+        zone: String = "a".into(), word, "zone this machine stands in";
+        address: String = String::new(), address, "IP number and port for heronlink's own processes";
+        listen: String = String::new(), address, "IP number and port for callers (HTTP/1.1)";
+        ops: String = String::new(), address, "IP number and port for health, metrics and this node's view";
+        seeds: Vec<String> = Vec::new(), seeds, "addresses of three registries";
+        platform: String = String::new(), address, "IP number and port of the platform's API";
+        hold: Duration = Duration::from_millis(1500), in_range(Duration::from_millis(500), Duration::from_secs(10)), "how long a proof of revision lasts; the same on every machine";
+        connections: usize = 2048, in_range(1, 65_536), "most connections of callers at once";
+        head_bytes: usize = 16 * 1024, in_range(8192, 256 * 1024), "longest head of a request in bytes";
+        headers: usize = 64, in_range(8, 256), "most headers of a request";
+        body: usize = 256 * 1024, in_range(0, 4 * 1024 * 1024), "longest body of a request in bytes";
+        head_time: Duration = Duration::from_secs(5), in_range(Duration::from_millis(100), Duration::from_secs(60)), "how long a request's head, or the pause before it, may take";
+        body_time: Duration = Duration::from_secs(4), in_range(Duration::from_millis(100), Duration::from_secs(60)), "how long a request's body may take";
+        life: Duration = Duration::from_secs(600), in_range(Duration::from_secs(1), Duration::from_secs(86_400)), "how long a connection may be kept open";
+        grace: Duration = Duration::from_secs(8), in_range(Duration::from_secs(1), Duration::from_secs(120)), "how long a planned stop may take to finish what it has begun";
+        list_every: Duration = Duration::from_millis(1000), in_range(Duration::from_millis(100), Duration::from_secs(30)), "how often the platform's list is read";
+        starts_per_second: f64 = 64.0, in_range(0.1, 10_000.0), "starts a second that all routers share, below what the platform takes";
+        log_level: String = "info".into(), word, "error, warn, info, debug or trace";
+        log_file: String = String::new(), any, "log file, rolled over by size; empty for standard error";
+    }
+}
--- /dev/null
+++ b/crates/traffic/src/status.rs
@@ -0,0 +1,34 @@
+//! A router's view of the system as JSON and as metrics, for its operations port.
+
+use crate::home::Home;
+use crate::instance::Phase;
+use serde_json::{Value, json};
+
+impl Home {
+    pub fn status(&mut self) -> Value {
+        let now = self.now;
+        let mut functions = serde_json::Map::new();
+        for (name, desk) in &mut self.desks {
+            let (requests, seconds) = desk.budget.counts(now);
+            functions.insert(
+                name.clone(),
+                json!({
+                    "held": desk.held.len(), "in_flight": desk.in_flight,
+                    "starting": desk.count(Phase::Starting), "ready": desk.count(Phase::Ready),
+                    "draining": desk.count(Phase::Draining),
+                    "desired": desk.desired, "plan": desk.player.plan(), "played": desk.player.played(now),
+                    "fixed": desk.function.fixed, "fallbacks": desk.player.fallbacks,
+                    "early_asks": desk.player.early_asks,
+                    "requests_10s": requests, "second_tries_10s": seconds,
+                    "turned_away_5s": desk.turned.count(now),
+                    "adopting": desk.adopting.is_some(), "leaving": desk.leaving.is_some(),
+                }),
+            );
+        }
+        let (tasks, running, asks) = self.depths();
+        json!({
+            "tasks": tasks, "running": running, "ledger_asks": asks, "refusals": self.refusals,
+            "core_near": self.core_near, "starts_left": self.starts_left, "functions": functions,
+        })
+    }
+}
--- /dev/null
+++ b/crates/yard/src/api.rs
@@ -0,0 +1,234 @@
+//! The platform's API and the yard's owner: one thread holds the state, handlers send it asks.
+
+use crate::instance::{Ask, Endpoint, draw, serve, wall_ms};
+use crate::record::Record;
+use crate::services::load;
+use crate::state::{Held, Mischief, Yard, YardEnv};
+use axum::extract::{Path, State};
+use axum::http::StatusCode;
+use axum::routing::{get, post};
+use axum::{Json, Router};
+use rand::{RngExt, SeedableRng};
+use serde_json::{Value, json};
+use std::collections::{BTreeMap, VecDeque};
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+use tokio::net::TcpListener;
+use tokio::sync::{mpsc, oneshot};
+
+type Answer = (StatusCode, Value);
+
+enum Order {
+    Call { what: &'static str, id: String, body: Value, reply: oneshot::Sender<Answer> },
+    Lot(Ask),
+    Ready { id: String },
+}
+
+pub fn run(settings: YardEnv) -> Result<(), String> {
+    let services = load(&settings.services)?;
+    let record = Record::open(&settings.record)?;
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().map_err(|f| f.to_string())?;
+    tokio::task::LocalSet::new().block_on(&runtime, async move {
+        let listener = TcpListener::bind(&settings.address)
+            .await
+            .map_err(|fault| format!("cannot listen on {}: {fault}", settings.address))?;
+        let (orders, inbox) = mpsc::channel(4096);
+        let router = Router::new()
+            .route("/v1/instances", get(list).post(start))
+            .route("/v1/instances/{id}", axum::routing::delete(stop))
+            .route("/v1/mischief", post(mischief))
+            .route("/v1/workers/{id}/{what}", post(worker))
+            .route("/v1/counts", get(counts))
+            .with_state(orders.clone());
+        let yard = Yard {
+            drained: vec![false; settings.workers as usize],
+            dice: rand_chacha::ChaCha8Rng::seed_from_u64(settings.seed),
+            settings,
+            services,
+            instances: BTreeMap::new(),
+            shown: VecDeque::new(),
+            calls: VecDeque::new(),
+            mischief: Mischief::default(),
+            refused: 0,
+            instance_seconds: 0.0,
+        };
+        tokio::task::spawn_local(own(yard, record, orders, inbox));
+        axum::serve(listener, router).await.map_err(|fault| fault.to_string())
+    })
+}
+
+async fn ask(orders: &mpsc::Sender<Order>, what: &'static str, id: String, body: Value) -> (StatusCode, Json<Value>) {
+    let (reply, told) = oneshot::channel();
+    let _ = orders.send(Order::Call { what, id, body, reply }).await;
+    match told.await {
+        Ok((status, value)) => (status, Json(value)),
+        Err(_) => {
+            // A hung call: the caller's own limit ends it.
+            tokio::time::sleep(Duration::from_secs(20)).await;
+            (StatusCode::GATEWAY_TIMEOUT, Json(json!({})))
+        }
+    }
+}
+
+type Orders = State<mpsc::Sender<Order>>;
+
+async fn list(State(orders): Orders) -> (StatusCode, Json<Value>) {
+    ask(&orders, "list", String::new(), Value::Null).await
+}
+async fn start(State(orders): Orders, Json(body): Json<Value>) -> (StatusCode, Json<Value>) {
+    ask(&orders, "start", body["id"].as_str().unwrap_or_default().to_owned(), body).await
+}
+async fn stop(State(orders): Orders, Path(id): Path<String>) -> (StatusCode, Json<Value>) {
+    ask(&orders, "stop", id, Value::Null).await
+}
+async fn mischief(State(orders): Orders, Json(body): Json<Value>) -> (StatusCode, Json<Value>) {
+    ask(&orders, "mischief", String::new(), body).await
+}
+async fn worker(State(orders): Orders, Path((id, what)): Path<(String, String)>) -> (StatusCode, Json<Value>) {
+    ask(&orders, "worker", id, json!(what)).await
+}
+async fn counts(State(orders): Orders) -> (StatusCode, Json<Value>) {
+    ask(&orders, "counts", String::new(), Value::Null).await
+}
+
+async fn own(mut yard: Yard, record: Record, orders: mpsc::Sender<Order>, mut inbox: mpsc::Receiver<Order>) {
+    let mut ticks = tokio::time::interval(Duration::from_millis(200));
+    loop {
+        tokio::select! {
+            _ = ticks.tick() => {
+                let list = yard.listing();
+                yard.shown.push_back((Instant::now(), list));
+            }
+            order = inbox.recv() => match order {
+                Some(Order::Lot(Ask::Lot(reply))) => drop(reply.send(draw(&mut yard))),
+                Some(Order::Ready { id }) => {
+                    if let Some(held) = yard.instances.get_mut(&id)
+                        && held.state == "starting" {
+                        held.state = "running";
+                    }
+                }
+                Some(Order::Call { what, id, body, reply }) => {
+                    let (hang, lost) = (yard.mischief.hang_calls, yard.mischief.drop_receipts);
+                    let calls = what == "start" || what == "stop";
+                    if calls && yard.chance(hang) {
+                        continue;
+                    }
+                    let answer = carry_out(&mut yard, &record, &orders, what, &id, &body).await;
+                    if !(calls && yard.chance(lost)) {
+                        let _ = reply.send(answer);
+                    }
+                }
+                None => return,
+            },
+        }
+    }
+}
+
+async fn carry_out(
+    yard: &mut Yard,
+    record: &Record,
+    orders: &mpsc::Sender<Order>,
+    what: &str,
+    id: &str,
+    body: &Value,
+) -> Answer {
+    match what {
+        "list" => (StatusCode::OK, yard.late_listing()),
+        "start" | "stop" if !yard.lets_call() => (StatusCode::TOO_MANY_REQUESTS, json!({"fault": "too many calls"})),
+        "start" => begin(yard, record, orders, id, body).await,
+        "stop" => match yard.remove(id) {
+            true => (StatusCode::ACCEPTED, json!({"id": id})),
+            false => (StatusCode::NOT_FOUND, json!({"fault": "no such instance"})),
+        },
+        "mischief" => {
+            let share = |name: &str| body[name].as_f64().unwrap_or(0.0);
+            yard.mischief = Mischief {
+                lose: share("lose"),
+                garbage: share("garbage"),
+                cut: share("cut"),
+                turn_away: share("turn_away"),
+                hang_calls: share("hang_calls"),
+                drop_receipts: share("drop_receipts"),
+            };
+            (StatusCode::OK, json!({}))
+        }
+        "worker" => {
+            let number: usize = id.parse().unwrap_or(usize::MAX);
+            if number >= yard.drained.len() {
+                return (StatusCode::NOT_FOUND, json!({}));
+            }
+            let on_it: Vec<String> =
+                yard.instances.iter().filter(|(_, held)| held.worker == number).map(|(id, _)| id.clone()).collect();
+            match body.as_str() {
+                Some("crash") => on_it.iter().for_each(|id| drop(yard.remove(id))),
+                Some("drain") => {
+                    yard.drained[number] = true;
+                    on_it.iter().filter_map(|id| yard.instances.get_mut(id).map(|held| held.state = "leaving")).count();
+                }
+                _ => yard.drained[number] = false,
+            }
+            record.write(json!({"at": wall_ms(), "what": "worker", "worker": number, "order": body}));
+            (StatusCode::OK, json!({"instances": on_it.len()}))
+        }
+        _ => {
+            let running: f64 = yard.instances.values().map(|held| held.asked.elapsed().as_secs_f64()).sum();
+            let told = json!({
+                "instances": yard.instances.len(), "refused_calls": yard.refused,
+                "instance_seconds": yard.instance_seconds + running,
+            });
+            (StatusCode::OK, told)
+        }
+    }
+}
+
+async fn begin(yard: &mut Yard, record: &Record, orders: &mpsc::Sender<Order>, id: &str, body: &Value) -> Answer {
+    let service = body["service"].as_str().unwrap_or_default().to_owned();
+    let memory_mb = body["memory_mb"].as_u64().unwrap_or(0) as u32;
+    let Some(shape) = yard.services.get(&service).cloned() else {
+        return (StatusCode::BAD_REQUEST, json!({"fault": "no such service"}));
+    };
+    if let Some(held) = yard.instances.get(id) {
+        return (StatusCode::ACCEPTED, json!({"id": id, "address": held.address, "worker": held.worker}));
+    }
+    let Some(worker) = yard.place(memory_mb) else {
+        return (StatusCode::INSUFFICIENT_STORAGE, json!({"fault": "no worker has the memory"}));
+    };
+    // The port is found now and opened only when the instance has started.
+    let Ok(found) = TcpListener::bind("127.0.0.1:0").await else {
+        return (StatusCode::SERVICE_UNAVAILABLE, json!({"fault": "no port"}));
+    };
+    let Ok(address) = found.local_addr() else { return (StatusCode::SERVICE_UNAVAILABLE, json!({})) };
+    let wait = Duration::from_millis(shape.start_ms * yard.dice.random_range(90..=115) / 100);
+    let (lots, mut lot_inbox) = mpsc::channel(64);
+    let endpoint = Endpoint {
+        id: id.to_owned(),
+        service: service.clone(),
+        shape,
+        busy: Arc::default(),
+        record: record.clone(),
+        lots,
+    };
+    let (forward, ready, name) = (orders.clone(), orders.clone(), id.to_owned());
+    drop(found);
+    let task = tokio::task::spawn_local(async move {
+        tokio::time::sleep(wait).await;
+        let Ok(listener) = TcpListener::bind(address).await else { return };
+        let _ = ready.send(Order::Ready { id: name }).await;
+        tokio::join!(serve(endpoint, listener), async {
+            while let Some(lot) = lot_inbox.recv().await {
+                let _ = forward.send(Order::Lot(lot)).await;
+            }
+        });
+    });
+    let held = Held {
+        service,
+        address: address.to_string(),
+        worker,
+        memory_mb,
+        state: "starting",
+        task: Some(task.abort_handle()),
+        asked: Instant::now(),
+    };
+    yard.instances.insert(id.to_owned(), held);
+    (StatusCode::ACCEPTED, json!({"id": id, "address": address.to_string(), "worker": worker}))
+}
