--- a/crates/bindings/src/book.rs
+++ b/crates/bindings/src/book.rs
@@ -42,8 +42,12 @@
                         book.bindings.insert(name.to_owned(), binding);
                     }
                 }
-                Some(Kind::WeightSheet) => drop(serde_json::from_slice(value).map(|s| sheets.insert(name.to_owned(), s))),
-                Some(Kind::HeadcountPlan) => drop(serde_json::from_slice(value).map(|p| plans.insert(name.to_owned(), p))),
+                Some(Kind::WeightSheet) => {
+                    drop(serde_json::from_slice(value).map(|s| sheets.insert(name.to_owned(), s)))
+                }
+                Some(Kind::HeadcountPlan) => {
+                    drop(serde_json::from_slice(value).map(|p| plans.insert(name.to_owned(), p)))
+                }
                 None => {}
             }
         }
--- a/crates/chain/src/copy.rs
+++ b/crates/chain/src/copy.rs
@@ -76,15 +76,8 @@
         if self.copying.is_some() || (chained && (self.predecessor() != Some(from) || view != self.meta.view.number)) {
             return;
         }
-        self.copying = Some(Copying {
-            from,
-            copy: 0,
-            piece: 0,
-            seq: 0,
-            pairs: Vec::new(),
-            asked: self.now,
-            moved: self.now,
-        });
+        self.copying =
+            Some(Copying { from, copy: 0, piece: 0, seq: 0, pairs: Vec::new(), asked: self.now, moved: self.now });
         self.send(from, ChainMsg::CopyAsk { copy: 0, piece: 0 });
     }
 
@@ -185,7 +178,11 @@
 
     pub(crate) fn finish_joining(&mut self) {
         let view = &self.meta.view;
-        if view.fresh != self.meta.seat.id || view.fresh == 0 || self.proposal.is_some() || self.now < self.propose_after {
+        if view.fresh != self.meta.seat.id
+            || view.fresh == 0
+            || self.proposal.is_some()
+            || self.now < self.propose_after
+        {
             return;
         }
         if self.is_current_tail() {
--- a/crates/chain/src/found.rs
+++ b/crates/chain/src/found.rs
@@ -44,9 +44,10 @@
             return;
         }
         let first = self.meta.accepted.clone();
-        let agreed = first.chain.iter().all(|id| {
-            *id == self.meta.seat.id || self.founders.get(id).is_some_and(|(_, _, bound)| *bound == first)
-        });
+        let agreed = first
+            .chain
+            .iter()
+            .all(|id| *id == self.meta.seat.id || self.founders.get(id).is_some_and(|(_, _, bound)| *bound == first));
         if agreed && self.writing.is_none() {
             self.adopt(first);
         }
--- a/crates/chain/src/line.rs
+++ b/crates/chain/src/line.rs
@@ -32,7 +32,9 @@
     }
 
     pub fn is_current_tail(&self) -> bool {
-        self.is_tail() && self.copying.is_none() && (self.is_head() || self.fence.is_some_and(|fence| self.synced >= fence))
+        self.is_tail()
+            && self.copying.is_none()
+            && (self.is_head() || self.fence.is_some_and(|fence| self.synced >= fence))
     }
 
     pub(crate) fn enter_line(&mut self) {
--- a/crates/chain/src/store.rs
+++ b/crates/chain/src/store.rs
@@ -27,7 +27,14 @@
 #[derive(Debug, Display, Error, From)]
 pub enum StoreFault {
     #[display("the data file cannot be used: {_0}")]
-    #[from(redb::Error, redb::DatabaseError, redb::TransactionError, redb::TableError, redb::StorageError, redb::CommitError)]
+    #[from(
+        redb::Error,
+        redb::DatabaseError,
+        redb::TransactionError,
+        redb::TableError,
+        redb::StorageError,
+        redb::CommitError
+    )]
     File(redb::Error),
     #[display("the data file belongs to cluster {_0}")]
     Foreign(#[error(not(source))] String),
--- a/crates/chain/src/view.rs
+++ b/crates/chain/src/view.rs
@@ -97,11 +97,8 @@
     }
 
     pub(crate) fn beat(&mut self) {
-        let message = ChainMsg::Beat {
-            view: self.meta.view.number,
-            round: self.round.number,
-            unwell: self.is_unwell() as u8,
-        };
+        let message =
+            ChainMsg::Beat { view: self.meta.view.number, round: self.round.number, unwell: self.is_unwell() as u8 };
         self.send_voters(message);
     }
 
--- a/crates/control/src/api.rs
+++ b/crates/control/src/api.rs
@@ -111,7 +111,11 @@
 async fn ready(State(api): State<Api>) -> Response {
     let view: Value = serde_json::from_str(&api.view.borrow()).unwrap_or_default();
     let chained = view["role"].as_str().is_some_and(|role| role != "out");
-    if chained { "ready\n".into_response() } else { (StatusCode::SERVICE_UNAVAILABLE, "not in the chain\n").into_response() }
+    if chained {
+        "ready\n".into_response()
+    } else {
+        (StatusCode::SERVICE_UNAVAILABLE, "not in the chain\n").into_response()
+    }
 }
 
 async fn metrics(State(api): State<Api>) -> String {
@@ -162,7 +166,11 @@
 }
 
 impl Lines {
-    fn into_body(self) -> http_body_util::StreamBody<impl futures_lite::Stream<Item = Result<http_body::Frame<Bytes>, std::convert::Infallible>>> {
+    fn into_body(
+        self,
+    ) -> http_body_util::StreamBody<
+        impl futures_lite::Stream<Item = Result<http_body::Frame<Bytes>, std::convert::Infallible>>,
+    > {
         http_body_util::StreamBody::new(futures_lite::stream::unfold(self.view, |mut view| async move {
             view.changed().await.ok()?;
             let line = format!("{}\n", *view.borrow_and_update());
@@ -236,7 +244,10 @@
             continue;
         }
         let (Some(_), Value::Object(list)) = (Kind::from_word(kind), list) else {
-            return refuse(422, &format!("{kind}: kinds are function-bindings, weight-sheets, headcount-plans, each an object"));
+            return refuse(
+                422,
+                &format!("{kind}: kinds are function-bindings, weight-sheets, headcount-plans, each an object"),
+            );
         };
         items.extend(list.iter().map(|(name, value)| item(&format!("{kind}/{name}"), Some(value))));
     }
--- a/crates/control/src/apply.rs
+++ b/crates/control/src/apply.rs
@@ -4,9 +4,9 @@
 use crate::apply_change::{activate, change, quorum};
 use crate::apply_member::{join, lapse, leaving, tick};
 use crate::apply_task::{claim, finish, release, settle, store};
-use wire::{Command, Receipt};
 use crate::keys;
 use chain::{Effect, State, Value};
+use wire::{Command, Receipt};
 
 pub struct Draft<'a> {
     pub state: &'a State,
--- a/crates/control/src/apply_change.rs
+++ b/crates/control/src/apply_change.rs
@@ -2,11 +2,11 @@
 //! until it is activated. A change asked again under its operation id gets its first receipt.
 
 use crate::apply::Draft;
-use wire::{OpRecord, Receipt};
 use crate::keys;
 use bindings::Fault;
 use std::collections::BTreeMap;
 use wire::{ItemLine, NodeId, StepLine};
+use wire::{OpRecord, Receipt};
 
 const OP_TICKS: u64 = 86_400;
 const STEPS_KEPT: u64 = 256;
--- a/crates/control/src/apply_member.rs
+++ b/crates/control/src/apply_member.rs
@@ -2,9 +2,9 @@
 //! chain's own ticks, by which records are forgotten without trusting any wall clock.
 
 use crate::apply::Draft;
-use wire::{ClaimRecord, Receipt};
 use crate::keys;
 use holds::MemberLine;
+use wire::{ClaimRecord, Receipt};
 use wire::{NodeId, Text};
 
 const FORGOTTEN_PER_TICK: usize = 2000;
--- a/crates/control/src/apply_task.rs
+++ b/crates/control/src/apply_task.rs
@@ -3,10 +3,10 @@
 //! router that is no longer a member has an outcome nobody knows, and is answered so.
 
 use crate::apply::Draft;
-use wire::{ClaimRecord, ClaimState, DeferredRecord, Receipt};
 use crate::keys;
 use holds::MemberLine;
 use wire::{Blob, NodeId, Text};
+use wire::{ClaimRecord, ClaimState, DeferredRecord, Receipt};
 
 const KEY_TICKS: u64 = 1800;
 const DONE_TICKS: u64 = 3600;
--- a/crates/control/src/control_loop.rs
+++ b/crates/control/src/control_loop.rs
@@ -92,8 +92,12 @@
     fn carry_out(&mut self, outputs: Vec<CoreOutput>) {
         for output in outputs {
             match output {
-                CoreOutput::Registry { to, message } => self.order(LinkOrder::Send { to, message: Message::Chain(message) }),
-                CoreOutput::Router { to, message } => self.order(LinkOrder::Send { to, message: Message::Hold(message) }),
+                CoreOutput::Registry { to, message } => {
+                    self.order(LinkOrder::Send { to, message: Message::Chain(message) })
+                }
+                CoreOutput::Router { to, message } => {
+                    self.order(LinkOrder::Send { to, message: Message::Hold(message) })
+                }
                 CoreOutput::Seeds { message } => {
                     for address in self.seeds.clone() {
                         self.order(LinkOrder::SendAddress { address, message: Message::Chain(message.clone()) });
--- a/crates/control/src/core.rs
+++ b/crates/control/src/core.rs
@@ -3,13 +3,13 @@
 //! sockets and disks, the simulator from seeded ones.
 
 use crate::api_calls::{ApiCall, ApiReply};
-use wire::Command;
 use crate::keys;
 use crate::operators::{Activation, ReadJob};
 use chain::{Batch, Input, Member, Output, State};
 use holds::Sessions;
 use std::collections::{BTreeMap, VecDeque};
 use std::time::Duration;
+use wire::Command;
 use wire::{ChainMsg, HoldMsg, NodeId, OpNo, View};
 
 #[derive(Clone, Debug)]
--- a/crates/control/src/duties.rs
+++ b/crates/control/src/duties.rs
@@ -2,10 +2,10 @@
 //! view: lapse silent routers, activate steps that all have staged, renew the quorum of machines,
 //! and tick the chain's clock.
 
-use wire::Command;
 use crate::core::{Core, Wait};
 use crate::keys;
 use std::time::Duration;
+use wire::Command;
 use wire::NodeId;
 
 const EVERY: Duration = Duration::from_millis(50);
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -23,6 +23,6 @@
 pub use api_calls::{ApiCall, ApiReply};
 pub use apply::apply;
 pub use core::{Core, CoreInput, CoreOutput, CoreTiming};
-pub use keys::{number, member_key};
+pub use keys::{member_key, number};
 pub use service::run;
 pub use settings::RegistryEnv;
--- a/crates/control/src/operators.rs
+++ b/crates/control/src/operators.rs
@@ -3,12 +3,12 @@
 //! A read goes to the tail, in pieces, all of one step.
 
 use crate::api_calls::{ApiCall, ApiReply};
-use wire::{Command, OpRecord, Receipt};
 use crate::core::{Core, CoreOutput, Wait};
 use bindings::Kind;
 use serde_json::{Map, Value, json};
 use std::collections::BTreeMap;
 use std::time::Duration;
+use wire::{Command, OpRecord, Receipt};
 use wire::{HoldMsg, ItemLine};
 
 const CALLS: usize = 256;
@@ -37,7 +37,9 @@
     }
 
     pub(crate) fn unknown(&mut self, ask: u64, op: &str) {
-        let told = format!("the outcome is not known yet; ask for it at /v1/operations/{op}, or repeat the change under the same Operation-Id");
+        let told = format!(
+            "the outcome is not known yet; ask for it at /v1/operations/{op}, or repeat the change under the same Operation-Id"
+        );
         self.reply(ask, ApiReply::new(504, json!({"outcome": "unknown", "operation": op, "fault": told})));
     }
 
@@ -179,7 +181,8 @@
 }
 
 pub fn document(revision: u64, scope: &str, pairs: &BTreeMap<String, Vec<u8>>) -> Value {
-    let mut kinds: BTreeMap<&str, Map<String, Value>> = Kind::ALL.iter().map(|kind| (kind.word(), Map::new())).collect();
+    let mut kinds: BTreeMap<&str, Map<String, Value>> =
+        Kind::ALL.iter().map(|kind| (kind.word(), Map::new())).collect();
     for (key, value) in pairs {
         let Some((kind, name)) = key.split_once('/') else { continue };
         if !scope.is_empty() && name.split('/').next() != Some(scope) {
--- a/crates/control/src/optimizer.rs
+++ b/crates/control/src/optimizer.rs
@@ -22,7 +22,11 @@
     pub links: Post<LinkOrder>,
 }
 
-pub fn run(host: Host, mut inbox: Inbox<OptimizerMsg>, wait: impl Fn(&mut Inbox<OptimizerMsg>) -> Option<OptimizerMsg>) {
+pub fn run(
+    host: Host,
+    mut inbox: Inbox<OptimizerMsg>,
+    wait: impl Fn(&mut Inbox<OptimizerMsg>) -> Option<OptimizerMsg>,
+) {
     let begun = Instant::now();
     let mut optimizer = Optimizer::default();
     let mut functions: BTreeMap<String, Function> = BTreeMap::new();
--- a/crates/control/src/service.rs
+++ b/crates/control/src/service.rs
@@ -29,7 +29,8 @@
 
 pub fn run(settings: RegistryEnv) -> Result<(), String> {
     let incarnation = rand::random::<u64>() >> 8;
-    std::fs::create_dir_all(&settings.data).map_err(|fault| format!("data folder {}: {fault}", settings.data.display()))?;
+    std::fs::create_dir_all(&settings.data)
+        .map_err(|fault| format!("data folder {}: {fault}", settings.data.display()))?;
     let file = settings.data.join("registry.redb");
     let newcomer = Seat { id: rand::random::<u64>() | 1, address: settings.address.as_str().into() };
     let (store, stored) = Store::open(&file, &settings.cluster, newcomer)
@@ -67,10 +68,13 @@
     let host = Host { me, solve: settings.solve, links: find(&directory, "links") };
     thread("optimizer", move || optimizer::run(host, optimizer_inbox, Inbox::next_blocking))?;
     let written = control.clone();
-    let disk = Disk::start(store, move |result| { written.send_blocking(ControlMsg::Written(result)); })
-        .map_err(|fault| fault.to_string())?;
+    let disk = Disk::start(store, move |result| {
+        written.send_blocking(ControlMsg::Written(result));
+    })
+    .map_err(|fault| fault.to_string())?;
     let member = Member::new(seat, stored, Timing::default(), apply, Duration::ZERO);
-    let timing = CoreTiming { call: settings.call, lapse: settings.hold + settings.hold * 2 / 3, ..CoreTiming::default() };
+    let timing =
+        CoreTiming { call: settings.call, lapse: settings.hold + settings.hold * 2 / 3, ..CoreTiming::default() };
     let core = Core::new(member, timing, incarnation << 20);
     let work = Control {
         core,
--- a/crates/control/src/tokens.rs
+++ b/crates/control/src/tokens.rs
@@ -13,7 +13,11 @@
         Some((tenant, secret)) => (tenant == "*" || bindings::check_name(tenant)) && secret.len() >= 8,
         None => false,
     };
-    if list.iter().all(good) { Ok(()) } else { Err("allowed are tenant=SECRET or *=SECRET, secrets of 8 or more characters".into()) }
+    if list.iter().all(good) {
+        Ok(())
+    } else {
+        Err("allowed are tenant=SECRET or *=SECRET, secrets of 8 or more characters".into())
+    }
 }
 
 impl Tokens {
--- a/crates/doors/src/lib.rs
+++ b/crates/doors/src/lib.rs
@@ -88,6 +88,11 @@
 }
 
 /// Runs a door's loop on the thread's local set.
-pub fn open(listener: TcpListener, router: Router, limits: DoorLimits, stop: watch::Receiver<bool>) -> tokio::task::JoinHandle<()> {
+pub fn open(
+    listener: TcpListener,
+    router: Router,
+    limits: DoorLimits,
+    stop: watch::Receiver<bool>,
+) -> tokio::task::JoinHandle<()> {
     spawn_local(serve(listener, router, limits, stop))
 }
--- a/crates/env/src/line.rs
+++ b/crates/env/src/line.rs
@@ -16,7 +16,12 @@
     }
 }
 
-fn parse<S: Settings>(program: &str, about: &str, version: &str, mut line: lexopt::Parser) -> Result<Opening<S>, String> {
+fn parse<S: Settings>(
+    program: &str,
+    about: &str,
+    version: &str,
+    mut line: lexopt::Parser,
+) -> Result<Opening<S>, String> {
     let names: Vec<&str> = S::help().iter().map(|(name, ..)| *name).collect();
     let mut file = String::new();
     let mut flags = Vec::new();
@@ -44,7 +49,8 @@
             other => return Err(other.unexpected().to_string()),
         }
     }
-    let settings = Source::new(&file, flags).and_then(|source| S::read(&source)).map_err(|f: SettingFault| f.to_string())?;
+    let settings =
+        Source::new(&file, flags).and_then(|source| S::read(&source)).map_err(|f: SettingFault| f.to_string())?;
     if check {
         let lines: Vec<String> = settings.shown().iter().map(|(name, value)| format!("{name} = {value}")).collect();
         return Ok(Opening::Say { words: format!("settings are in order\n{}", lines.join("\n")), code: 0 });
--- a/crates/env/src/parse.rs
+++ b/crates/env/src/parse.rs
@@ -73,7 +73,11 @@
     }
     fn to_words(&self) -> String {
         let millis = self.as_millis();
-        if millis >= 1000 && millis.is_multiple_of(1000) { format!("{}s", millis / 1000) } else { format!("{millis}ms") }
+        if millis >= 1000 && millis.is_multiple_of(1000) {
+            format!("{}s", millis / 1000)
+        } else {
+            format!("{millis}ms")
+        }
     }
 }
 
--- a/crates/env/src/rules.rs
+++ b/crates/env/src/rules.rs
@@ -29,7 +29,10 @@
 }
 
 pub fn address(value: &String) -> Result<(), String> {
-    value.parse::<SocketAddr>().map(drop).map_err(|_| "allowed is an IP number with a port, such as 127.0.0.1:7001".into())
+    value
+        .parse::<SocketAddr>()
+        .map(drop)
+        .map_err(|_| "allowed is an IP number with a port, such as 127.0.0.1:7001".into())
 }
 
 pub fn addresses(value: &Vec<String>) -> Result<(), String> {
--- /dev/null
+++ b/crates/fleet/src/faults.rs
@@ -0,0 +1,131 @@
+//! The timetable of faults and how each is brought about.
+
+use crate::processes::{Fleet, TOKEN};
+use heron::{Call, ask};
+use hyper::Method;
+use serde_json::{Map, Value, json};
+use std::time::Duration;
+
+#[derive(Clone, Debug)]
+pub struct Timed {
+    pub at: Duration,
+    pub what: String,
+    pub which: String,
+}
+
+pub fn parse_faults(words: &str) -> Result<Vec<Timed>, String> {
+    words.split(';').filter(|part| !part.is_empty()).map(parse_one).collect()
+}
+
+fn parse_one(words: &str) -> Result<Timed, String> {
+    let wrong = || format!("--fault {words}: allowed is AT:WHAT:WHICH, see --help");
+    let mut parts = words.trim().splitn(3, ':');
+    let at: f64 = parts.next().and_then(|at| at.parse().ok()).ok_or_else(wrong)?;
+    let what = parts.next().ok_or_else(wrong)?.to_owned();
+    let which = parts.next().unwrap_or_default().to_owned();
+    let known = [
+        "kill-registry",
+        "stop-registry",
+        "start-registry",
+        "freeze-registry",
+        "thaw-registry",
+        "wipe-registry",
+        "kill-router",
+        "stop-router",
+        "start-router",
+        "freeze-router",
+        "thaw-router",
+        "crash-worker",
+        "drain-worker",
+        "undrain-worker",
+        "mischief",
+        "patch",
+    ];
+    if !known.contains(&what.as_str()) {
+        return Err(wrong());
+    }
+    Ok(Timed { at: Duration::from_secs_f64(at), what, which })
+}
+
+impl Fleet {
+    pub async fn bring_about(&mut self, fault: &Timed) -> Result<(), String> {
+        println!("fault: {} {}", fault.what, fault.which);
+        match fault.what.as_str() {
+            "crash-worker" | "drain-worker" | "undrain-worker" => {
+                let order = fault.what.trim_end_matches("-worker");
+                self.platform(&format!("/v1/workers/{}/{order}", fault.which), Value::Null).await
+            }
+            "mischief" => {
+                let mut shares = Map::new();
+                for part in fault.which.split(',').filter(|part| !part.is_empty()) {
+                    if let Some((name, share)) = part.split_once('=') {
+                        shares.insert(name.to_owned(), json!(share.parse::<f64>().unwrap_or(0.0)));
+                    }
+                }
+                self.platform("/v1/mischief", Value::Object(shares)).await
+            }
+            "patch" => self.patch(&fault.which).await,
+            what => {
+                let (verb, kind) = what.split_once('-').unwrap_or_default();
+                for number in fault.which.split(',') {
+                    let number: usize = number.parse().map_err(|_| format!("{what}:{number}: allowed is a number"))?;
+                    self.one(verb, kind, number)?;
+                }
+                Ok(())
+            }
+        }
+    }
+
+    fn one(&mut self, verb: &str, kind: &str, number: usize) -> Result<(), String> {
+        let node = self.node(kind, number)?;
+        match verb {
+            "kill" => self.signal(&node.name, "KILL"),
+            "stop" => self.signal(&node.name, "TERM"),
+            "freeze" => self.signal(&node.name, "STOP"),
+            "thaw" => self.signal(&node.name, "CONT"),
+            "wipe" => match &node.data {
+                Some(data) => std::fs::remove_dir_all(data).map_err(|fault| format!("{}: {fault}", data.display())),
+                None => Ok(()),
+            },
+            _ => self.start(&node),
+        }
+    }
+
+    pub async fn platform(&self, path: &str, body: Value) -> Result<(), String> {
+        let call = Call {
+            method: Method::POST,
+            address: self.yard.peer.clone(),
+            path: path.into(),
+            body: body.to_string().into_bytes(),
+            limit: Duration::from_secs(5),
+            ..Call::default()
+        };
+        ask(&call).await.map(drop)
+    }
+
+    /// A named change, on whatever is the latest, at any registry that answers.
+    pub async fn patch(&self, name: &str) -> Result<(), String> {
+        let key = format!("headcount-plans/patched/{}", if name.is_empty() { "one" } else { name });
+        let body = json!({"name": name, "set": {key: {"min": 0}}}).to_string().into_bytes();
+        for registry in &self.registries {
+            let call = Call {
+                method: Method::PATCH,
+                address: registry.door.clone(),
+                path: "/v1/configuration".into(),
+                token: TOKEN.into(),
+                if_match: Some("*".into()),
+                body: body.clone(),
+                limit: Duration::from_secs(15),
+                ..Call::default()
+            };
+            if let Ok(answer) = ask(&call).await
+                && answer.status == 200
+            {
+                println!("patch {name}: revision {:?}", answer.revision);
+                return Ok(());
+            }
+        }
+        println!("patch {name}: not acknowledged");
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/fleet/src/line.rs
@@ -0,0 +1,95 @@
+//! The command line of the fleet runner.
+
+use crate::faults::{Timed, parse_faults};
+use lexopt::prelude::*;
+use std::path::PathBuf;
+
+pub const HELP: &str = "fleet: a whole deployment on one machine
+
+Usage: fleet up --deployment DIR [options]          until interrupted
+       fleet prove --deployment DIR [options]       load, faults, verdict
+
+  --deployment DIR   folder with deployment.toml, configuration.json, services.json
+  --folder DIR       where data, logs and records go [run]
+  --programs DIR     where the programs are [beside this one]
+  --routers N        number of routers [the deployment's]
+prove:
+  --seconds N        length of the load [60]
+  --seed N           seed of the load and the platform's chances [1]
+  --factor F         all rates times this [1.0]
+  --crowd LIST       AT,FOR,TIMES,SERVICE; may be given often
+  --fault LIST       AT:WHAT:WHICH[;..], such as 20:kill-registry:0;40:start-registry:0
+                     WHAT: kill, stop, start, freeze, thaw, wipe, each -registry or -router;
+                     crash-worker, drain-worker, undrain-worker; mischief:NAME=SHARE[,..]; patch
+  --refusals N       most own refusals let pass [any number]";
+
+pub struct Order {
+    pub prove: bool,
+    pub deployment: PathBuf,
+    pub folder: PathBuf,
+    pub programs: PathBuf,
+    pub routers: Option<usize>,
+    pub seconds: u64,
+    pub seed: u64,
+    pub factor: f64,
+    pub crowds: Vec<String>,
+    pub faults: Vec<Timed>,
+    pub refusals: Option<usize>,
+}
+
+pub fn parse(mut line: lexopt::Parser) -> Result<Option<Order>, String> {
+    let beside = std::env::current_exe().ok().and_then(|path| path.parent().map(PathBuf::from)).unwrap_or_default();
+    let mut order = Order {
+        prove: false,
+        deployment: PathBuf::new(),
+        folder: "run".into(),
+        programs: beside,
+        routers: None,
+        seconds: 60,
+        seed: 1,
+        factor: 1.0,
+        crowds: Vec::new(),
+        faults: Vec::new(),
+        refusals: None,
+    };
+    let mut what = String::new();
+    while let Some(arg) = line.next().map_err(|fault| fault.to_string())? {
+        let name = match arg {
+            Short('h') | Long("help") => {
+                println!("{HELP}");
+                return Ok(None);
+            }
+            Short('V') | Long("version") => {
+                println!("fleet {}", env!("CARGO_PKG_VERSION"));
+                return Ok(None);
+            }
+            Value(word) if what.is_empty() => {
+                what = word.to_string_lossy().into_owned();
+                continue;
+            }
+            Long(name) => name.to_owned(),
+            other => return Err(other.unexpected().to_string()),
+        };
+        let value = line.value().and_then(|v| v.string()).map_err(|fault| fault.to_string())?;
+        let wrong = |_| format!("--{name} {value}: allowed is a number");
+        match name.as_str() {
+            "deployment" => order.deployment = value.into(),
+            "folder" => order.folder = value.into(),
+            "programs" => order.programs = value.into(),
+            "routers" => order.routers = Some(value.parse().map_err(wrong)?),
+            "seconds" => order.seconds = value.parse().map_err(wrong)?,
+            "seed" => order.seed = value.parse().map_err(wrong)?,
+            "factor" => order.factor = value.parse().map_err(|_| format!("--factor {value}: allowed is a number"))?,
+            "crowd" => order.crowds.push(value),
+            "fault" => order.faults.extend(parse_faults(&value)?),
+            "refusals" => order.refusals = Some(value.parse().map_err(wrong)?),
+            _ => return Err(format!("no flag --{name}; see --help")),
+        }
+    }
+    order.prove = match what.as_str() {
+        "up" => false,
+        "prove" => true,
+        _ => return Err("say up or prove; see --help".into()),
+    };
+    Ok(Some(order))
+}
--- a/crates/fleet/src/main.rs
+++ b/crates/fleet/src/main.rs
@@ -1,1 +1,37 @@
-fn main() {}
+//! `fleet`: a whole deployment on one machine, for trying and proving it: the platform's stand-in,
+//! three registries, the routers, the configuration applied; then, if asked, load and faults on a
+//! timetable and the checker's verdict. It starts processes, which the product's own never do.
+
+mod deployment;
+mod faults;
+mod line;
+mod processes;
+mod prove;
+
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    let order = match line::parse(lexopt::Parser::from_env()) {
+        Ok(Some(order)) => order,
+        Ok(None) => return ExitCode::SUCCESS,
+        Err(told) => {
+            eprintln!("fleet: {told}");
+            return ExitCode::from(2);
+        }
+    };
+    let runtime = match tokio::runtime::Builder::new_current_thread().enable_all().build() {
+        Ok(runtime) => runtime,
+        Err(fault) => {
+            eprintln!("fleet: {fault}");
+            return ExitCode::FAILURE;
+        }
+    };
+    match tokio::task::LocalSet::new().block_on(&runtime, prove::run(order)) {
+        Ok(true) => ExitCode::SUCCESS,
+        Ok(false) => ExitCode::from(1),
+        Err(told) => {
+            eprintln!("fleet: {told}");
+            ExitCode::FAILURE
+        }
+    }
+}
--- /dev/null
+++ b/crates/fleet/src/prove.rs
@@ -0,0 +1,156 @@
+//! Bringing a fleet up, waiting on conditions rather than on time, and, when proving, running the
+//! load and the faults and asking the checker.
+
+use crate::deployment::Deployment;
+use crate::line::Order;
+use crate::processes::{Fleet, TOKEN};
+use heron::{Answer, Call, ask};
+use hyper::Method;
+use serde_json::Value;
+use std::process::{Command, Stdio};
+use std::time::{Duration, Instant};
+use tokio::time::sleep;
+
+const PATIENCE: Duration = Duration::from_secs(60);
+
+pub async fn run(order: Order) -> Result<bool, String> {
+    let deployment = Deployment::load(&order.deployment)?;
+    let mut fleet = Fleet::draw_up(&order, &deployment)?;
+    let result = work(&order, &deployment, &mut fleet).await;
+    fleet.end_all().await;
+    result
+}
+
+async fn work(order: &Order, deployment: &Deployment, fleet: &mut Fleet) -> Result<bool, String> {
+    for node in [vec![fleet.yard.clone()], fleet.registries.clone(), fleet.routers.clone()].concat() {
+        fleet.start(&node)?;
+    }
+    let api = fleet.registries[0].door.clone();
+    let call = |method: Method, path: &str| Call {
+        method,
+        address: api.clone(),
+        path: path.into(),
+        token: TOKEN.into(),
+        limit: Duration::from_secs(20),
+        ..Call::default()
+    };
+    let members = fleet.routers.len();
+    until("every router is a member", fleet, &call(Method::GET, "/v1/status"), |answer| {
+        let page: Value = serde_json::from_slice(&answer.body).unwrap_or_default();
+        page["members"].as_array().is_some_and(|list| list.len() >= members)
+    })
+    .await?;
+    let body = std::fs::read(&deployment.configuration).map_err(|fault| fault.to_string())?;
+    let apply = Call { if_match: Some("*".into()), body, ..call(Method::PUT, "/v1/configuration") };
+    let applied = ask(&apply).await?;
+    if applied.status != 200 {
+        return Err(format!("configuration refused: {}", String::from_utf8_lossy(&applied.body)));
+    }
+    for router in fleet.routers.clone() {
+        let ready = Call { address: router.ops, ..call(Method::GET, "/ready") };
+        until("every router is ready", fleet, &ready, |answer| answer.status == 200).await?;
+    }
+    println!("operators: {api} (token {TOKEN})");
+    println!("callers: {}", doors(fleet));
+    if !order.prove {
+        println!("the fleet is up; interrupt to end it");
+        kernel::wait_for_signal().await;
+        return Ok(true);
+    }
+    prove(order, deployment, fleet).await
+}
+
+fn doors(fleet: &Fleet) -> String {
+    fleet.routers.iter().map(|node| node.door.clone()).collect::<Vec<_>>().join(",")
+}
+
+async fn until(what: &str, fleet: &mut Fleet, call: &Call, good: impl Fn(&Answer) -> bool) -> Result<(), String> {
+    let begun = Instant::now();
+    while begun.elapsed() < PATIENCE {
+        if let Ok(answer) = ask(call).await
+            && good(&answer)
+        {
+            return Ok(());
+        }
+        if let Some((name, code)) = fleet.reap().into_iter().next() {
+            return Err(format!("{name} ended with {code:?}; see its log in {}", fleet.folder.join("logs").display()));
+        }
+        sleep(Duration::from_millis(50)).await;
+    }
+    Err(format!("waited in vain until {what}"))
+}
+
+async fn prove(order: &Order, deployment: &Deployment, fleet: &mut Fleet) -> Result<bool, String> {
+    let tasks = fleet.folder.join("tasks.jsonl");
+    let mut load = Command::new(fleet.programs.join("swarm"));
+    load.arg("load").args(["--targets", &doors(fleet)]);
+    load.arg("--configuration").arg(&deployment.configuration).arg("--services").arg(&deployment.services);
+    load.arg("--out").arg(&tasks).args(["--seconds", &order.seconds.to_string(), "--seed", &order.seed.to_string()]);
+    load.args(["--factor", &order.factor.to_string()]);
+    for crowd in &order.crowds {
+        load.args(["--crowd", crowd]);
+    }
+    let mut child = load.stdin(Stdio::null()).spawn().map_err(|fault| format!("swarm: {fault}"))?;
+    let begun = Instant::now();
+    let mut faults = order.faults.clone();
+    faults.sort_by_key(|fault| fault.at);
+    for fault in faults {
+        sleep(fault.at.saturating_sub(begun.elapsed())).await;
+        fleet.bring_about(&fault).await?;
+        fleet.reap();
+    }
+    let most = Duration::from_secs(order.seconds + 30);
+    let status = loop {
+        match child.try_wait() {
+            Ok(Some(status)) => break status,
+            _ if begun.elapsed() > most => {
+                let _ = child.kill();
+                return Err("the load did not end in time".into());
+            }
+            _ => sleep(Duration::from_millis(100)).await,
+        }
+    };
+    if !status.success() {
+        return Err("the load failed".into());
+    }
+    settle_deferred(fleet).await?;
+    let counts =
+        Call { address: fleet.yard.peer.clone(), path: "/v1/counts".into(), limit: PATIENCE, ..Call::default() };
+    println!("platform: {}", String::from_utf8_lossy(&ask(&counts).await?.body));
+    sleep(Duration::from_millis(300)).await;
+    let mut check = Command::new(fleet.programs.join("swarm"));
+    check.arg("check").arg("--tasks").arg(&tasks).arg("--runs").arg(fleet.folder.join("runs.jsonl"));
+    if let Some(most) = order.refusals {
+        check.args(["--refusals", &most.to_string()]);
+    }
+    let verdict = check.status().map_err(|fault| format!("swarm: {fault}"))?;
+    Ok(verdict.success())
+}
+
+/// Waits until no router holds a task any longer: what was accepted has been run.
+async fn settle_deferred(fleet: &mut Fleet) -> Result<(), String> {
+    let begun = Instant::now();
+    let mut quiet = 0;
+    while quiet < 30 {
+        let mut open = 0;
+        for router in fleet.routers.clone() {
+            let call = Call {
+                address: router.ops,
+                path: "/v1/status".into(),
+                limit: Duration::from_secs(2),
+                ..Call::default()
+            };
+            let page: Value = match ask(&call).await {
+                Ok(answer) => serde_json::from_slice(&answer.body).unwrap_or_default(),
+                Err(_) => continue,
+            };
+            open += page["traffic"]["tasks"].as_u64().unwrap_or(0) + page["traffic"]["front"].as_u64().unwrap_or(0);
+        }
+        quiet = if open == 0 { quiet + 1 } else { 0 };
+        if begun.elapsed() > PATIENCE * 2 {
+            return Err(format!("{open} tasks are still open long after the load"));
+        }
+        sleep(Duration::from_millis(if open == 0 { 400 } else { 200 })).await;
+    }
+    Ok(())
+}
--- a/crates/heron/src/main.rs
+++ b/crates/heron/src/main.rs
@@ -1,1 +1,157 @@
-fn main() {}
+//! `heron`: the operators' client.
+
+use heron::{Call, ask, watch};
+use hyper::Method;
+use lexopt::prelude::*;
+use serde_json::Value;
+use std::process::ExitCode;
+use std::time::Duration;
+
+const HELP: &str = "heron: operators' client
+
+Usage: heron [--api ADDRESS] [--token TOKEN] [--if-match REVISION|*] [--operation ID] COMMAND
+
+  get [KIND[/TENANT/NAME]]   the configuration, or a part of it
+  apply FILE                 replace the whole configuration
+  patch FILE                 a named patch: {\"name\", \"set\": {..}, \"remove\": [..]}
+  set KIND/TENANT/NAME FILE  one resource
+  remove KIND/TENANT/NAME    one resource
+  operation ID               what became of a change
+  status                     one node's view (a registry's API or a router's operations port)
+  watch                      one node's view, live
+  metrics                    one node's metrics
+
+--api and --token may stand in HERON_API and HERON_TOKEN. Without --if-match, apply, patch, set and
+remove read the revision first and change that one. Exit codes: 0 done, 1 refused, 2 wrong use,
+3 outcome not known (ask again with the same --operation), 4 not reached.";
+
+struct Line {
+    api: String,
+    token: String,
+    if_match: Option<String>,
+    operation: Option<String>,
+    words: Vec<String>,
+}
+
+fn parse() -> Result<Option<Line>, String> {
+    let variable = |name: &str| std::env::var(name).unwrap_or_default();
+    let mut found = Line {
+        api: variable("HERON_API"),
+        token: variable("HERON_TOKEN"),
+        if_match: None,
+        operation: None,
+        words: Vec::new(),
+    };
+    let mut line = lexopt::Parser::from_env();
+    while let Some(arg) = line.next().map_err(|fault| fault.to_string())? {
+        match arg {
+            Short('h') | Long("help") => {
+                println!("{HELP}");
+                return Ok(None);
+            }
+            Short('V') | Long("version") => {
+                println!("heron {}", env!("CARGO_PKG_VERSION"));
+                return Ok(None);
+            }
+            Value(word) => found.words.push(word.string().map_err(|fault| fault.to_string())?),
+            Long(name) => {
+                let name = name.to_owned();
+                let value = line.value().and_then(|v| v.string()).map_err(|fault| fault.to_string())?;
+                match name.as_str() {
+                    "api" => found.api = value,
+                    "token" => found.token = value,
+                    "if-match" => found.if_match = Some(value),
+                    "operation" => found.operation = Some(value),
+                    _ => return Err(format!("no flag --{name}; see --help")),
+                }
+            }
+            other => return Err(other.unexpected().to_string()),
+        }
+    }
+    if found.api.parse::<std::net::SocketAddr>().is_err() {
+        return Err(format!("--api {}: allowed is an IP number with a port", found.api));
+    }
+    Ok(Some(found))
+}
+
+fn main() -> ExitCode {
+    let line = match parse() {
+        Ok(Some(line)) => line,
+        Ok(None) => return ExitCode::SUCCESS,
+        Err(told) => {
+            eprintln!("heron: {told}");
+            return ExitCode::from(2);
+        }
+    };
+    let runtime = match tokio::runtime::Builder::new_current_thread().enable_all().build() {
+        Ok(runtime) => runtime,
+        Err(fault) => {
+            eprintln!("heron: {fault}");
+            return ExitCode::FAILURE;
+        }
+    };
+    match runtime.block_on(carry_out(line)) {
+        Ok(code) => ExitCode::from(code),
+        Err((code, told)) => {
+            eprintln!("heron: {told}");
+            ExitCode::from(code)
+        }
+    }
+}
+
+type Ended = Result<u8, (u8, String)>;
+
+async fn carry_out(line: Line) -> Ended {
+    let words: Vec<&str> = line.words.iter().map(String::as_str).collect();
+    let call = |method: Method, path: String, body: Vec<u8>| Call {
+        method,
+        path,
+        body,
+        address: line.api.clone(),
+        token: line.token.clone(),
+        limit: Duration::from_secs(60),
+        ..Call::default()
+    };
+    let file = |path: &str| std::fs::read(path).map_err(|fault| (2, format!("{path}: {fault}")));
+    match words[..] {
+        ["get"] => show(call(Method::GET, "/v1/configuration".into(), Vec::new())).await,
+        ["get", part] => show(call(Method::GET, format!("/v1/{part}"), Vec::new())).await,
+        ["operation", id] => show(call(Method::GET, format!("/v1/operations/{id}"), Vec::new())).await,
+        ["status"] => show(call(Method::GET, "/v1/status".into(), Vec::new())).await,
+        ["metrics"] => show(call(Method::GET, "/metrics".into(), Vec::new())).await,
+        ["watch"] => {
+            watch(&call(Method::GET, "/v1/watch".into(), Vec::new())).await.map(|()| 0).map_err(|told| (4, told))
+        }
+        ["apply", path] => change(&line, call(Method::PUT, "/v1/configuration".into(), file(path)?)).await,
+        ["patch", path] => change(&line, call(Method::PATCH, "/v1/configuration".into(), file(path)?)).await,
+        ["set", name, path] => change(&line, call(Method::PUT, format!("/v1/{name}"), file(path)?)).await,
+        ["remove", name] => change(&line, call(Method::DELETE, format!("/v1/{name}"), Vec::new())).await,
+        _ => Err((2, "say a command; see --help".into())),
+    }
+}
+
+async fn change(line: &Line, mut call: Call) -> Ended {
+    call.operation = line.operation.clone();
+    call.if_match = match &line.if_match {
+        Some(tag) => Some(tag.clone()),
+        None => {
+            let read = Call { method: Method::GET, path: "/v1/configuration".into(), body: Vec::new(), ..call.clone() };
+            let known = ask(&read).await.map_err(|told| (4, told))?;
+            Some(known.revision.map_or("0".into(), |revision| revision.to_string()))
+        }
+    };
+    show(call).await
+}
+
+async fn show(call: Call) -> Ended {
+    let answer = ask(&call).await.map_err(|told| (4, told))?;
+    match serde_json::from_slice::<Value>(&answer.body) {
+        Ok(value) => println!("{}", serde_json::to_string_pretty(&value).unwrap_or_default()),
+        Err(_) => println!("{}", String::from_utf8_lossy(&answer.body)),
+    }
+    Ok(match answer.status {
+        200..=299 => 0,
+        504 => 3,
+        _ => 1,
+    })
+}
--- a/crates/holds/src/follower.rs
+++ b/crates/holds/src/follower.rs
@@ -168,7 +168,8 @@
     pub fn serves_until(&self) -> Duration {
         let limit = if self.is_guarded() { self.timing.guard } else { self.timing.hold };
         let by_core = self.proof.map_or(Duration::ZERO, |asked| asked + limit);
-        let by_peers = self.peer_proof.filter(|_| !self.is_guarded()).map_or(Duration::ZERO, |asked| asked + self.timing.guard);
+        let by_peers =
+            self.peer_proof.filter(|_| !self.is_guarded()).map_or(Duration::ZERO, |asked| asked + self.timing.guard);
         by_core.max(by_peers)
     }
 
--- a/crates/kernel/src/program.rs
+++ b/crates/kernel/src/program.rs
@@ -20,7 +20,8 @@
 }
 
 pub fn listen(address: &str) -> Result<std::net::TcpListener, String> {
-    let listener = std::net::TcpListener::bind(address).map_err(|fault| format!("cannot listen on {address}: {fault}"))?;
+    let listener =
+        std::net::TcpListener::bind(address).map_err(|fault| format!("cannot listen on {address}: {fault}"))?;
     listener.set_nonblocking(true).map_err(|fault| fault.to_string())?;
     Ok(listener)
 }
--- a/crates/scaler/src/forecast.rs
+++ b/crates/scaler/src/forecast.rs
@@ -52,9 +52,7 @@
     /// Forecasts from the newest tail of a series; the fit itself may be older.
     pub fn forecast(&self, series: &[f64], from: Duration, step: Duration, steps: usize) -> Forecast {
         let Arma { phi, theta, beta, variance } = &self.arma;
-        let explained = |at: Duration| -> f64 {
-            differenced_row(at, step).iter().zip(beta).map(|(x, b)| x * b).sum()
-        };
+        let explained = |at: Duration| -> f64 { differenced_row(at, step).iter().zip(beta).map(|(x, b)| x * b).sum() };
         if series.len() < 2 {
             return persistence(series, steps);
         }
--- a/crates/scaler/src/optimizer.rs
+++ b/crates/scaler/src/optimizer.rs
@@ -35,7 +35,14 @@
         self.windows.retain(|name, _| known(name));
     }
 
-    pub fn plan(&mut self, now: Duration, function: &Function, current: u32, gauge: Sample, limit: Duration) -> Planned {
+    pub fn plan(
+        &mut self,
+        now: Duration,
+        function: &Function,
+        current: u32,
+        gauge: Sample,
+        limit: Duration,
+    ) -> Planned {
         let gained = now.saturating_sub(self.refilled).as_secs_f64() * FITS_PER_SECOND;
         self.fits_left = (self.fits_left + gained).min(FITS_PER_SECOND);
         self.refilled = now;
--- /dev/null
+++ b/crates/swarm/src/line.rs
@@ -0,0 +1,98 @@
+//! The command line of the load generator and the checker.
+
+use crate::load::{Crowd, LoadOrder};
+use lexopt::prelude::*;
+use std::path::PathBuf;
+
+pub const HELP: &str = "swarm: load generator and checker
+
+Usage: swarm load --targets A,B --configuration FILE --services FILE --out FILE [options]
+       swarm check --tasks FILE --runs FILE [--refusals N]
+
+load:
+  --targets LIST        routers' callers' addresses (loopback only)
+  --configuration FILE  the whole configuration, for routes and classes
+  --services FILE       services with their rates a second
+  --out FILE            record of attempts, one JSON line each
+  --seconds N           how long [60]
+  --factor F            all rates times this [1.0]
+  --seed N              seed of the load [1]
+  --repeat SHARE        share of run-once tasks repeated at another router [0.05]
+  --eager SHARE         share of callers that try again at once when refused [0.2]
+  --crowd AT,FOR,TIMES,SERVICE   a crowd at one service; may be given often
+check:
+  --tasks FILE          record of attempts
+  --runs FILE           record of the instances
+  --refusals N          most own refusals let pass [none counted as broken]";
+
+pub enum Order {
+    Help,
+    Version,
+    Load(LoadOrder),
+    Check { tasks: PathBuf, runs: PathBuf, refusals: Option<usize> },
+}
+
+pub fn parse(mut line: lexopt::Parser) -> Result<Order, String> {
+    let mut what = None;
+    let mut load = LoadOrder::default();
+    let (mut tasks, mut runs, mut refusals) = (PathBuf::new(), PathBuf::new(), None);
+    while let Some(arg) = line.next().map_err(|fault| fault.to_string())? {
+        let name = match arg {
+            Short('h') | Long("help") => return Ok(Order::Help),
+            Short('V') | Long("version") => return Ok(Order::Version),
+            Value(word) if what.is_none() => {
+                what = Some(word.to_string_lossy().into_owned());
+                continue;
+            }
+            Long(name) => name.to_owned(),
+            other => return Err(format!("{}; see --help", other.unexpected())),
+        };
+        let mut text = || line.value().and_then(|value| value.string()).map_err(|fault| fault.to_string());
+        match name.as_str() {
+            "targets" => load.targets = text()?.split(',').map(str::to_owned).collect(),
+            "configuration" => load.configuration = text()?.into(),
+            "services" => load.services = text()?.into(),
+            "out" => load.out = text()?.into(),
+            "seconds" => load.seconds = number("seconds", &text()?)?,
+            "factor" => load.factor = number("factor", &text()?)?,
+            "seed" => load.seed = number("seed", &text()?)?,
+            "repeat" => load.repeat = number("repeat", &text()?)?,
+            "eager" => load.eager = number("eager", &text()?)?,
+            "crowd" => load.crowds.push(crowd(&text()?)?),
+            "tasks" => tasks = text()?.into(),
+            "runs" => runs = text()?.into(),
+            "refusals" => refusals = Some(number("refusals", &text()?)?),
+            other => return Err(format!("no flag --{other}; see --help")),
+        }
+    }
+    match what.as_deref() {
+        Some("load") => {
+            let loopback = |target: &String| {
+                target.parse::<std::net::SocketAddr>().is_ok_and(|address| address.ip().is_loopback())
+            };
+            if load.targets.is_empty() || !load.targets.iter().all(loopback) {
+                return Err("--targets: allowed are loopback addresses with ports".into());
+            }
+            Ok(Order::Load(load))
+        }
+        Some("check") => Ok(Order::Check { tasks, runs, refusals }),
+        _ => Err("say load or check; see --help".into()),
+    }
+}
+
+fn number<T: std::str::FromStr>(name: &str, words: &str) -> Result<T, String> {
+    words.parse().map_err(|_| format!("--{name} {words}: allowed is a number"))
+}
+
+fn crowd(words: &str) -> Result<Crowd, String> {
+    let parts: Vec<&str> = words.split(',').collect();
+    let [at, lasts, times, service] = parts[..] else {
+        return Err(format!("--crowd {words}: allowed is AT,FOR,TIMES,SERVICE"));
+    };
+    Ok(Crowd {
+        at: number("crowd", at)?,
+        lasts: number("crowd", lasts)?,
+        times: number("crowd", times)?,
+        service: service.to_owned(),
+    })
+}
--- /dev/null
+++ b/crates/swarm/src/load.rs
@@ -0,0 +1,192 @@
+//! The open loop: tasks leave on the seed's schedule whatever became of the ones before. Each
+//! attempt is recorded with its own label, which the instance echoes and records.
+
+use crate::mix::{self, Route};
+use crate::tally::{self, Attempt};
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::Request;
+use hyper_util::client::legacy::Client;
+use hyper_util::client::legacy::connect::HttpConnector;
+use hyper_util::rt::TokioExecutor;
+use rand::{RngExt, SeedableRng};
+use std::io::{BufWriter, Write};
+use std::path::PathBuf;
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+use tokio::sync::mpsc;
+use tokio::task::{JoinSet, LocalSet, spawn_local};
+use tokio::time::{sleep_until, timeout};
+
+const PATIENCE: Duration = Duration::from_secs(6);
+const AT_ONCE: usize = 20_000;
+
+#[derive(Clone, Debug)]
+pub struct Crowd {
+    pub at: f64,
+    pub lasts: f64,
+    pub times: f64,
+    pub service: String,
+}
+
+#[derive(Clone, Debug)]
+pub struct LoadOrder {
+    pub targets: Vec<String>,
+    pub configuration: PathBuf,
+    pub services: PathBuf,
+    pub out: PathBuf,
+    pub seconds: f64,
+    pub factor: f64,
+    pub seed: u64,
+    pub repeat: f64,
+    pub eager: f64,
+    pub crowds: Vec<Crowd>,
+}
+
+impl Default for LoadOrder {
+    fn default() -> Self {
+        LoadOrder {
+            targets: Vec::new(),
+            configuration: PathBuf::new(),
+            services: PathBuf::new(),
+            out: "tasks.jsonl".into(),
+            seconds: 60.0,
+            factor: 1.0,
+            seed: 1,
+            repeat: 0.05,
+            eager: 0.2,
+            crowds: Vec::new(),
+        }
+    }
+}
+
+type Http = Client<HttpConnector, Full<Bytes>>;
+
+pub fn run(order: LoadOrder) -> Result<bool, String> {
+    let routes = mix::load(&order.configuration, &order.services, order.factor)?;
+    let file = std::fs::File::create(&order.out).map_err(|fault| format!("{}: {fault}", order.out.display()))?;
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().map_err(|f| f.to_string())?;
+    let attempts = LocalSet::new().block_on(&runtime, drive(order, routes, file))?;
+    println!("{}", tally::summary(&attempts));
+    Ok(true)
+}
+
+async fn drive(order: LoadOrder, routes: Vec<Route>, file: std::fs::File) -> Result<Vec<Attempt>, String> {
+    let http: Http = Client::builder(TokioExecutor::new())
+        .pool_max_idle_per_host(64)
+        .pool_idle_timeout(Duration::from_secs(30))
+        .build_http();
+    let (sender, mut inbox) = mpsc::channel::<Attempt>(65_536);
+    let writer = spawn_local(async move {
+        let mut file = BufWriter::new(file);
+        let mut all = Vec::new();
+        while let Some(attempt) = inbox.recv().await {
+            if let Ok(line) = serde_json::to_string(&attempt) {
+                let _ = writeln!(file, "{line}");
+            }
+            all.push(attempt);
+        }
+        let _ = file.flush();
+        all
+    });
+    let mut dice = rand_chacha::ChaCha8Rng::seed_from_u64(order.seed);
+    let begun = Instant::now();
+    let (mut at, mut number) = (0.0, 0u64);
+    let mut open = JoinSet::new();
+    loop {
+        let (wait, place) = mix::next(&mut dice, &routes, &order.crowds, at);
+        at += wait;
+        if at >= order.seconds {
+            break;
+        }
+        number += 1;
+        let route = routes[place].clone();
+        let first = dice.random_range(0..order.targets.len());
+        let again = dice.random_range(0..order.targets.len());
+        let targets = [order.targets[first].clone(), order.targets[again].clone()];
+        let task = format!("s{}-{number}", order.seed);
+        let repeats = route.class == "once" && dice.random_bool(order.repeat);
+        let eager = dice.random_bool(order.eager);
+        sleep_until((begun + Duration::from_secs_f64(at)).into()).await;
+        while open.try_join_next().is_some() {}
+        if open.len() >= AT_ONCE {
+            return Err("more than 20000 tasks are open at once; the load ends here".into());
+        }
+        open.spawn_local(caller(http.clone(), route, task, targets, repeats, eager, sender.clone()));
+    }
+    while open.join_next().await.is_some() {}
+    drop(sender);
+    writer.await.map_err(|fault| fault.to_string())
+}
+
+async fn caller(
+    http: Http,
+    route: Route,
+    task: String,
+    targets: [String; 2],
+    repeats: bool,
+    eager: bool,
+    record: mpsc::Sender<Attempt>,
+) {
+    if repeats {
+        let one = attempt(&http, &route, &task, 1, &targets[0]);
+        let two = attempt(&http, &route, &task, 2, &targets[1]);
+        let (one, two) = tokio::join!(one, two);
+        let _ = record.send(one).await;
+        let _ = record.send(two).await;
+        return;
+    }
+    let tries = if eager { 3 } else { 1 };
+    for number in 1..=tries {
+        let done = attempt(&http, &route, &task, number, &targets[number as usize % 2]).await;
+        let settled = done.status > 0 && done.status < 500;
+        let _ = record.send(done).await;
+        if settled {
+            return;
+        }
+    }
+}
+
+async fn attempt(http: &Http, route: &Route, task: &str, number: u32, target: &str) -> Attempt {
+    let body = format!("{{\"task\":\"{task}\"}}");
+    let label = format!("{task}#{number}");
+    let mut attempt = Attempt {
+        task: task.to_owned(),
+        label: label.clone(),
+        class: route.class.clone(),
+        service: route.service.clone(),
+        path: route.path.clone(),
+        target: target.to_owned(),
+        at: SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |since| since.as_millis() as u64),
+        took: 0,
+        status: 0,
+        outcome: String::new(),
+        retry_after: false,
+        body: String::new(),
+    };
+    let mut request = Request::post(format!("http://{target}{}", route.path)).header("x-task", &label);
+    if route.class != "ordinary" {
+        request = request.header("idempotency-key", task);
+    }
+    let Ok(request) = request.body(Full::new(Bytes::from(body))) else { return attempt };
+    let begun = Instant::now();
+    let work = async {
+        let answer = http.request(request).await.map_err(|fault| format!("{fault:?}"))?;
+        let status = answer.status().as_u16();
+        let text = |name: &str| answer.headers().get(name).and_then(|v| v.to_str().ok()).unwrap_or_default().to_owned();
+        let (outcome, retry_after) = (text("heronlink-outcome"), !text("retry-after").is_empty());
+        let body = Limited::new(answer.into_body(), 1 << 20).collect().await.map_err(|fault| fault.to_string())?;
+        Ok::<_, String>((status, outcome, retry_after, body.to_bytes()))
+    };
+    match timeout(PATIENCE, work).await {
+        Ok(Ok((status, outcome, retry_after, body))) => {
+            attempt.status = status;
+            attempt.outcome = outcome;
+            attempt.retry_after = retry_after;
+            attempt.body = String::from_utf8_lossy(&body).into_owned();
+        }
+        Ok(Err(told)) => attempt.body = told,
+        Err(_) => attempt.body = "no answer in time".into(),
+    }
+    attempt.took = begun.elapsed().as_millis() as u64;
+    attempt
+}
--- a/crates/swarm/src/main.rs
+++ b/crates/swarm/src/main.rs
@@ -1,1 +1,42 @@
-fn main() {}
+//! `swarm`: the load generator and its checker. `swarm load` sends a seeded open-loop load and
+//! records every attempt; `swarm check` holds that record against what the instances say they
+//! ran and names each broken rule.
+
+mod check;
+mod line;
+mod load;
+mod mix;
+mod rules;
+mod tally;
+
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    match line::parse(lexopt::Parser::from_env()) {
+        Ok(line::Order::Help) => {
+            println!("{}", line::HELP);
+            ExitCode::SUCCESS
+        }
+        Ok(line::Order::Version) => {
+            println!("swarm {}", env!("CARGO_PKG_VERSION"));
+            ExitCode::SUCCESS
+        }
+        Ok(line::Order::Load(order)) => end(load::run(order)),
+        Ok(line::Order::Check { tasks, runs, refusals }) => end(check::run(&tasks, &runs, refusals)),
+        Err(told) => {
+            eprintln!("swarm: {told}");
+            ExitCode::from(2)
+        }
+    }
+}
+
+fn end(result: Result<bool, String>) -> ExitCode {
+    match result {
+        Ok(true) => ExitCode::SUCCESS,
+        Ok(false) => ExitCode::from(1),
+        Err(told) => {
+            eprintln!("swarm: {told}");
+            ExitCode::FAILURE
+        }
+    }
+}
--- /dev/null
+++ b/crates/swarm/src/tally.rs
@@ -0,0 +1,49 @@
+//! The record of one attempt, and the figures of a whole load.
+
+use serde::{Deserialize, Serialize};
+use std::collections::BTreeMap;
+
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct Attempt {
+    pub task: String,
+    pub label: String,
+    pub class: String,
+    pub service: String,
+    pub path: String,
+    pub target: String,
+    pub at: u64,
+    pub took: u64,
+    pub status: u16,
+    pub outcome: String,
+    pub retry_after: bool,
+    pub body: String,
+}
+
+pub fn summary(attempts: &[Attempt]) -> String {
+    let mut lines = vec![format!("{} attempts", attempts.len())];
+    let mut classes: BTreeMap<&str, Vec<&Attempt>> = BTreeMap::new();
+    for attempt in attempts {
+        classes.entry(&attempt.class).or_default().push(attempt);
+    }
+    for (class, list) in classes {
+        let good =
+            list.iter().filter(|a| matches!(a.outcome.as_str(), "answered" | "accepted") && a.status < 500).count();
+        let mut took: Vec<u64> = list.iter().map(|a| a.took).collect();
+        took.sort_unstable();
+        let at = |share: f64| took[((took.len() - 1) as f64 * share) as usize];
+        let mut words: BTreeMap<String, usize> = BTreeMap::new();
+        for attempt in &list {
+            *words.entry(format!("{} {}", attempt.status, attempt.outcome)).or_default() += 1;
+        }
+        lines.push(format!(
+            "{class}: {} attempts, {:.4} served, ms p50 {} p95 {} p99 {} most {}; {words:?}",
+            list.len(),
+            good as f64 / list.len() as f64,
+            at(0.5),
+            at(0.95),
+            at(0.99),
+            at(1.0),
+        ));
+    }
+    lines.join("\n")
+}
--- a/crates/traffic/src/control_loop.rs
+++ b/crates/traffic/src/control_loop.rs
@@ -68,7 +68,8 @@
                 },
             }
             if let Some((since, finished)) = &mut leaving {
-                let handed = since.elapsed() > LAST_CALLS && (self.is_handed_over() || since.elapsed() > self.grace / 2);
+                let handed =
+                    since.elapsed() > LAST_CALLS && (self.is_handed_over() || since.elapsed() > self.grace / 2);
                 if handed && !*stop.borrow() {
                     let _ = stop.send(true);
                 }
--- a/crates/traffic/src/dispatch.rs
+++ b/crates/traffic/src/dispatch.rs
@@ -70,7 +70,8 @@
 
 async fn exchange(stream: TcpStream, request: Request<Full<Bytes>>) -> Verdict {
     let doubt = |told: String| Verdict::InDoubt { told, late: false };
-    let handshake = http1::Builder::new().max_buf_size(64 * 1024).handshake::<_, Full<Bytes>>(TokioIo::new(stream)).await;
+    let handshake =
+        http1::Builder::new().max_buf_size(64 * 1024).handshake::<_, Full<Bytes>>(TokioIo::new(stream)).await;
     let Ok((mut sender, connection)) = handshake else { return Verdict::NotSent };
     let driver = spawn_local(connection.without_shutdown());
     let answer = match sender.send_request(request).await {
--- a/crates/traffic/src/door.rs
+++ b/crates/traffic/src/door.rs
@@ -50,7 +50,11 @@
     }
     let target = parts.uri.path_and_query().map_or(path.as_str(), |target| target.as_str());
     let call = Call {
-        head: RequestHead { method: parts.method.as_str().into(), target: target.into(), headers: head::lines(&parts.headers) },
+        head: RequestHead {
+            method: parts.method.as_str().into(),
+            target: target.into(),
+            headers: head::lines(&parts.headers),
+        },
         path,
         body,
         key,
--- a/crates/traffic/src/home.rs
+++ b/crates/traffic/src/home.rs
@@ -159,7 +159,6 @@
             binding: binding.as_str().into(),
             class: bound.class,
             due: self.now + Duration::from_millis(left_ms.into()),
-            arrived: self.now,
             not_before: self.now,
             place: Place::Held,
             scope,
--- a/crates/traffic/src/home_types.rs
+++ b/crates/traffic/src/home_types.rs
@@ -89,7 +89,6 @@
     pub binding: String,
     pub class: Class,
     pub due: Duration,
-    pub arrived: Duration,
     pub not_before: Duration,
     pub place: Place,
     pub scope: String,
--- a/crates/traffic/src/keeper.rs
+++ b/crates/traffic/src/keeper.rs
@@ -65,7 +65,6 @@
                 binding: kept.binding.as_str().into(),
                 class: Class::Deferred,
                 due: Duration::MAX,
-                arrived: self.now,
                 not_before: self.now,
                 place: Place::Held,
                 scope: String::new(),
--- a/crates/traffic/src/ledger.rs
+++ b/crates/traffic/src/ledger.rs
@@ -54,8 +54,10 @@
     pub(crate) fn store(&mut self, number: u64) {
         let Some(task) = self.tasks.get_mut(&number) else { return };
         task.place = Place::Storing;
-        let hash: String = holds::mix(&[task.scope.as_bytes(), b"1"]).to_le_bytes().iter().map(|b| format!("{b:02x}")).collect();
-        let more: String = holds::mix(&[b"2", task.scope.as_bytes()]).to_le_bytes().iter().map(|b| format!("{b:02x}")).collect();
+        let hash: String =
+            holds::mix(&[task.scope.as_bytes(), b"1"]).to_le_bytes().iter().map(|b| format!("{b:02x}")).collect();
+        let more: String =
+            holds::mix(&[b"2", task.scope.as_bytes()]).to_le_bytes().iter().map(|b| format!("{b:02x}")).collect();
         let id = format!("{hash}{more}");
         task.stored = Some(id.clone());
         let kept = StoredTask {
@@ -167,14 +169,9 @@
 
     fn answer_stored(&mut self, number: u64, raw: &[u8]) {
         match wire::from_bytes::<StoredAnswer>(raw) {
-            Some(answer) => self.answer(
-                number,
-                answer.outcome,
-                answer.status,
-                0,
-                answer.head.into_vec(),
-                answer.body.into_vec(),
-            ),
+            Some(answer) => {
+                self.answer(number, answer.outcome, answer.status, 0, answer.head.into_vec(), answer.body.into_vec())
+            }
             None => self.answer_own(number, Outcome::Unknown, 504, 0),
         }
     }
--- a/crates/traffic/src/plane.rs
+++ b/crates/traffic/src/plane.rs
@@ -168,9 +168,10 @@
         let Some((reply, _)) = self.statuses.remove(&ask) else { return };
         let told = match record.and_then(|raw| wire::from_bytes::<DeferredRecord>(&raw)) {
             None => Reply::own(404, None, "no such task"),
-            Some(record) if record.done == 0 => {
-                Reply { body: b"{\"state\":\"pending\"}".to_vec(), ..Reply::own(200, Some(wire::Outcome::Accepted), "") }
-            }
+            Some(record) if record.done == 0 => Reply {
+                body: b"{\"state\":\"pending\"}".to_vec(),
+                ..Reply::own(200, Some(wire::Outcome::Accepted), "")
+            },
             Some(record) => match wire::from_bytes::<StoredAnswer>(record.answer.as_slice()) {
                 Some(answer) => Reply {
                     head: answer.head.into_vec(),
--- a/crates/traffic/src/scale.rs
+++ b/crates/traffic/src/scale.rs
@@ -52,7 +52,8 @@
             }
             desk.grow_back(now);
             let (ready, starting) = (desk.count(Phase::Ready), desk.count(Phase::Starting));
-            let held = desk.held.iter().filter(|n| self.tasks.get(n).is_some_and(|t| now >= t.not_before)).count() as u32;
+            let held =
+                desk.held.iter().filter(|n| self.tasks.get(n).is_some_and(|t| now >= t.not_before)).count() as u32;
             let situation = Situation {
                 running: ready,
                 starting,
@@ -106,7 +107,12 @@
     fn start(&mut self, name: &str) {
         let number = self.number();
         let Some(desk) = self.desks.get_mut(name) else { return };
-        let id = format!("{}.{:x}.{:x}.{number:x}", name.replace('/', "."), self.me & 0xffff_ffff, self.incarnation & 0xffff);
+        let id = format!(
+            "{}.{:x}.{:x}.{number:x}",
+            name.replace('/', "."),
+            self.me & 0xffff_ffff,
+            self.incarnation & 0xffff
+        );
         event!(start_ordered, "{id}");
         desk.instances.insert(id.clone(), Instance::new(self.now, ""));
         let service = name.to_owned();
--- a/crates/traffic/src/service.rs
+++ b/crates/traffic/src/service.rs
@@ -1,15 +1,15 @@
 //! A router put together: the follower on the control thread, the plane on the traffic thread,
 //! links, doors, dispatcher and platform on threads of their own, all found by name.
 
+use crate::control_loop::{Control, ControlMsg};
 use crate::dispatch::{self, DispatchOrder};
 use crate::door::{self, Door};
-use crate::control_loop::{Control, ControlMsg};
 use crate::front::Front;
 use crate::front_types::FrontLimits;
 use crate::home::Home;
 use crate::home_types::HomeTiming;
-use crate::pass_cell::PassCell;
 use crate::ops::{Views, ops_router};
+use crate::pass_cell::PassCell;
 use crate::plane::{Plane, TrafficMsg};
 use crate::settings::RouterEnv;
 use doors::DoorLimits;
@@ -30,7 +30,13 @@
     let incarnation = rand::random::<u64>() >> 8;
     let me: NodeId = mix(&[b"router", settings.cluster.as_bytes(), settings.address.as_bytes()]) | 1;
     let (peers, callers, ops) = (listen(&settings.address)?, listen(&settings.listen)?, listen(&settings.ops)?);
-    event!(started, "router {me:016x} at {}, callers at {}, operations at {}", settings.address, settings.listen, settings.ops);
+    event!(
+        started,
+        "router {me:016x} at {}, callers at {}, operations at {}",
+        settings.address,
+        settings.listen,
+        settings.ops
+    );
 
     let mut directory = Directory::default();
     let control_inbox = directory.announce::<ControlMsg>("control", 16_384);
@@ -45,7 +51,9 @@
 
     let names = directory.clone();
     let myself = Me { id: me, incarnation, cluster: settings.cluster.clone(), address: settings.address.clone() };
-    thread("links", move || local(async move { links::start(myself, adopt(peers), links_inbox, deliver(names)).await }))?;
+    thread("links", move || {
+        local(async move { links::start(myself, adopt(peers), links_inbox, deliver(names)).await })
+    })?;
     let names = directory.clone();
     thread("dispatcher", move || {
         let traffic = find::<TrafficMsg>(&names, "traffic");
@@ -102,7 +110,9 @@
         thread("doors", move || local(async move { doors::serve(adopt(callers), pages, limits, doors_stop).await }))?;
     let ops_limits = DoorLimits { connections: 64, life: Duration::from_secs(86_400), ..limits };
     let (views, ops_stop) = (Views { traffic: shown, control: control_shown }, stopping);
-    thread("operations", move || local(async move { doors::serve(adopt(ops), ops_router(views), ops_limits, ops_stop).await }))?;
+    thread("operations", move || {
+        local(async move { doors::serve(adopt(ops), ops_router(views), ops_limits, ops_stop).await })
+    })?;
 
     let timing = FollowerTiming { hold: settings.hold, ..FollowerTiming::default() };
     let control = Control {
--- a/crates/wire/src/ledger.rs
+++ b/crates/wire/src/ledger.rs
@@ -1,7 +1,7 @@
 //! The entries of the chain and the receipts its tail gives for them, as deku records.
 
-use deku::prelude::*;
 use crate::{Blob, ItemLine, List, NodeId, Text};
+use deku::prelude::*;
 
 #[derive(Clone, Debug, PartialEq, Eq, DekuRead, DekuWrite)]
 #[deku(id_type = "u8")]
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -13,8 +13,8 @@
 pub use carry::{AnswerHead, CarryMsg, HeaderLine, Outcome, RequestHead, SlotLine, StoredAnswer, StoredTask};
 pub use chain::{ChainMsg, EntryLine, OpNo, PairLine, Seat, View};
 pub use codec::{FORMAT, Frame, FrameFault, LIMIT, Message, decode, encode, read_frame, write_frame};
-pub use ledger::{ClaimRecord, ClaimState, Command, DeferredRecord, OpRecord, Receipt};
 pub use hold::{HoldMsg, ItemLine, StepLine};
+pub use ledger::{ClaimRecord, ClaimState, Command, DeferredRecord, OpRecord, Receipt};
 pub use parts::{Blob, List, Text, from_bytes, to_bytes};
 pub use plan::{PlanMsg, SampleLine};
 
--- a/crates/yard/src/api.rs
+++ b/crates/yard/src/api.rs
@@ -12,8 +12,9 @@
 use serde_json::{Value, json};
 use std::collections::{BTreeMap, VecDeque};
 use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
 use std::time::{Duration, Instant};
-use tokio::net::TcpListener;
+use tokio::net::{TcpListener, TcpSocket};
 use tokio::sync::{mpsc, oneshot};
 
 type Answer = (StatusCode, Value);
@@ -160,7 +161,7 @@
             let on_it: Vec<String> =
                 yard.instances.iter().filter(|(_, held)| held.worker == number).map(|(id, _)| id.clone()).collect();
             match body.as_str() {
-                Some("crash") => on_it.iter().for_each(|id| drop(yard.remove(id))),
+                Some("crash") => on_it.iter().for_each(|id| _ = yard.remove(id)),
                 Some("drain") => {
                     yard.drained[number] = true;
                     on_it.iter().filter_map(|id| yard.instances.get_mut(id).map(|held| held.state = "leaving")).count();
@@ -193,26 +194,27 @@
     let Some(worker) = yard.place(memory_mb) else {
         return (StatusCode::INSUFFICIENT_STORAGE, json!({"fault": "no worker has the memory"}));
     };
-    // The port is found now and opened only when the instance has started.
-    let Ok(found) = TcpListener::bind("127.0.0.1:0").await else {
+    // The port is taken now and listened on only when the instance has started.
+    let bound = TcpSocket::new_v4().and_then(|socket| socket.bind(([127, 0, 0, 1], 0).into()).map(|()| socket));
+    let Ok((socket, address)) = bound.and_then(|socket| socket.local_addr().map(|address| (socket, address))) else {
         return (StatusCode::SERVICE_UNAVAILABLE, json!({"fault": "no port"}));
     };
-    let Ok(address) = found.local_addr() else { return (StatusCode::SERVICE_UNAVAILABLE, json!({})) };
     let wait = Duration::from_millis(shape.start_ms * yard.dice.random_range(90..=115) / 100);
     let (lots, mut lot_inbox) = mpsc::channel(64);
+    let alive = Arc::new(AtomicBool::new(true));
     let endpoint = Endpoint {
         id: id.to_owned(),
         service: service.clone(),
         shape,
         busy: Arc::default(),
+        alive: alive.clone(),
         record: record.clone(),
         lots,
     };
     let (forward, ready, name) = (orders.clone(), orders.clone(), id.to_owned());
-    drop(found);
     let task = tokio::task::spawn_local(async move {
         tokio::time::sleep(wait).await;
-        let Ok(listener) = TcpListener::bind(address).await else { return };
+        let Ok(listener) = socket.listen(1024) else { return };
         let _ = ready.send(Order::Ready { id: name }).await;
         tokio::join!(serve(endpoint, listener), async {
             while let Some(lot) = lot_inbox.recv().await {
@@ -227,6 +229,7 @@
         memory_mb,
         state: "starting",
         task: Some(task.abort_handle()),
+        alive,
         asked: Instant::now(),
     };
     yard.instances.insert(id.to_owned(), held);
--- a/crates/yard/src/instance.rs
+++ b/crates/yard/src/instance.rs
@@ -13,7 +13,7 @@
 use axum::routing::any;
 use serde_json::json;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicU32, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 use tokio::net::TcpListener;
 use tokio::sync::{mpsc, oneshot};
@@ -37,6 +37,7 @@
     pub service: String,
     pub shape: Service,
     pub busy: Arc<AtomicU32>,
+    pub alive: Arc<AtomicBool>,
     pub record: Record,
     pub lots: mpsc::Sender<Ask>,
 }
@@ -69,10 +70,15 @@
     let task = headers.get("x-task").and_then(|value| value.to_str().ok()).unwrap_or("-").to_owned();
     let (reply, told) = oneshot::channel();
     let asked = endpoint.lots.send(Ask::Lot(reply)).await.is_ok();
+    if !endpoint.alive.load(Ordering::SeqCst) {
+        return lost(64);
+    }
     let lot = if asked { told.await.unwrap_or(Lot::Plain) } else { Lot::Plain };
     let busy = endpoint.busy.fetch_add(1, Ordering::SeqCst);
     let note = |what: &str| {
-        endpoint.record.write(json!({"at": wall_ms(), "what": what, "task": task, "service": endpoint.service, "instance": endpoint.id}))
+        endpoint.record.write(
+            json!({"at": wall_ms(), "what": what, "task": task, "service": endpoint.service, "instance": endpoint.id}),
+        )
     };
     if busy >= endpoint.shape.limit || lot == Lot::TurnAway {
         endpoint.busy.fetch_sub(1, Ordering::SeqCst);
@@ -82,13 +88,12 @@
     note("run");
     tokio::time::sleep(Duration::from_millis(endpoint.shape.work_ms)).await;
     endpoint.busy.fetch_sub(1, Ordering::SeqCst);
+    if !endpoint.alive.load(Ordering::SeqCst) {
+        return lost(64);
+    }
     let text = format!("{method} {} task={task} body={}", uri.path(), String::from_utf8_lossy(&body));
     match lot {
-        Lot::Lose => {
-            // The work is done and the answer lost: the declared length is never met.
-            let body = Body::from_stream(futures_lite::stream::once(Err::<Bytes, _>(std::io::Error::other("lost"))));
-            Response::builder().header("content-length", text.len()).body(body).unwrap_or_default()
-        }
+        Lot::Lose => lost(text.len()),
         Lot::Cut => {
             let half = Bytes::copy_from_slice(&text.as_bytes()[..text.len() / 2]);
             let parts = [Ok(half), Err(std::io::Error::other("cut"))];
@@ -106,3 +111,9 @@
         Lot::Plain | Lot::TurnAway => text.into_response(),
     }
 }
+
+/// The work may be done, the answer is lost: a declared length that is never met.
+fn lost(length: usize) -> Response {
+    let body = Body::from_stream(futures_lite::stream::once(Err::<Bytes, _>(std::io::Error::other("lost"))));
+    Response::builder().header("content-length", length).body(body).unwrap_or_default()
+}
--- a/crates/yard/src/main.rs
+++ b/crates/yard/src/main.rs
@@ -11,7 +11,11 @@
 use std::process::ExitCode;
 
 fn main() -> ExitCode {
-    let settings = match env::open::<state::YardEnv>("yard", "stands in for the platform and its instances", env!("CARGO_PKG_VERSION")) {
+    let settings = match env::open::<state::YardEnv>(
+        "yard",
+        "stands in for the platform and its instances",
+        env!("CARGO_PKG_VERSION"),
+    ) {
         env::Opening::Run(settings) => settings,
         env::Opening::Say { words, code } => {
             if code == 0 {
--- a/crates/yard/src/state.rs
+++ b/crates/yard/src/state.rs
@@ -6,6 +6,8 @@
 use serde_json::{Value, json};
 use std::collections::{BTreeMap, VecDeque};
 use std::path::PathBuf;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::{Duration, Instant};
 use tokio::task::AbortHandle;
 
@@ -29,6 +31,7 @@
     pub memory_mb: u32,
     pub state: &'static str,
     pub task: Option<AbortHandle>,
+    pub alive: Arc<AtomicBool>,
     pub asked: Instant,
 }
 
@@ -112,6 +115,7 @@
     pub fn remove(&mut self, id: &str) -> bool {
         let Some(held) = self.instances.remove(id) else { return false };
         self.instance_seconds += held.asked.elapsed().as_secs_f64();
+        held.alive.store(false, Ordering::SeqCst);
         if let Some(task) = held.task {
             task.abort();
         }
