--- a/crates/bindings/src/check.rs
+++ b/crates/bindings/src/check.rs
@@ -12,6 +12,9 @@
     pub fault: String,
 }
 
+/// Limit, memory, least and most instances: the same for all bindings of one function.
+type Shape = (u32, u32, u32, u32);
+
 fn fault(path: &str, words: impl Into<String>) -> Fault {
     Fault { path: path.to_owned(), fault: words.into() }
 }
@@ -24,7 +27,7 @@
 pub fn check<'a>(pairs: impl Iterator<Item = (&'a str, &'a [u8])>) -> Vec<Fault> {
     let mut faults = Vec::new();
     let mut routes: BTreeMap<String, String> = BTreeMap::new();
-    let mut functions: BTreeMap<String, (String, (u32, u32, u32, u32))> = BTreeMap::new();
+    let mut functions: BTreeMap<String, (String, Shape)> = BTreeMap::new();
     for (key, value) in pairs {
         let parts: Vec<&str> = key.split('/').collect();
         let [kind, tenant, name] = parts[..] else {
--- a/crates/chain/src/copy.rs
+++ b/crates/chain/src/copy.rs
@@ -64,10 +64,13 @@
             return self.send(seat.id, ChainMsg::TakeCopy { view: view.number });
         }
         let served = self.source.as_ref().is_some_and(|source| source.number == copy && source.joiner == seat.id);
-        if served && view.fresh == 0 && self.proposal.is_none() && self.now >= self.propose_after {
-            if let Some(next) = with_joiner(&view, seat) {
-                self.propose(next);
-            }
+        if served
+            && view.fresh == 0
+            && self.proposal.is_none()
+            && self.now >= self.propose_after
+            && let Some(next) = with_joiner(&view, seat)
+        {
+            self.propose(next);
         }
     }
 
--- a/crates/chain/src/member.rs
+++ b/crates/chain/src/member.rs
@@ -103,26 +103,6 @@
         member
     }
 
-    pub fn view(&self) -> &View {
-        &self.meta.view
-    }
-    pub fn state(&self) -> &State {
-        &self.state
-    }
-    /// What is known to be synced here; at a current tail with a second copy, what is committed.
-    pub fn synced_state(&self) -> &State {
-        &self.synced_state
-    }
-    pub fn seat(&self) -> &Seat {
-        &self.meta.seat
-    }
-    pub fn suspects(&self) -> Vec<NodeId> {
-        self.meta.view.voters.iter().map(|seat| seat.id).filter(|id| self.is_suspect(*id)).collect()
-    }
-    pub fn positions(&self) -> (u64, u64, u64) {
-        (self.last, self.synced, self.committed)
-    }
-
     pub fn step(&mut self, now: Duration, input: Input) -> Vec<Output> {
         self.now = now;
         match input {
--- a/crates/chain/src/view.rs
+++ b/crates/chain/src/view.rs
@@ -3,9 +3,9 @@
 
 use crate::member::Member;
 use crate::register::is_majority;
-use crate::types::Output;
+use crate::types::{Output, State};
 use std::collections::BTreeSet;
-use wire::{ChainMsg, NodeId, View};
+use wire::{ChainMsg, NodeId, Seat, View};
 
 #[derive(Default)]
 pub struct Round {
@@ -150,6 +150,29 @@
     }
 }
 
+/// What others may look at.
+impl Member {
+    pub fn view(&self) -> &View {
+        &self.meta.view
+    }
+    pub fn state(&self) -> &State {
+        &self.state
+    }
+    /// What is known to be synced here; at a current tail with a second copy, what is committed.
+    pub fn synced_state(&self) -> &State {
+        &self.synced_state
+    }
+    pub fn seat(&self) -> &Seat {
+        &self.meta.seat
+    }
+    pub fn suspects(&self) -> Vec<NodeId> {
+        self.meta.view.voters.iter().map(|seat| seat.id).filter(|id| self.is_suspect(*id)).collect()
+    }
+    pub fn positions(&self) -> (u64, u64, u64) {
+        (self.last, self.synced, self.committed)
+    }
+}
+
 pub fn optimizer_for(chain: &[NodeId], holder: NodeId) -> NodeId {
     if chain.contains(&holder) {
         return holder;
--- a/crates/control/src/api.rs
+++ b/crates/control/src/api.rs
@@ -2,10 +2,11 @@
 //! look at one node's view and watch it change. Everything but health needs a bearer token.
 
 use crate::api_calls::{ApiCall, ApiReply};
+use crate::api_views::{metrics, ready, status, watch_view};
 use crate::service::ControlMsg;
 use crate::tokens::Tokens;
 use axum::Router;
-use axum::body::{Body, Bytes};
+use axum::body::Bytes;
 use axum::extract::{DefaultBodyLimit, Path, State};
 use axum::http::{HeaderMap, StatusCode, header};
 use axum::response::{IntoResponse, Response};
@@ -38,11 +39,11 @@
         .with_state(api)
 }
 
-fn refuse(status: u16, told: &str) -> Response {
+pub(crate) fn refuse(status: u16, told: &str) -> Response {
     answer(ApiReply::new(status, json!({"outcome": "refused", "fault": told})), None)
 }
 
-fn answer(reply: ApiReply, op: Option<&str>) -> Response {
+pub(crate) fn answer(reply: ApiReply, op: Option<&str>) -> Response {
     let status = StatusCode::from_u16(reply.status).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
     let mut response = (status, [(header::CONTENT_TYPE, "application/json")], reply.body).into_response();
     let mut put = |name: &'static str, value: String| {
@@ -63,11 +64,11 @@
 }
 
 impl Api {
-    fn scope(&self, headers: &HeaderMap) -> Option<String> {
+    pub(crate) fn scope(&self, headers: &HeaderMap) -> Option<String> {
         self.tokens.scope(headers.get(header::AUTHORIZATION).and_then(|value| value.to_str().ok()))
     }
 
-    async fn ask(&self, call: ApiCall) -> ApiReply {
+    pub(crate) async fn ask(&self, call: ApiCall) -> ApiReply {
         let (reply, told) = oneshot::channel();
         let busy = || {
             let mut reply = ApiReply::new(503, json!({"outcome": "not-run", "fault": "too busy"}));
@@ -108,77 +109,6 @@
     ItemLine { key: key.into(), gone: value.is_none() as u8, value: raw.into() }
 }
 
-async fn ready(State(api): State<Api>) -> Response {
-    let view: Value = serde_json::from_str(&api.view.borrow()).unwrap_or_default();
-    let chained = view["role"].as_str().is_some_and(|role| role != "out");
-    if chained {
-        "ready\n".into_response()
-    } else {
-        (StatusCode::SERVICE_UNAVAILABLE, "not in the chain\n").into_response()
-    }
-}
-
-async fn metrics(State(api): State<Api>) -> String {
-    let view: Value = serde_json::from_str(&api.view.borrow()).unwrap_or_default();
-    let mut page = String::new();
-    for (name, at) in [
-        ("view_number", "/view/number"),
-        ("entries_synced", "/positions/synced"),
-        ("entries_committed", "/positions/committed"),
-        ("revision_active", "/revision/active"),
-        ("revision_latest", "/revision/latest"),
-        ("step_active", "/revision/active_step"),
-        ("roster_number", "/roster"),
-        ("claims", "/claims"),
-        ("deferred", "/deferred"),
-        ("waits", "/waits"),
-        ("jobs", "/jobs"),
-    ] {
-        let value = view.pointer(at).and_then(Value::as_u64).unwrap_or_default();
-        page.push_str(&format!("heronlink_registry_{name} {value}\n"));
-    }
-    let members = view["members"].as_array().map_or(0, Vec::len);
-    page.push_str(&format!("heronlink_registry_members {members}\n"));
-    page.push_str(&format!("heronlink_registry_inbox_depth {}\n", api.control.depth()));
-    page.push_str(&format!("heronlink_registry_inbox_refused_total {}\n", api.control.refused()));
-    page
-}
-
-async fn status(State(api): State<Api>, headers: HeaderMap) -> Response {
-    if api.scope(&headers).is_none() {
-        return refuse(401, "a bearer token is needed");
-    }
-    answer(api.ask(ApiCall::Status).await, None)
-}
-
-async fn watch_view(State(api): State<Api>, headers: HeaderMap) -> Response {
-    if api.scope(&headers).as_deref() != Some("") {
-        return refuse(401, "a bearer token for all tenants is needed");
-    }
-    let mut view = api.view.clone();
-    view.mark_changed();
-    let lines = Lines { view };
-    ([(header::CONTENT_TYPE, "application/x-ndjson")], Body::new(lines.into_body())).into_response()
-}
-
-struct Lines {
-    view: watch::Receiver<String>,
-}
-
-impl Lines {
-    fn into_body(
-        self,
-    ) -> http_body_util::StreamBody<
-        impl futures_lite::Stream<Item = Result<http_body::Frame<Bytes>, std::convert::Infallible>>,
-    > {
-        http_body_util::StreamBody::new(futures_lite::stream::unfold(self.view, |mut view| async move {
-            view.changed().await.ok()?;
-            let line = format!("{}\n", *view.borrow_and_update());
-            Some((Ok(http_body::Frame::data(Bytes::from(line))), view))
-        }))
-    }
-}
-
 async fn operation(State(api): State<Api>, Path(op): Path<String>, headers: HeaderMap) -> Response {
     if api.scope(&headers).is_none() {
         return refuse(401, "a bearer token is needed");
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -4,6 +4,7 @@
 
 mod api;
 mod api_calls;
+mod api_views;
 mod apply;
 mod apply_change;
 mod apply_member;
--- a/crates/control/src/routers.rs
+++ b/crates/control/src/routers.rs
@@ -23,17 +23,13 @@
                     self.jobs.push_back((round, from, incarnation, message));
                 }
             }
-            HoldMsg::Join { address, zone, ops } => {
-                if self.tail_since.is_some() {
-                    let id = from;
-                    let command = wire::Command::Join { id, incarnation, address, zone, ops };
-                    self.enter(Wait::Duty, &command);
-                }
+            HoldMsg::Join { address, zone, ops } if self.tail_since.is_some() => {
+                let id = from;
+                let command = wire::Command::Join { id, incarnation, address, zone, ops };
+                self.enter(Wait::Duty, &command);
             }
-            HoldMsg::Leave { .. } => {
-                if self.tail_since.is_some() {
-                    self.enter(Wait::Duty, &wire::Command::Leaving { id: from, incarnation });
-                }
+            HoldMsg::Leave { .. } if self.tail_since.is_some() => {
+                self.enter(Wait::Duty, &wire::Command::Leaving { id: from, incarnation });
             }
             HoldMsg::Staged { number } => {
                 if let Some(session) = self.sessions.table.get_mut(&from)
--- a/crates/control/src/tokens.rs
+++ b/crates/control/src/tokens.rs
@@ -8,6 +8,7 @@
     list: Vec<([u8; 32], String)>,
 }
 
+#[allow(clippy::ptr_arg)]
 pub fn well_formed(list: &Vec<String>) -> Result<(), String> {
     let good = |entry: &String| match entry.split_once('=') {
         Some((tenant, secret)) => (tenant == "*" || bindings::check_name(tenant)) && secret.len() >= 8,
--- a/crates/env/src/line.rs
+++ b/crates/env/src/line.rs
@@ -52,7 +52,7 @@
     let settings =
         Source::new(&file, flags).and_then(|source| S::read(&source)).map_err(|f: SettingFault| f.to_string())?;
     if check {
-        let lines: Vec<String> = settings.shown().iter().map(|(name, value)| format!("{name} = {value}")).collect();
+        let lines: Vec<String> = settings.shown().iter().map(|(name, value)| shown(name, value)).collect();
         return Ok(Opening::Say { words: format!("settings are in order\n{}", lines.join("\n")), code: 0 });
     }
     Ok(Opening::Run(settings))
@@ -71,3 +71,10 @@
     }
     words
 }
+
+fn shown(name: &str, value: &str) -> String {
+    match name {
+        "tokens" => format!("{name} = ({} given, not shown)", value.split(',').filter(|w| !w.is_empty()).count()),
+        _ => format!("{name} = {value}"),
+    }
+}
--- a/crates/env/src/rules.rs
+++ b/crates/env/src/rules.rs
@@ -1,5 +1,7 @@
 //! Checks for settings, each saying what is allowed.
 
+#![allow(clippy::ptr_arg)]
+
 use crate::FromWords;
 use std::net::SocketAddr;
 
--- a/crates/holds/src/fetch.rs
+++ b/crates/holds/src/fetch.rs
@@ -17,7 +17,7 @@
     pub(crate) fn begin_fetch(&mut self, from: NodeId) {
         let ask = self.ask_number();
         self.fetch = Some(Fetch { ask, step: None, pairs: BTreeMap::new(), moved: self.now });
-        self.to_registry(Some(from), HoldMsg::FetchAll { ask, from: Text::default() });
+        self.tell_registry(Some(from), HoldMsg::FetchAll { ask, from: Text::default() });
     }
 
     #[allow(clippy::too_many_arguments)]
@@ -43,7 +43,7 @@
             fetch.pairs.insert(item.key.as_str().to_owned(), item.value.into_vec());
         }
         if !next.as_str().is_empty() {
-            return self.to_registry(Some(from), HoldMsg::FetchAll { ask, from: next });
+            return self.tell_registry(Some(from), HoldMsg::FetchAll { ask, from: next });
         }
         self.pairs = std::mem::take(&mut fetch.pairs);
         self.fetch = None;
--- a/crates/holds/src/lib.rs
+++ b/crates/holds/src/lib.rs
@@ -8,6 +8,7 @@
 mod roster;
 mod sessions;
 mod standing;
+mod steps;
 
 pub use follower::{Follower, FollowerInput, FollowerOutput, FollowerTiming};
 pub use roster::{MemberLine, Roster, mix};
--- /dev/null
+++ b/crates/holds/src/steps.rs
@@ -0,0 +1,89 @@
+//! What registries tell a follower: proofs, steps staged and activated, the roster.
+
+use crate::follower::{Follower, FollowerOutput};
+use crate::roster::Roster;
+use wire::{HoldMsg, NodeId, StepLine};
+
+impl Follower {
+    pub(crate) fn registry(&mut self, from: NodeId, message: HoldMsg) {
+        match message {
+            HoldMsg::Proof { ask, active, latest, member } => self.on_proof(from, ask, active, latest, member != 0),
+            HoldMsg::NotTail { seats, .. } => {
+                let addresses: Vec<String> = seats.iter().map(|seat| seat.as_str().to_owned()).collect();
+                if !addresses.is_empty() {
+                    self.outs.push(FollowerOutput::Seats { addresses });
+                }
+            }
+            HoldMsg::Stage { step } => self.on_stage(from, step),
+            HoldMsg::Activate { number } => self.activate_to(number),
+            HoldMsg::Roster { number, body } => {
+                if number > self.roster.number
+                    && let Some(roster) = wire::from_bytes::<Roster>(body.as_slice())
+                {
+                    self.roster = roster;
+                    self.outs.push(FollowerOutput::Rostered { number });
+                }
+            }
+            HoldMsg::Piece { ask, step, revision, quorum, items, next } => {
+                self.on_piece(from, ask, step, revision, quorum.into_vec(), items.into_vec(), next)
+            }
+            _ => {}
+        }
+    }
+
+    fn on_proof(&mut self, from: NodeId, ask: u64, active: u64, latest: u64, member: bool) {
+        let Some(asked) = self.asks.remove(&ask) else { return };
+        self.tail = Some((from, self.now));
+        self.member = member;
+        self.latest_known = self.latest_known.max(latest);
+        if !member {
+            self.proof = None;
+            if !self.leaving && self.joined.is_none_or(|last| self.now >= last + self.timing.renew) {
+                self.joined = Some(self.now);
+                let (address, zone, ops) = self.joining.clone();
+                self.tell_registry(Some(from), HoldMsg::Join { address, zone, ops });
+            }
+            return;
+        }
+        self.activate_to(active);
+        if self.step == active {
+            self.ready = true;
+            self.proof = self.proof.max(Some(asked));
+        } else if self.step < active && self.fetch.is_none() {
+            self.begin_fetch(from);
+        }
+    }
+
+    fn on_stage(&mut self, from: NodeId, step: StepLine) {
+        self.latest_known = self.latest_known.max(step.number);
+        if step.number == self.staged_number() + 1 && (self.ready || self.step + 1 == step.number) {
+            self.staged.insert(step.number, step);
+        }
+        let number = self.staged_number();
+        self.tell_registry(Some(from), HoldMsg::Staged { number });
+    }
+
+    fn activate_to(&mut self, number: u64) {
+        let mut moved = false;
+        while self.step < number {
+            let Some(step) = self.staged.remove(&(self.step + 1)) else { break };
+            self.step = step.number;
+            self.revision = step.revision;
+            self.quorum = step.quorum.into_vec();
+            for item in step.items.into_vec() {
+                if item.gone != 0 {
+                    self.pairs.remove(item.key.as_str());
+                } else {
+                    self.pairs.insert(item.key.as_str().to_owned(), item.value.into_vec());
+                }
+            }
+            moved = true;
+        }
+        if moved {
+            self.proof = None;
+            self.peer_proof = None;
+            self.renewed = None;
+            self.outs.push(FollowerOutput::Activated { step: self.step, revision: self.revision });
+        }
+    }
+}
--- a/crates/traffic/src/front.rs
+++ b/crates/traffic/src/front.rs
@@ -14,19 +14,19 @@
 const RETRY: Duration = Duration::from_millis(25);
 
 pub struct Front {
-    me: NodeId,
-    incarnation: u64,
-    limits: FrontLimits,
-    table: BTreeMap<u64, Record>,
-    by_ask: BTreeMap<u64, u64>,
-    per_tenant: BTreeMap<String, usize>,
-    linked: BTreeSet<NodeId>,
-    book: Option<Rc<Book>>,
-    roster: Rc<Roster>,
-    next: u64,
-    now: Duration,
-    may_serve: bool,
-    outs: Vec<FrontOutput>,
+    pub(crate) me: NodeId,
+    pub(crate) incarnation: u64,
+    pub(crate) limits: FrontLimits,
+    pub(crate) table: BTreeMap<u64, Record>,
+    pub(crate) by_ask: BTreeMap<u64, u64>,
+    pub(crate) per_tenant: BTreeMap<String, usize>,
+    pub(crate) linked: BTreeSet<NodeId>,
+    pub(crate) book: Option<Rc<Book>>,
+    pub(crate) roster: Rc<Roster>,
+    pub(crate) next: u64,
+    pub(crate) now: Duration,
+    pub(crate) may_serve: bool,
+    pub(crate) outs: Vec<FrontOutput>,
     pub refusals: u64,
 }
 
@@ -119,11 +119,11 @@
         self.attempt(task);
     }
 
-    fn spread(&self, seed: u64, least: u32) -> u32 {
+    pub(crate) fn spread(&self, seed: u64, least: u32) -> u32 {
         least + ((seed.wrapping_mul(0x9e37_79b9_7f4a_7c15) >> 33) % 4) as u32
     }
 
-    fn remove(&mut self, task: u64) {
+    pub(crate) fn remove(&mut self, task: u64) {
         if let Some(record) = self.table.remove(&task) {
             self.by_ask.remove(&record.ask);
             if let Some(count) = self.per_tenant.get_mut(&record.tenant) {
@@ -132,7 +132,7 @@
         }
     }
 
-    fn answer(&mut self, task: u64, reply: Reply) {
+    pub(crate) fn answer(&mut self, task: u64, reply: Reply) {
         if let Some(record) = self.table.get(&task) {
             let ask = record.ask;
             if reply.outcome == Some(Outcome::NotRun) {
@@ -177,7 +177,7 @@
         true
     }
 
-    fn attempt(&mut self, task: u64) {
+    pub(crate) fn attempt(&mut self, task: u64) {
         if !self.may_serve || !self.resolve(task) {
             return;
         }
@@ -231,43 +231,4 @@
             }
         }
     }
-
-    /// The home was lost with tasks on it: what they came to is in doubt, and they are tried on
-    /// with the next home, which knows from the ledger or the budget whether it may run them.
-    fn doubt_home(&mut self, lost: impl Fn(NodeId) -> bool) {
-        for record in self.table.values_mut() {
-            if let Stage::Carried { home } = record.stage
-                && home != self.me
-                && lost(home)
-            {
-                record.stage = Stage::Waiting;
-                record.again_at = self.now;
-                record.tries = record.tries.saturating_add(1);
-                record.doubt = true;
-            }
-        }
-    }
-
-    fn pass(&mut self) {
-        let now = self.now;
-        let tasks: Vec<u64> = self.table.keys().copied().collect();
-        for task in tasks {
-            let Some(record) = self.table.get(&task) else { continue };
-            match record.stage {
-                Stage::Waiting if now + self.limits.margin >= record.due => {
-                    let reply = if record.doubt {
-                        Reply::own(504, Some(Outcome::Unknown), "the outcome is not known")
-                    } else {
-                        Reply::own(503, Some(Outcome::NotRun), "not run in time").again(self.spread(task, 1))
-                    };
-                    self.answer(task, reply);
-                }
-                Stage::Waiting if now >= record.again_at => self.attempt(task),
-                Stage::Carried { .. } if now >= record.due + self.limits.slack => {
-                    self.answer(task, Reply::own(504, Some(Outcome::Unknown), "the outcome is not known"));
-                }
-                _ => {}
-            }
-        }
-    }
 }
--- /dev/null
+++ b/crates/traffic/src/giving_up.rs
@@ -0,0 +1,71 @@
+//! Giving up, with the truth and at once: what ran out of time, and what must go back to its front.
+
+use crate::home::Home;
+use crate::home_types::{HomeOutput, Place};
+use bindings::Class;
+use wire::{CarryMsg, Outcome};
+
+impl Home {
+    pub(crate) fn expire_pass(&mut self) {
+        let now = self.now;
+        let late: Vec<u64> = self
+            .tasks
+            .iter()
+            .filter(|(_, task)| task.caller && now + self.timing.margin >= task.due)
+            .filter(|(_, task)| task.class == Class::Deferred || !matches!(task.place, Place::Running { .. }))
+            .map(|(number, _)| *number)
+            .collect();
+        for number in late {
+            let Some(task) = self.tasks.get(&number) else { continue };
+            let again = self.spread(number, 1);
+            match (task.class, &task.place) {
+                (Class::Deferred, Place::Storing) => {
+                    if let Some(task) = self.tasks.get_mut(&number) {
+                        task.stored = None;
+                    }
+                    self.answer_own(number, Outcome::Unknown, 504, 0);
+                }
+                (Class::Deferred, _) => self.accept(number),
+                (Class::Once, Place::Following { .. }) => self.answer_own(number, Outcome::Unknown, 504, again),
+                (Class::Once, _) => {
+                    self.release(number);
+                    self.answer_own(number, Outcome::NotRun, 503, again);
+                }
+                (Class::Ordinary, _) if task.reached => self.answer_own(number, Outcome::Unknown, 504, again),
+                (Class::Ordinary, _) => self.answer_own(number, Outcome::NotRun, 503, again),
+            }
+        }
+        let follow: Vec<u64> = self
+            .tasks
+            .iter()
+            .filter(|(_, task)| matches!(task.place, Place::Following { at } if now >= at))
+            .map(|(number, _)| *number)
+            .collect();
+        follow.into_iter().for_each(|number| self.claim(number));
+    }
+
+    /// Gives a task that was never dispatched back to its front, which finds its home anew.
+    pub(crate) fn send_back(&mut self, number: u64) {
+        let Some(task) = self.tasks.get_mut(&number) else { return };
+        if task.class == Class::Once && task.claim != 0 {
+            task.place = Place::Releasing;
+            return self.release(number);
+        }
+        if task.stored.is_some() {
+            self.accept(number);
+            return self.forget(number);
+        }
+        if task.reached {
+            return self.answer_own(number, Outcome::Unknown, 504, 0);
+        }
+        self.not_home(number);
+    }
+
+    pub(crate) fn not_home(&mut self, number: u64) {
+        if let Some(task) = self.tasks.get(&number) {
+            let (to, id) = (task.id.from, task.id.task);
+            self.outs.push(HomeOutput::Carry { to, message: CarryMsg::NotHome { task: id } });
+            self.forget(number);
+        }
+    }
+}
--- a/crates/traffic/src/home.rs
+++ b/crates/traffic/src/home.rs
@@ -4,9 +4,8 @@
 
 use crate::desk::Desk;
 use crate::home_types::{HomeInput, HomeOutput, HomeTask, HomeTiming, Ledger, LedgerAsk, Place, TaskId};
-use bindings::{Book, Class};
+use bindings::Book;
 use holds::Roster;
-use sha2::{Digest, Sha256};
 use std::collections::BTreeMap;
 use std::rc::Rc;
 use std::time::Duration;
@@ -122,73 +121,6 @@
         least + (holds::mix(&[&number.to_le_bytes(), &self.me.to_le_bytes()]) % 4) as u32
     }
 
-    fn let_in(&mut self, from: NodeId, carry: CarryMsg) {
-        let CarryMsg::Carry { task, function, binding, left_ms, tries, respond_async, key, head, body } = carry else {
-            return;
-        };
-        let id = TaskId { from, task };
-        if self.by_id.contains_key(&id) {
-            return;
-        }
-        let bound = self.book.as_ref().and_then(|book| book.binding(binding.as_str())).cloned();
-        let tenant = function.as_str().split('/').next().unwrap_or_default();
-        let (Some(bound), true, Some(desk)) =
-            (bound, self.is_home(function.as_str()), self.desks.get_mut(function.as_str()))
-        else {
-            return self.outs.push(HomeOutput::Carry { to: from, message: CarryMsg::NotHome { task } });
-        };
-        if format!("{tenant}/{}", bound.function) != function.as_str() || desk.leaving.is_some() {
-            return self.outs.push(HomeOutput::Carry { to: from, message: CarryMsg::NotHome { task } });
-        }
-        desk.arrivals += 1;
-        let full = desk.held.len() >= self.timing.function_inbox;
-        let low = bound.class == Class::Deferred || bound.player_weight <= 0.0;
-        if tries == 0 {
-            desk.budget.request(self.now);
-        }
-        let spent = tries > 0 && bound.class == Class::Ordinary && !desk.budget.try_second(self.now);
-        let scope = format!("{}/{}", binding.as_str(), key.as_str());
-        let mut hasher = Sha256::new();
-        hasher.update(head_identity(head.as_slice()));
-        hasher.update(body.as_slice());
-        let digest = hasher.finalize().to_vec();
-        let number = self.number();
-        let record = HomeTask {
-            id,
-            function: function.as_str().into(),
-            binding: binding.as_str().into(),
-            class: bound.class,
-            due: self.now + Duration::from_millis(left_ms.into()),
-            not_before: self.now,
-            place: Place::Held,
-            scope,
-            digest,
-            head: head.into_vec(),
-            body: body.into_vec(),
-            claim: 0,
-            stored: None,
-            respond_async: respond_async != 0,
-            caller: true,
-            dispatches: 0,
-            reached: tries > 0 && bound.class == Class::Ordinary,
-            low,
-        };
-        self.tasks.insert(number, record);
-        self.by_id.insert(id, number);
-        if full {
-            return self.refuse(number, "this function's inbox is full");
-        }
-        if spent {
-            return self.answer_own(number, Outcome::Unknown, 504, 2);
-        }
-        match bound.class {
-            Class::Ordinary => self.hold(number),
-            _ if !self.core_near => self.refuse(number, "the core cannot be reached"),
-            Class::Once => self.claim(number),
-            Class::Deferred => self.store(number),
-        }
-    }
-
     pub(crate) fn hold(&mut self, number: u64) {
         let Some(task) = self.tasks.get_mut(&number) else { return };
         task.place = Place::Held;
@@ -248,14 +180,6 @@
     }
 }
 
-/// What makes a repeat the same request: method, target and body, not the hop's own headers.
-fn head_identity(head: &[u8]) -> Vec<u8> {
-    match wire::from_bytes::<wire::RequestHead>(head) {
-        Some(head) => format!("{} {}\n", head.method.as_str(), head.target.as_str()).into_bytes(),
-        None => head.to_vec(),
-    }
-}
-
 impl Home {
     pub(crate) fn ask_chain(&mut self, kind: Ledger, task: u64, function: &str, body: Vec<u8>, lasts: Duration) -> u64 {
         let ask = self.number();
--- a/crates/traffic/src/plane.rs
+++ b/crates/traffic/src/plane.rs
@@ -3,21 +3,20 @@
 
 use crate::dispatch::{DispatchOrder, Verdict};
 use crate::front::Front;
-use crate::front_types::{Call, FrontInput, FrontOutput, Reply};
+use crate::front_types::{Call, FrontInput, Reply};
 use crate::home::Home;
-use crate::home_types::{HomeInput, HomeOutput};
+use crate::home_types::HomeInput;
 use crate::pass_cell::PassCell;
 use bindings::Book;
-use events::event;
 use holds::Roster;
 use kernel::{Inbox, Post};
 use links::{LinkEvent, LinkOrder};
 use platform::{PlatformOrder, PlatformReport};
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::BTreeMap;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 use tokio::sync::{oneshot, watch};
-use wire::{CarryMsg, DeferredRecord, HoldMsg, Message, NodeId, PlanMsg, StoredAnswer};
+use wire::{CarryMsg, DeferredRecord, HoldMsg, Message, NodeId, StoredAnswer};
 
 const TICK: Duration = Duration::from_millis(10);
 const SHOW: Duration = Duration::from_millis(200);
@@ -55,7 +54,7 @@
     pub counts: BTreeMap<&'static str, u64>,
 }
 
-enum Turn {
+pub(crate) enum Turn {
     Front(FrontInput),
     Home(HomeInput),
 }
@@ -183,90 +182,4 @@
         };
         let _ = reply.send(told);
     }
-
-    fn link(&self, order: LinkOrder) {
-        if self.links.send(order).is_err() {
-            event!(inbox_full, "links");
-        }
-    }
-
-    fn to_core(&self, message: HoldMsg) {
-        if let Some(to) = self.tail {
-            self.link(LinkOrder::Send { to, message: Message::Hold(message) });
-        }
-    }
-
-    fn turn(&mut self, first: Turn) {
-        let mut turns = VecDeque::from([first]);
-        while let Some(turn) = turns.pop_front() {
-            let now = self.begun.elapsed();
-            let may_serve = self.pass.holds(now, self.step);
-            match turn {
-                Turn::Front(input) => {
-                    for output in self.front.step(now, may_serve, input) {
-                        match output {
-                            FrontOutput::Reply { ask, reply } => self.reply(ask, reply),
-                            FrontOutput::Carry { to, message } if to == self.me => {
-                                turns.push_back(Turn::Home(HomeInput::Carry { from: to, message }));
-                            }
-                            FrontOutput::Carry { to, message } => {
-                                self.link(LinkOrder::Send { to, message: Message::Carry(message) });
-                            }
-                        }
-                    }
-                }
-                Turn::Home(input) => {
-                    for output in self.home.step(now, may_serve, input) {
-                        if let Some(turn) = self.carry_out(output) {
-                            turns.push_back(turn);
-                        }
-                    }
-                }
-            }
-        }
-    }
-
-    fn carry_out(&mut self, output: HomeOutput) -> Option<Turn> {
-        match output {
-            HomeOutput::Carry { to, message } if to == self.me => {
-                return Some(Turn::Front(FrontInput::Carried { from: to, message }));
-            }
-            HomeOutput::Carry { to, message } => self.link(LinkOrder::Send { to, message: Message::Carry(message) }),
-            HomeOutput::Enter { ask, body } => self.to_core(HoldMsg::Enter { ask, body: body.into() }),
-            HomeOutput::Read { ask, prefix } => {
-                self.to_core(HoldMsg::Read { ask, prefix: prefix.into(), from: "".into() });
-            }
-            HomeOutput::Dispatch(order) => {
-                let number = order.number;
-                if self.dispatcher.send(order).is_err() {
-                    event!(inbox_full, "dispatcher");
-                    return Some(Turn::Home(HomeInput::Dispatched { number, verdict: Verdict::NotSent }));
-                }
-            }
-            HomeOutput::Platform(order) => {
-                if self.platform.send(order).is_err() {
-                    event!(inbox_full, "platform");
-                }
-            }
-            HomeOutput::PlanAsk { message } => self.to_registries(Message::Plan(message)),
-            HomeOutput::Samples { lines } => {
-                self.to_registries(Message::Plan(PlanMsg::Samples { lines: lines.into() }));
-            }
-        }
-        None
-    }
-
-    fn to_registries(&self, message: Message) {
-        for to in self.registries.clone() {
-            self.link(LinkOrder::Send { to, message: message.clone() });
-        }
-    }
-
-    fn reply(&mut self, ask: u64, reply: Reply) {
-        let word = reply.outcome.map_or("refused", |outcome| outcome.word());
-        *self.counts.entry(word).or_default() += 1;
-        if let Some(waiting) = self.replies.remove(&ask) {
-            let _ = waiting.send(reply);
-        }
-    }
 }
--- /dev/null
+++ b/crates/traffic/src/plane_out.rs
@@ -0,0 +1,99 @@
+//! The plane's way out: turns of the two machines until neither has anything more to do, and
+//! their outputs carried to links, dispatcher, platform and waiting callers.
+
+use crate::dispatch::Verdict;
+use crate::front_types::{FrontInput, FrontOutput, Reply};
+use crate::home_types::{HomeInput, HomeOutput};
+use crate::plane::{Plane, Turn};
+use events::event;
+use links::LinkOrder;
+use std::collections::VecDeque;
+use wire::{HoldMsg, Message, PlanMsg};
+
+impl Plane {
+    pub(crate) fn link(&self, order: LinkOrder) {
+        if self.links.send(order).is_err() {
+            event!(inbox_full, "links");
+        }
+    }
+
+    pub(crate) fn to_core(&self, message: HoldMsg) {
+        if let Some(to) = self.tail {
+            self.link(LinkOrder::Send { to, message: Message::Hold(message) });
+        }
+    }
+
+    pub(crate) fn turn(&mut self, first: Turn) {
+        let mut turns = VecDeque::from([first]);
+        while let Some(turn) = turns.pop_front() {
+            let now = self.begun.elapsed();
+            let may_serve = self.pass.holds(now, self.step);
+            match turn {
+                Turn::Front(input) => {
+                    for output in self.front.step(now, may_serve, input) {
+                        match output {
+                            FrontOutput::Reply { ask, reply } => self.reply(ask, reply),
+                            FrontOutput::Carry { to, message } if to == self.me => {
+                                turns.push_back(Turn::Home(HomeInput::Carry { from: to, message }));
+                            }
+                            FrontOutput::Carry { to, message } => {
+                                self.link(LinkOrder::Send { to, message: Message::Carry(message) });
+                            }
+                        }
+                    }
+                }
+                Turn::Home(input) => {
+                    for output in self.home.step(now, may_serve, input) {
+                        if let Some(turn) = self.carry_out(output) {
+                            turns.push_back(turn);
+                        }
+                    }
+                }
+            }
+        }
+    }
+
+    fn carry_out(&mut self, output: HomeOutput) -> Option<Turn> {
+        match output {
+            HomeOutput::Carry { to, message } if to == self.me => {
+                return Some(Turn::Front(FrontInput::Carried { from: to, message }));
+            }
+            HomeOutput::Carry { to, message } => self.link(LinkOrder::Send { to, message: Message::Carry(message) }),
+            HomeOutput::Enter { ask, body } => self.to_core(HoldMsg::Enter { ask, body: body.into() }),
+            HomeOutput::Read { ask, prefix } => {
+                self.to_core(HoldMsg::Read { ask, prefix: prefix.into(), from: "".into() });
+            }
+            HomeOutput::Dispatch(order) => {
+                let number = order.number;
+                if self.dispatcher.send(order).is_err() {
+                    event!(inbox_full, "dispatcher");
+                    return Some(Turn::Home(HomeInput::Dispatched { number, verdict: Verdict::NotSent }));
+                }
+            }
+            HomeOutput::Platform(order) => {
+                if self.platform.send(order).is_err() {
+                    event!(inbox_full, "platform");
+                }
+            }
+            HomeOutput::PlanAsk { message } => self.to_registries(Message::Plan(message)),
+            HomeOutput::Samples { lines } => {
+                self.to_registries(Message::Plan(PlanMsg::Samples { lines: lines.into() }));
+            }
+        }
+        None
+    }
+
+    fn to_registries(&self, message: Message) {
+        for to in self.registries.clone() {
+            self.link(LinkOrder::Send { to, message: message.clone() });
+        }
+    }
+
+    fn reply(&mut self, ask: u64, reply: Reply) {
+        let word = reply.outcome.map_or("refused", |outcome| outcome.word());
+        *self.counts.entry(word).or_default() += 1;
+        if let Some(waiting) = self.replies.remove(&ask) {
+            let _ = waiting.send(reply);
+        }
+    }
+}
--- a/crates/wire/src/parts.rs
+++ b/crates/wire/src/parts.rs
@@ -110,7 +110,7 @@
 
 pub fn from_bytes<T: for<'a> DekuContainerRead<'a>>(bytes: &[u8]) -> Option<T> {
     match T::from_bytes((bytes, 0)) {
-        Ok(((rest, 0), value)) if rest.is_empty() => Some(value),
+        Ok((([], 0), value)) => Some(value),
         _ => None,
     }
 }
