--- a/crates/chain/src/lib.rs
+++ b/crates/chain/src/lib.rs
@@ -15,4 +15,4 @@
 pub use disk::Disk;
 pub use member::Member;
 pub use store::{Store, StoreFault};
-pub use types::{Apply, Batch, Effect, Input, Meta, Output, State, Stored, Timing, Value};
+pub use types::{Apply, Batch, Effect, Input, Meta, Output, State, Stored, Timing, Value, apply_batch};
--- a/crates/chain/src/types.rs
+++ b/crates/chain/src/types.rs
@@ -83,3 +83,23 @@
     Confirmed { round: u64 },
     Viewed { view: View },
 }
+
+/// What a synced batch does to what is stored.
+pub fn apply_batch(stored: &mut Stored, batch: &Batch) {
+    if batch.replace {
+        stored.state = State::new();
+        stored.entries.clear();
+    }
+    for (key, value) in &batch.pairs {
+        match value {
+            Some(value) => stored.state.insert(key.clone(), value.clone()),
+            None => stored.state.remove(key),
+        };
+    }
+    stored.entries.extend(batch.entries.iter().cloned());
+    stored.entries.retain(|entry| entry.seq >= batch.trim_below);
+    stored.last = batch.last;
+    if let Some(meta) = &batch.meta {
+        stored.meta = meta.clone();
+    }
+}
--- a/crates/chain/src/view.rs
+++ b/crates/chain/src/view.rs
@@ -5,7 +5,7 @@
 use crate::register::is_majority;
 use crate::types::{Output, State};
 use std::collections::BTreeSet;
-use wire::{ChainMsg, NodeId, Seat, View};
+use wire::{ChainMsg, EntryLine, NodeId, Seat, View};
 
 #[derive(Default)]
 pub struct Round {
@@ -165,6 +165,9 @@
     pub fn seat(&self) -> &Seat {
         &self.meta.seat
     }
+    pub fn entries(&self) -> impl Iterator<Item = &EntryLine> {
+        self.log.iter()
+    }
     pub fn suspects(&self) -> Vec<NodeId> {
         self.meta.view.voters.iter().map(|seat| seat.id).filter(|id| self.is_suspect(*id)).collect()
     }
--- /dev/null
+++ b/crates/sim/src/main.rs
@@ -0,0 +1,90 @@
+//! `sim`: runs one seed with its story told, or sweeps many and names those that break a rule.
+
+use lexopt::prelude::*;
+use sim::{Sort, run};
+use std::process::ExitCode;
+
+const HELP: &str = "sim: the simulator
+
+Usage: sim run --seed N [--sort SORT]
+       sim sweep [--from N] [--count N] [--sort SORT] [--threads N]
+
+SORT is calm, core, routers, network or mixed [mixed].";
+
+fn main() -> ExitCode {
+    match work() {
+        Ok(true) => ExitCode::SUCCESS,
+        Ok(false) => ExitCode::from(1),
+        Err(told) => {
+            eprintln!("sim: {told}");
+            ExitCode::from(2)
+        }
+    }
+}
+
+fn work() -> Result<bool, String> {
+    let (mut what, mut seed, mut from, mut count, mut threads, mut sort) = (String::new(), 1u64, 1u64, 100u64, 8u64, Sort::Mixed);
+    let mut line = lexopt::Parser::from_env();
+    while let Some(arg) = line.next().map_err(|fault| fault.to_string())? {
+        let name = match arg {
+            Short('h') | Long("help") => {
+                println!("{HELP}");
+                return Ok(true);
+            }
+            Value(word) if what.is_empty() => {
+                what = word.to_string_lossy().into_owned();
+                continue;
+            }
+            Long(name) => name.to_owned(),
+            other => return Err(other.unexpected().to_string()),
+        };
+        let value = line.value().and_then(|v| v.string()).map_err(|fault| fault.to_string())?;
+        let number = || value.parse::<u64>().map_err(|_| format!("--{name} {value}: allowed is a number"));
+        match name.as_str() {
+            "seed" => seed = number()?,
+            "from" => from = number()?,
+            "count" => count = number()?,
+            "threads" => threads = number()?.clamp(1, 64),
+            "sort" => sort = Sort::from_word(&value).ok_or(format!("--sort {value}: see --help"))?,
+            _ => return Err(format!("no flag --{name}; see --help")),
+        }
+    }
+    match what.as_str() {
+        "run" => {
+            let outcome = run(seed, sort, true);
+            println!("seed {seed}: {}", outcome.summary);
+            outcome.broken.iter().for_each(|fault| println!("BROKEN {fault}"));
+            Ok(outcome.broken.is_empty())
+        }
+        "sweep" => Ok(sweep(from, count, threads, sort)),
+        _ => Err("say run or sweep; see --help".into()),
+    }
+}
+
+fn sweep(from: u64, count: u64, threads: u64, sort: Sort) -> bool {
+    let hands: Vec<_> = (0..threads)
+        .map(|hand| {
+            std::thread::spawn(move || {
+                let mut bad = 0;
+                let mut steps = 0;
+                for seed in (from..from + count).filter(|seed| seed % threads == hand) {
+                    let outcome = run(seed, sort, false);
+                    steps += outcome.steps;
+                    for fault in outcome.broken.iter().take(1) {
+                        println!("seed {seed}: BROKEN {fault}");
+                        bad += 1;
+                    }
+                }
+                (bad, steps)
+            })
+        })
+        .collect();
+    let (mut bad, mut steps) = (0, 0);
+    for hand in hands {
+        let (b, s) = hand.join().unwrap_or((1, 0));
+        bad += b;
+        steps += s;
+    }
+    println!("{count} seeds from {from}, {sort:?}: {steps} steps, {bad} with a broken rule");
+    bad == 0
+}
--- /dev/null
+++ b/crates/sim/src/operators.rs
@@ -0,0 +1,181 @@
+//! Operators: whole configurations and patches, single, in races and in bursts, with what was
+//! acknowledged, refused and left unknown kept for the rules and the read-back at the end.
+
+use crate::world::{Event, World};
+use control::{ApiCall, ApiReply, CoreInput};
+use rand::RngExt;
+use serde_json::{Value, json};
+use std::collections::BTreeMap;
+use std::time::Duration;
+use wire::ItemLine;
+
+pub struct Asked {
+    pub mark: String,
+    pub base: Option<u64>,
+    pub invalid: bool,
+}
+
+#[derive(Default)]
+pub struct Operators {
+    pub next: u64,
+    pub open: BTreeMap<(usize, u64), Asked>,
+    pub revision: u64,
+    pub acked: Vec<(u64, String, Option<u64>)>,
+    pub unknown: Vec<String>,
+    pub refused: Vec<String>,
+    pub founded: bool,
+    pub reading: Option<(usize, u64)>,
+    pub read: Option<Value>,
+    pub last_ack: Duration,
+}
+
+impl Operators {
+    pub fn lost_registry(&mut self, n: usize) {
+        let gone: Vec<(usize, u64)> = self.open.keys().filter(|(registry, _)| *registry == n).copied().collect();
+        for key in gone {
+            if let Some(asked) = self.open.remove(&key) {
+                self.unknown.push(asked.mark);
+            }
+        }
+        if self.reading.is_some_and(|(registry, _)| registry == n) {
+            self.reading = None;
+        }
+    }
+}
+
+fn line(key: &str, value: Value) -> ItemLine {
+    ItemLine { key: key.into(), gone: 0, value: value.to_string().into_bytes().into() }
+}
+
+impl World {
+    /// The bindings all runs share, under a mark that tells one configuration from another.
+    fn items(&self, mark: &str) -> Vec<ItemLine> {
+        let mut items: Vec<ItemLine> = (0..self.plan.functions)
+            .map(|function| {
+                let class = crate::callers::CLASSES[function % 4];
+                let limit = crate::yard::LIMIT;
+                let binding = json!({"route": format!("/t{}/f{function}", function % 3), "function": format!("f{function}"), "class": class, "instance_limit": limit, "max": 6});
+                line(&format!("function-bindings/t{}/f{function}", function % 3), binding)
+            })
+            .collect();
+        items.push(mark_line(mark));
+        items
+    }
+
+    pub fn operator(&mut self) {
+        let quiet = self.now > self.plan.end - Duration::from_secs(16);
+        if quiet {
+            return self.read_back();
+        }
+        let burst = self.dice.random_ratio(1, 8);
+        let pause = if burst { self.dice.random_range(1..40) } else { self.dice.random_range(300..3000) };
+        self.after(Duration::from_millis(pause), Event::Operator);
+        let racers = if self.dice.random_ratio(1, 4) { 2 } else { 1 };
+        let base = self.operators.revision;
+        for _ in 0..racers {
+            let n = self.dice.random_range(0..3);
+            if self.registries[n].core.is_none() {
+                continue;
+            }
+            self.operators.next += 1;
+            let ask = self.operators.next;
+            let mark = format!("m{ask}");
+            let whole = !self.operators.founded || self.dice.random_ratio(1, 3);
+            let invalid = self.operators.founded && self.dice.random_ratio(1, 10);
+            let any = self.dice.random_ratio(1, 5);
+            let mut items = if whole { self.items(&mark) } else { vec![mark_line(&mark)] };
+            if invalid {
+                items.push(line("function-bindings/t9/bad", json!({"route": "no-slash", "function": "f", "class": "once"})));
+            }
+            let base = (!any).then_some(base);
+            let call = ApiCall::Change { op: mark.clone(), base, whole, scope: String::new(), items };
+            self.operators.open.insert((n, ask), Asked { mark, base, invalid });
+            self.feed_registry(n, CoreInput::Call { ask, call });
+        }
+    }
+
+    pub fn operator_answer(&mut self, n: usize, ask: u64, reply: ApiReply) {
+        if self.operators.reading == Some((n, ask)) {
+            self.operators.reading = None;
+            if reply.status == 200 {
+                self.operators.read = serde_json::from_str(&reply.body).ok();
+            }
+            return;
+        }
+        let Some(asked) = self.operators.open.remove(&(n, ask)) else { return };
+        let now = self.now;
+        match reply.status {
+            200 => {
+                let revision = reply.revision.unwrap_or_default();
+                if asked.invalid {
+                    self.rules.tell(now, format!("invalid change {} was acknowledged", asked.mark));
+                }
+                let same_base = |(_, _, base): &(u64, String, Option<u64>)| base.is_some() && *base == asked.base;
+                if self.operators.acked.iter().any(same_base) {
+                    self.rules.tell(now, format!("two changes on revision {:?} were acknowledged", asked.base));
+                }
+                self.operators.founded = true;
+                self.operators.revision = self.operators.revision.max(revision);
+                self.operators.last_ack = now;
+                self.rules.acknowledged(now, revision);
+                self.operators.acked.push((revision, asked.mark, asked.base));
+            }
+            412 => {
+                let told: Value = serde_json::from_str(&reply.body).unwrap_or_default();
+                let latest = told["faults"]["latest"].as_u64().unwrap_or_default();
+                self.operators.revision = self.operators.revision.max(latest);
+                self.operators.refused.push(asked.mark);
+            }
+            504 => self.operators.unknown.push(asked.mark),
+            _ => self.operators.refused.push(asked.mark),
+        }
+    }
+
+    fn read_back(&mut self) {
+        if self.operators.read.is_some() {
+            return;
+        }
+        if self.operators.reading.is_none() {
+            let n = self.dice.random_range(0..3);
+            if self.registries[n].core.is_some() {
+                self.operators.next += 1;
+                let ask = self.operators.next;
+                self.operators.reading = Some((n, ask));
+                let call = ApiCall::Configuration { scope: String::new() };
+                self.feed_registry(n, CoreInput::Call { ask, call });
+            }
+        }
+        self.after(Duration::from_millis(700), Event::Operator);
+    }
+
+    /// The read-back at the end: as new as the newest acknowledged, and never a refused one.
+    pub fn check_read_back(&mut self) {
+        let now = self.now;
+        let Some(read) = self.operators.read.clone() else {
+            return self.rules.tell(now, "the configuration could not be read back at the end".into());
+        };
+        let revision = read["revision"].as_u64().unwrap_or_default();
+        let mark = read["headcount-plans"]["t0/mark"]["fixed"].as_u64().map(|n| format!("m{n}")).unwrap_or_default();
+        let newest = self.operators.acked.iter().max_by_key(|(revision, ..)| *revision).cloned();
+        if let Some((acked, acked_mark, _)) = newest {
+            if revision < acked {
+                self.rules.tell(now, format!("read back {revision}, though {acked} was acknowledged"));
+            }
+            if revision == acked && mark != acked_mark {
+                self.rules.tell(now, format!("read back {mark} at {revision}, acknowledged was {acked_mark}"));
+            }
+            if revision > acked && !self.operators.unknown.contains(&mark) {
+                self.rules.tell(now, format!("read back {mark} at {revision}, which nobody knows"));
+            }
+        }
+        if self.operators.refused.contains(&mark) {
+            self.rules.tell(now, format!("refused change {mark} took effect"));
+        }
+    }
+}
+
+/// A change is known by a number kept in a plan of a function that is never called.
+fn mark_line(mark: &str) -> ItemLine {
+    let number: u64 = mark[1..].parse().unwrap_or_default();
+    line("headcount-plans/t0/mark", json!({"fixed": number % 1000}))
+}
--- /dev/null
+++ b/crates/sim/src/registry_node.rs
@@ -0,0 +1,153 @@
+//! A registry in the simulator: the real core over a disk that keeps only what was synced.
+
+use crate::world::{Event, Place, TICK, World};
+use chain::{Batch, Member, Stored, Timing, apply_batch};
+use control::{ApiReply, Core, CoreInput, CoreOutput, CoreTiming};
+use rand::RngExt;
+use std::time::Duration;
+use wire::{Message, NodeId, Seat};
+
+pub struct RegistryNode {
+    pub id: NodeId,
+    pub address: String,
+    pub life: u64,
+    pub core: Option<Core>,
+    pub disk: Stored,
+    pub pending: Option<(u64, Batch)>,
+    pub stalled_until: Duration,
+    pub full: bool,
+    pub base: Duration,
+    pub frozen_until: Duration,
+}
+
+impl World {
+    pub fn add_registry(&mut self, n: usize) {
+        let address = self.seeds[n].clone();
+        self.registries.push(RegistryNode {
+            id: 0,
+            address,
+            life: 0,
+            core: None,
+            disk: Stored::default(),
+            pending: None,
+            stalled_until: Duration::ZERO,
+            full: false,
+            base: Duration::ZERO,
+            frozen_until: Duration::ZERO,
+        });
+        self.start_registry(n);
+    }
+
+    pub fn start_registry(&mut self, n: usize) {
+        if self.registries[n].core.is_some() {
+            return;
+        }
+        let fresh = self.dice.random::<u64>() | 1;
+        let life = self.dice.random::<u64>() >> 8;
+        let now = self.now;
+        let node = &mut self.registries[n];
+        let seat_id = if node.disk.meta.seat.id == 0 { fresh } else { node.disk.meta.seat.id };
+        let seat = Seat { id: seat_id, address: node.address.as_str().into() };
+        node.disk.meta.seat = seat.clone();
+        node.id = seat_id;
+        node.life = life;
+        node.base = now;
+        node.full = false;
+        node.frozen_until = Duration::ZERO;
+        let member = Member::new(seat, node.disk.clone(), Timing::default(), control::apply, Duration::ZERO);
+        node.core = Some(Core::new(member, CoreTiming::default(), life << 20));
+        self.net.names.insert(seat_id, Place::Registry(n));
+        self.say(|| format!("registry {n} starts as {seat_id:016x}"));
+        self.after(TICK, Event::Tick { at: Place::Registry(n), life });
+        self.announce(seat_id, true);
+    }
+
+    /// Power loss: a write not yet reported may or may not have reached the disk.
+    pub fn kill_registry(&mut self, n: usize) {
+        let landed = self.dice.random_ratio(1, 3);
+        let node = &mut self.registries[n];
+        if node.core.take().is_none() {
+            return;
+        }
+        if let Some((_, batch)) = node.pending.take()
+            && landed
+        {
+            apply_batch(&mut node.disk, &batch);
+        }
+        node.life = 0;
+        let id = node.id;
+        self.say(|| format!("registry {n} is killed"));
+        self.operators.lost_registry(n);
+        self.announce(id, false);
+    }
+
+    pub fn feed_registry(&mut self, n: usize, input: CoreInput) {
+        let now = self.now.saturating_sub(self.registries[n].base);
+        let Some(core) = self.registries[n].core.as_mut() else { return };
+        let outputs = core.step(now, input);
+        for output in outputs {
+            self.registry_output(n, output);
+        }
+    }
+
+    pub fn tick_registry(&mut self, n: usize) {
+        self.feed_registry(n, CoreInput::Tick);
+    }
+
+    pub fn to_registry(&mut self, n: usize, from: NodeId, incarnation: u64, message: Message) {
+        match message {
+            Message::Chain(message) => self.feed_registry(n, CoreInput::Chain { from, message }),
+            Message::Hold(message) => self.feed_registry(n, CoreInput::Router { from, incarnation, message }),
+            _ => {}
+        }
+    }
+
+    pub fn written(&mut self, n: usize, life: u64, ticket: u64) {
+        let node = &mut self.registries[n];
+        if node.life != life {
+            return;
+        }
+        let until = node.stalled_until.max(node.frozen_until);
+        if until > self.now {
+            return self.at(until, Event::Written { registry: n, life, ticket });
+        }
+        if node.full {
+            return self.feed_registry(n, CoreInput::DiskFault);
+        }
+        if let Some((_, batch)) = node.pending.take_if(|(known, _)| *known == ticket) {
+            apply_batch(&mut node.disk, &batch);
+            self.feed_registry(n, CoreInput::Written { ticket });
+        }
+    }
+
+    fn registry_output(&mut self, n: usize, output: CoreOutput) {
+        let from = Place::Registry(n);
+        match output {
+            CoreOutput::Registry { to, message } => self.send(from, to, Message::Chain(message)),
+            CoreOutput::Router { to, message } => self.send(from, to, Message::Hold(message)),
+            CoreOutput::Seeds { message } => {
+                for other in 0..self.registries.len() {
+                    if self.seeds.contains(&self.registries[other].address) && other != n {
+                        self.send_place(from, Place::Registry(other), Message::Chain(message.clone()));
+                    }
+                }
+            }
+            CoreOutput::Write { ticket, batch } => {
+                let wait = Duration::from_micros(self.dice.random_range(400..4000));
+                let life = self.registries[n].life;
+                self.registries[n].pending = Some((ticket, batch));
+                self.after(wait, Event::Written { registry: n, life, ticket });
+            }
+            CoreOutput::Reply { ask, reply } => self.operator_reply(n, ask, reply),
+            CoreOutput::Viewed { view } => self.say(|| {
+                let chain: Vec<String> = view.chain.iter().map(|id| format!("{:04x}", id >> 48)).collect();
+                format!("registry {n} adopts view {} chain {}", view.number, chain.join(" "))
+            }),
+            CoreOutput::Activated { .. } => {}
+        }
+    }
+
+    pub fn operator_reply(&mut self, n: usize, ask: u64, reply: ApiReply) {
+        self.operator_answer(n, ask, reply);
+    }
+}
--- /dev/null
+++ b/crates/sim/src/router_node.rs
@@ -0,0 +1,253 @@
+//! A router in the simulator: the real follower, front and home, fed by hand.
+
+use crate::world::{Event, Place, TICK, World};
+use bindings::Book;
+use holds::{Follower, FollowerInput, FollowerOutput, FollowerTiming, mix};
+use rand::RngExt;
+use std::collections::VecDeque;
+use std::rc::Rc;
+use std::time::Duration;
+use traffic::{Front, FrontInput, FrontLimits, FrontOutput, Home, HomeInput, HomeOutput, HomeTiming};
+use wire::{CarryMsg, HoldMsg, Message, NodeId};
+
+pub struct Machines {
+    pub follower: Follower,
+    pub front: Front,
+    pub home: Home,
+    pub heard: Option<Duration>,
+    pub seats: Vec<String>,
+}
+
+pub struct RouterNode {
+    pub id: NodeId,
+    pub address: String,
+    pub zone: &'static str,
+    pub life: u64,
+    pub base: Duration,
+    pub frozen_until: Duration,
+    pub machines: Option<Machines>,
+}
+
+impl RouterNode {
+    pub fn alive(&self) -> bool {
+        self.machines.is_some()
+    }
+}
+
+pub enum Turn {
+    Front(FrontInput),
+    Home(HomeInput),
+}
+
+impl World {
+    pub fn add_router(&mut self, n: usize) {
+        let address = format!("10.0.1.{n}:1");
+        self.routers.push(RouterNode {
+            id: mix(&[address.as_bytes()]) | 1,
+            address,
+            zone: ["a", "b", "c"][n % 3],
+            life: 0,
+            base: Duration::ZERO,
+            frozen_until: Duration::ZERO,
+            machines: None,
+        });
+        self.start_router(n);
+    }
+
+    pub fn start_router(&mut self, n: usize) {
+        if self.routers[n].alive() {
+            return;
+        }
+        let life = self.dice.random::<u64>() >> 8;
+        let node = &mut self.routers[n];
+        node.life = life;
+        node.base = self.now;
+        node.frozen_until = Duration::ZERO;
+        let timing = FollowerTiming::default();
+        node.machines = Some(Machines {
+            follower: Follower::new(node.id, &node.address, node.zone, "", timing),
+            front: Front::new(node.id, life, FrontLimits::default()),
+            home: Home::new(node.id, life, HomeTiming::default()),
+            heard: None,
+            seats: self.seeds.clone(),
+        });
+        let id = node.id;
+        self.net.names.insert(id, Place::Router(n));
+        self.say(|| format!("router {n} starts as {id:016x}"));
+        self.after(TICK, Event::Tick { at: Place::Router(n), life });
+        self.announce(id, true);
+        for other in 0..self.routers.len() {
+            let known = self.routers[other].id;
+            if other != n && self.routers[other].alive() {
+                self.after(Duration::from_millis(5), Event::Link { router: n, id: known, up: true });
+            }
+        }
+    }
+
+    pub fn kill_router(&mut self, n: usize) {
+        if self.routers[n].machines.take().is_none() {
+            return;
+        }
+        self.routers[n].life = 0;
+        let id = self.routers[n].id;
+        self.say(|| format!("router {n} is killed"));
+        self.callers_lost(n);
+        self.yard.forget_router(n);
+        self.announce(id, false);
+    }
+
+    pub fn link(&mut self, n: usize, id: NodeId, up: bool) {
+        if let Some(until) = self.frozen_until(Place::Router(n)) {
+            return self.at(until, Event::Link { router: n, id, up });
+        }
+        let reached = self.net.names.get(&id).copied();
+        let cut = reached.is_some_and(|place| {
+            self.net.cuts.contains(&(Place::Router(n), place)) || self.net.cuts.contains(&(place, Place::Router(n)))
+        });
+        if !(up && cut) {
+            self.turn(n, Turn::Front(FrontInput::Link { id, up }));
+        }
+    }
+
+    pub fn router_now(&self, n: usize) -> Duration {
+        self.now.saturating_sub(self.routers[n].base)
+    }
+
+    pub fn tick_router(&mut self, n: usize) {
+        self.follow(n, FollowerInput::Tick);
+        let now = self.router_now(n);
+        let Some(machines) = &self.routers[n].machines else { return };
+        let near = machines.heard.is_some_and(|at| now < at + Duration::from_millis(2500));
+        self.turn(n, Turn::Home(HomeInput::Core { near }));
+        self.turn(n, Turn::Front(FrontInput::Tick));
+        self.turn(n, Turn::Home(HomeInput::Tick));
+    }
+
+    pub fn to_router(&mut self, n: usize, from: NodeId, _incarnation: u64, message: Message) {
+        let now = self.router_now(n);
+        match message {
+            Message::Hold(message @ (HoldMsg::PeerAsk { .. } | HoldMsg::PeerReceipt { .. })) => {
+                self.follow(n, FollowerInput::Peer { from, message })
+            }
+            Message::Hold(message @ (HoldMsg::EnterReceipt { .. } | HoldMsg::ReadReceipt { .. })) => {
+                self.turn(n, Turn::Home(HomeInput::Ledger { message }))
+            }
+            Message::Hold(message) => {
+                if let (HoldMsg::Proof { .. }, Some(machines)) = (&message, &mut self.routers[n].machines) {
+                    machines.heard = Some(now);
+                }
+                self.follow(n, FollowerInput::Registry { from, message });
+            }
+            Message::Carry(message @ (CarryMsg::Carry { .. } | CarryMsg::Handover { .. })) => {
+                self.turn(n, Turn::Home(HomeInput::Carry { from, message }))
+            }
+            Message::Carry(message) => self.turn(n, Turn::Front(FrontInput::Carried { from, message })),
+            _ => {}
+        }
+    }
+
+    pub fn follow(&mut self, n: usize, input: FollowerInput) {
+        let now = self.router_now(n);
+        let Some(machines) = &mut self.routers[n].machines else { return };
+        for output in machines.follower.step(now, input) {
+            self.follower_output(n, output);
+        }
+    }
+
+    fn follower_output(&mut self, n: usize, output: FollowerOutput) {
+        let place = Place::Router(n);
+        match output {
+            FollowerOutput::ToRegistry { to: Some(to), message } => self.send(place, to, Message::Hold(message)),
+            FollowerOutput::ToRegistry { to: None, message } => {
+                let Some(machines) = &self.routers[n].machines else { return };
+                let seats = machines.seats.clone();
+                for other in 0..self.registries.len() {
+                    if seats.contains(&self.registries[other].address) {
+                        self.send_place(place, Place::Registry(other), Message::Hold(message.clone()));
+                    }
+                }
+            }
+            FollowerOutput::ToPeer { to, message } => self.send(place, to, Message::Hold(message)),
+            FollowerOutput::Activated { step, revision } => {
+                let Some(machines) = &self.routers[n].machines else { return };
+                let book = Rc::new(Book::build(step, revision, machines.follower.pairs()));
+                self.turn(n, Turn::Home(HomeInput::Book { book: book.clone() }));
+                self.turn(n, Turn::Front(FrontInput::Book { book }));
+            }
+            FollowerOutput::Rostered { .. } => {
+                let Some(machines) = &self.routers[n].machines else { return };
+                let roster = Rc::new(machines.follower.roster().clone());
+                self.turn(n, Turn::Home(HomeInput::Roster { roster: roster.clone() }));
+                self.turn(n, Turn::Front(FrontInput::Roster { roster }));
+            }
+            FollowerOutput::Seats { addresses } => {
+                if let Some(machines) = &mut self.routers[n].machines {
+                    let seeds = self.seeds.iter().cloned();
+                    machines.seats = addresses.into_iter().chain(seeds).collect();
+                }
+            }
+            FollowerOutput::Standing { standing } => self.say(|| format!("router {n} stands {standing:?}")),
+        }
+    }
+
+    pub fn turn(&mut self, n: usize, first: Turn) {
+        let mut turns = VecDeque::from([first]);
+        while let Some(turn) = turns.pop_front() {
+            let now = self.router_now(n);
+            let me = self.routers[n].id;
+            let Some(machines) = &mut self.routers[n].machines else { return };
+            let may_serve = now < machines.follower.serves_until();
+            let revision = machines.follower.revision();
+            match turn {
+                Turn::Front(input) => {
+                    for output in machines.front.step(now, may_serve, input) {
+                        match output {
+                            FrontOutput::Reply { ask, reply } => self.caller_reply(n, ask, reply),
+                            FrontOutput::Carry { to, message } => {
+                                self.rules.served(self.now, revision);
+                                if to == me {
+                                    turns.push_back(Turn::Home(HomeInput::Carry { from: to, message }));
+                                } else {
+                                    self.send(Place::Router(n), to, Message::Carry(message));
+                                }
+                            }
+                        }
+                    }
+                }
+                Turn::Home(input) => {
+                    let tail = machines.follower.tail();
+                    for output in machines.home.step(now, may_serve, input) {
+                        match output {
+                            HomeOutput::Carry { to, message } if to == me => {
+                                turns.push_back(Turn::Front(FrontInput::Carried { from: to, message }));
+                            }
+                            HomeOutput::Carry { to, message } => {
+                                self.send(Place::Router(n), to, Message::Carry(message));
+                            }
+                            HomeOutput::Enter { ask, body } => {
+                                let message = HoldMsg::Enter { ask, body: body.into() };
+                                self.to_tail(n, tail, message);
+                            }
+                            HomeOutput::Read { ask, prefix } => {
+                                let message = HoldMsg::Read { ask, prefix: prefix.into(), from: "".into() };
+                                self.to_tail(n, tail, message);
+                            }
+                            HomeOutput::Dispatch(order) => {
+                                self.rules.served(self.now, revision);
+                                self.dispatch(n, order);
+                            }
+                            HomeOutput::Platform(order) => self.platform_order(n, order),
+                            HomeOutput::PlanAsk { .. } | HomeOutput::Samples { .. } => {}
+                        }
+                    }
+                }
+            }
+        }
+    }
+
+    fn to_tail(&mut self, n: usize, tail: Option<NodeId>, message: HoldMsg) {
+        if let Some(tail) = tail {
+            self.send(Place::Router(n), tail, Message::Hold(message));
+        }
+    }
+}
--- /dev/null
+++ b/crates/sim/src/world.rs
@@ -0,0 +1,189 @@
+//! The world: nodes, a queue of timed events, and the loop that takes them one by one.
+
+use crate::callers::Callers;
+use crate::chances::{Plan, Sort};
+use crate::net::Net;
+use crate::operators::Operators;
+use crate::registry_node::RegistryNode;
+use crate::router_node::RouterNode;
+use crate::rules::Rules;
+use crate::yard::SimYard;
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BinaryHeap};
+use std::time::Duration;
+use wire::{Message, NodeId};
+
+pub const TICK: Duration = Duration::from_millis(20);
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Place {
+    Registry(usize),
+    Router(usize),
+}
+
+pub enum Event {
+    Tick { at: Place, life: u64 },
+    Frame { to: Place, life: u64, from: NodeId, incarnation: u64, message: Message },
+    Written { registry: usize, life: u64, ticket: u64 },
+    Platform { router: usize, life: u64, report: platform::PlatformReport, listed_at: Duration },
+    InstanceDone { number: u64 },
+    Listing,
+    Link { router: usize, id: NodeId, up: bool },
+    Caller,
+    CallerRetry { task: u64 },
+    Operator,
+    Fault,
+    Mend { what: crate::faults::Mending },
+}
+
+pub struct World {
+    pub seed: u64,
+    pub plan: Plan,
+    pub now: Duration,
+    pub dice: ChaCha8Rng,
+    pub events: BTreeMap<u64, Event>,
+    pub queue: BinaryHeap<Reverse<(Duration, u64)>>,
+    pub next: u64,
+    pub registries: Vec<RegistryNode>,
+    pub routers: Vec<RouterNode>,
+    pub seeds: Vec<String>,
+    pub net: Net,
+    pub yard: SimYard,
+    pub callers: Callers,
+    pub operators: Operators,
+    pub rules: Rules,
+    pub steps: u64,
+    pub faulting: bool,
+    pub trace: bool,
+}
+
+#[derive(Debug)]
+pub struct Outcome {
+    pub seed: u64,
+    pub steps: u64,
+    pub broken: Vec<String>,
+    pub summary: String,
+}
+
+impl World {
+    pub fn new(seed: u64, plan: Plan) -> World {
+        let mut world = World {
+            seed,
+            now: Duration::ZERO,
+            dice: ChaCha8Rng::seed_from_u64(seed),
+            events: BTreeMap::new(),
+            queue: BinaryHeap::new(),
+            next: 0,
+            registries: Vec::new(),
+            routers: Vec::new(),
+            seeds: (0..3).map(|n| format!("10.0.0.{n}:1")).collect(),
+            net: Net::default(),
+            yard: SimYard::default(),
+            callers: Callers::default(),
+            operators: Operators::default(),
+            rules: Rules::default(),
+            steps: 0,
+            faulting: false,
+            trace: false,
+            plan,
+        };
+        for n in 0..3 {
+            world.add_registry(n);
+        }
+        for n in 0..world.plan.routers {
+            world.add_router(n);
+        }
+        world.at(Duration::from_millis(500), Event::Listing);
+        world.at(Duration::from_secs(3), Event::Operator);
+        world.at(Duration::from_secs(5), Event::Caller);
+        world.at(world.plan.faults_from, Event::Fault);
+        world
+    }
+
+    pub fn at(&mut self, time: Duration, event: Event) {
+        self.next += 1;
+        self.events.insert(self.next, event);
+        self.queue.push(Reverse((time, self.next)));
+    }
+
+    pub fn after(&mut self, wait: Duration, event: Event) {
+        self.at(self.now + wait, event);
+    }
+
+    pub fn say(&self, told: impl FnOnce() -> String) {
+        if self.trace {
+            eprintln!("{:>9.3} {}", self.now.as_secs_f64(), told());
+        }
+    }
+
+    /// One event; false when the run is over or a rule is broken.
+    pub fn step(&mut self) -> bool {
+        let Some(Reverse((time, number))) = self.queue.pop() else { return false };
+        if time > self.plan.end || !self.rules.broken.is_empty() {
+            return false;
+        }
+        self.now = time;
+        self.steps += 1;
+        let Some(event) = self.events.remove(&number) else { return true };
+        match event {
+            Event::Tick { at, life } => self.tick(at, life),
+            Event::Frame { to, life, from, incarnation, message } => self.arrive(to, life, from, incarnation, message),
+            Event::Written { registry, life, ticket } => self.written(registry, life, ticket),
+            Event::Platform { router, life, report, listed_at } => self.reported(router, life, report, listed_at),
+            Event::InstanceDone { number } => self.instance_done(number),
+            Event::Listing => self.listing(),
+            Event::Link { router, id, up } => self.link(router, id, up),
+            Event::Caller => self.caller(),
+            Event::CallerRetry { task } => self.caller_retry(task),
+            Event::Operator => self.operator(),
+            Event::Fault => self.fault(),
+            Event::Mend { what } => self.mend(what),
+        }
+        self.check_chain();
+        true
+    }
+
+    fn tick(&mut self, at: Place, life: u64) {
+        if let Some(until) = self.frozen_until(at) {
+            return self.at(until, Event::Tick { at, life });
+        }
+        match at {
+            Place::Registry(n) if self.registries[n].life == life => self.tick_registry(n),
+            Place::Router(n) if self.routers[n].life == life => self.tick_router(n),
+            _ => return,
+        }
+        self.after(TICK, Event::Tick { at, life });
+    }
+
+    pub fn frozen_until(&self, at: Place) -> Option<Duration> {
+        let until = match at {
+            Place::Registry(n) => self.registries[n].frozen_until,
+            Place::Router(n) => self.routers[n].frozen_until,
+        };
+        (until > self.now).then_some(until)
+    }
+
+    fn arrive(&mut self, to: Place, life: u64, from: NodeId, incarnation: u64, message: Message) {
+        if let Some(until) = self.frozen_until(to) {
+            return self.at(until, Event::Frame { to, life, from, incarnation, message });
+        }
+        match to {
+            Place::Registry(n) if self.registries[n].life == life => self.to_registry(n, from, incarnation, message),
+            Place::Router(n) if self.routers[n].life == life => self.to_router(n, from, incarnation, message),
+            _ => {}
+        }
+    }
+}
+
+pub fn run(seed: u64, sort: Sort, trace: bool) -> Outcome {
+    let mut world = World::new(seed, Plan::new(seed, sort));
+    world.trace = trace;
+    while world.step() {}
+    if world.rules.broken.is_empty() {
+        world.check_end();
+    }
+    let summary = world.summary();
+    Outcome { seed, steps: world.steps, broken: world.rules.broken, summary }
+}
