Keep numbers of two incarnations apart; never dispatch without time to answer

Numbers now begin at the incarnation. Also: held tasks were sent with less time left than an answer takes, which filled instances with work nobody waited for; such a task is given up at once. The stand-in leaked a slot when a caller hung up.

--- a/crates/holds/src/follower.rs
+++ b/crates/holds/src/follower.rs
@@ -77,7 +77,7 @@
 }
 
 impl Follower {
-    pub fn new(me: NodeId, address: &str, zone: &str, ops: &str, timing: FollowerTiming) -> Self {
+    pub fn new(me: NodeId, incarnation: u64, address: &str, zone: &str, ops: &str, timing: FollowerTiming) -> Self {
         Follower {
             me,
             joining: (address.into(), zone.into(), ops.into()),
@@ -96,7 +96,7 @@
             leaving: false,
             tail: None,
             asks: BTreeMap::new(),
-            next_ask: 1,
+            next_ask: (incarnation & 0x3fff_ffff) << 32,
             proof: None,
             peer_proof: None,
             peer_round: None,
--- a/crates/sim/src/callers.rs
+++ b/crates/sim/src/callers.rs
@@ -53,7 +53,7 @@
         };
         if task.class == "once" && self.dice.random_ratio(1, 10) {
             let mut twin = task.clone();
-            twin.label = format!("{}#2", self.callers.next);
+            twin.label = format!("{}#twin", self.callers.next);
             twin.tries = 9;
             self.call(twin);
         }
--- a/crates/sim/src/router_node.rs
+++ b/crates/sim/src/router_node.rs
@@ -65,7 +65,7 @@
         node.frozen_until = Duration::ZERO;
         let timing = FollowerTiming::default();
         node.machines = Some(Machines {
-            follower: Follower::new(node.id, &node.address, node.zone, "", timing),
+            follower: Follower::new(node.id, life, &node.address, node.zone, "", timing),
             front: Front::new(node.id, life, FrontLimits::default()),
             home: Home::new(node.id, life, HomeTiming::default()),
             heard: None,
--- a/crates/traffic/src/desk.rs
+++ b/crates/traffic/src/desk.rs
@@ -10,6 +10,8 @@
 
 const TURNED_LENGTH: Duration = Duration::from_secs(5);
 const TURNED_MOST: usize = 9;
+const GROW: Duration = Duration::from_secs(1);
+const GROW_CALM: Duration = Duration::from_millis(200);
 
 pub struct Desk {
     pub function: Function,
@@ -24,6 +26,7 @@
     pub arrivals: u32,
     pub answered: u32,
     pub answer_time: Duration,
+    pub mean_time: Duration,
     pub waiting_sum: f64,
     pub held_sum: f64,
     pub looks: u32,
@@ -47,6 +50,7 @@
             arrivals: 0,
             answered: 0,
             answer_time: Duration::ZERO,
+            mean_time: Duration::ZERO,
             waiting_sum: 0.0,
             held_sum: 0.0,
             looks: 0,
@@ -56,6 +60,17 @@
         }
     }
 
+    /// The least time in which a task can be expected to be answered once it is sent.
+    pub fn least_time(&self) -> Duration {
+        self.mean_time.mul_f64(1.5).clamp(Duration::from_millis(30), Duration::from_millis(1000))
+    }
+
+    pub fn took(&mut self, time: Duration) {
+        self.answered += 1;
+        self.answer_time += time;
+        self.mean_time = if self.mean_time.is_zero() { time } else { (self.mean_time * 7 + time) / 8 };
+    }
+
     pub fn count(&self, phase: Phase) -> u32 {
         self.instances.values().filter(|instance| instance.phase() == phase).count() as u32
     }
@@ -89,8 +104,9 @@
 
     pub fn grow_back(&mut self, now: Duration) {
         let limit = self.function.instance_limit;
+        let pause = if self.turned.count(now) == 0 { GROW_CALM } else { GROW };
         for instance in self.instances.values_mut() {
-            if instance.allowed < limit && now > instance.allowed_at + Duration::from_secs(1) {
+            if instance.allowed < limit && now > instance.allowed_at + pause {
                 instance.allowed += 1;
                 instance.allowed_at = now;
             }
--- a/crates/traffic/src/front.rs
+++ b/crates/traffic/src/front.rs
@@ -30,6 +30,12 @@
     pub refusals: u64,
 }
 
+/// Numbers of one incarnation are never those of another, so that an answer meant for a task of
+/// the one before cannot find a task of this one.
+pub fn first_number(incarnation: u64) -> u64 {
+    (incarnation & 0x3fff_ffff) << 32
+}
+
 impl Front {
     pub fn new(me: NodeId, incarnation: u64, limits: FrontLimits) -> Self {
         Front {
@@ -42,7 +48,7 @@
             linked: BTreeSet::new(),
             book: None,
             roster: Rc::default(),
-            next: 0,
+            next: first_number(incarnation),
             now: Duration::ZERO,
             may_serve: false,
             outs: Vec::new(),
--- a/crates/traffic/src/giving_up.rs
+++ b/crates/traffic/src/giving_up.rs
@@ -1,17 +1,26 @@
 //! Giving up, with the truth and at once: what ran out of time, and what must go back to its front.
 
 use crate::home::Home;
-use crate::home_types::{HomeOutput, Place};
+use crate::home_types::{HomeOutput, HomeTask, Place};
 use bindings::Class;
+use std::time::Duration;
 use wire::{CarryMsg, Outcome};
 
 impl Home {
+    /// A held task without the time its answer takes is given up now, not sent in vain.
+    fn least_time(&self, task: &HomeTask) -> Duration {
+        match (&task.place, self.desks.get(&task.function)) {
+            (Place::Held, Some(desk)) => desk.least_time(),
+            _ => Duration::ZERO,
+        }
+    }
+
     pub(crate) fn expire_pass(&mut self) {
         let now = self.now;
         let late: Vec<u64> = self
             .tasks
             .iter()
-            .filter(|(_, task)| task.caller && now + self.timing.margin >= task.due)
+            .filter(|(_, task)| task.caller && now + self.timing.margin + self.least_time(task) >= task.due)
             .filter(|(_, task)| task.class == Class::Deferred || !matches!(task.place, Place::Running { .. }))
             .map(|(number, _)| *number)
             .collect();
--- a/crates/traffic/src/home.rs
+++ b/crates/traffic/src/home.rs
@@ -60,7 +60,7 @@
             stopped: BTreeMap::new(),
             unbound: BTreeMap::new(),
             finished: BTreeMap::new(),
-            next: 0,
+            next: crate::front::first_number(incarnation),
             starts_left: 4.0,
             refilled: Duration::ZERO,
             scaled: Duration::ZERO,
--- a/crates/traffic/src/passes.rs
+++ b/crates/traffic/src/passes.rs
@@ -103,8 +103,7 @@
                     desk.turned_away(now, &instance_id);
                 }
                 Verdict::Whole { .. } => {
-                    desk.answered += 1;
-                    desk.answer_time += now.saturating_sub(begun);
+                    desk.took(now.saturating_sub(begun));
                 }
                 Verdict::InDoubt { told, .. } => event!(instance_doubted, "{instance_id}: {told}"),
                 Verdict::NotSent => {}
--- a/crates/traffic/src/service.rs
+++ b/crates/traffic/src/service.rs
@@ -117,7 +117,7 @@
     let timing = FollowerTiming { hold: settings.hold, ..FollowerTiming::default() };
     let control = Control {
         begun,
-        follower: Follower::new(me, &settings.address, &settings.zone, &settings.ops, timing),
+        follower: Follower::new(me, incarnation, &settings.address, &settings.zone, &settings.ops, timing),
         pass,
         links: find(&directory, "links"),
         traffic: find(&directory, "traffic"),
--- a/crates/yard/src/instance.rs
+++ b/crates/yard/src/instance.rs
@@ -86,8 +86,12 @@
         return (StatusCode::SERVICE_UNAVAILABLE, "at its limit").into_response();
     }
     note("run");
-    tokio::time::sleep(Duration::from_millis(endpoint.shape.work_ms)).await;
-    endpoint.busy.fetch_sub(1, Ordering::SeqCst);
+    let (busy, work) = (endpoint.busy.clone(), Duration::from_millis(endpoint.shape.work_ms));
+    let work = tokio::spawn(async move {
+        tokio::time::sleep(work).await;
+        busy.fetch_sub(1, Ordering::SeqCst);
+    });
+    let _ = work.await;
     if !endpoint.alive.load(Ordering::SeqCst) {
         return lost(64);
     }
