Finish view decisions that were begun and left open

Any voter now proposes for an acceptance left open, staggered by rank. Ruled out: lost chain entries, all three members stood at one position.

--- a/crates/chain/src/register.rs
+++ b/crates/chain/src/register.rs
@@ -81,6 +81,7 @@
         self.meta.promised = ballot;
         self.meta.accepted_ballot = ballot;
         self.meta.accepted = view;
+        self.accepted_at = self.now;
         self.keep_meta(vec![Output::Send { to: from, message: ChainMsg::Accepted { slot, ballot } }]);
     }
 
--- a/crates/chain/src/view.rs
+++ b/crates/chain/src/view.rs
@@ -114,6 +114,8 @@
         }
     }
 
+    /// Proposes the next view when it must: to finish a decision that was begun and left open, which
+    /// else would hold up every confirmation, or to take silent and unwell members out.
     pub(crate) fn mend(&mut self) {
         let me = self.meta.seat.id;
         let view = &self.meta.view;
@@ -124,6 +126,13 @@
             }
             return;
         }
+        let rank = view.voters.iter().position(|seat| seat.id == me).unwrap_or_default() as u32 + 1;
+        let left_open = self.meta.accepted_ballot > 0 && self.now > self.accepted_at + self.timing.suspect / 2 * rank;
+        if left_open && self.now >= self.propose_after {
+            let mut same = view.clone();
+            same.number += 1;
+            return self.propose(same);
+        }
         if !chain.contains(&me) || view.fresh == me || self.is_unwell() || self.now < self.propose_after {
             return;
         }
--- a/crates/sim/src/rules.rs
+++ b/crates/sim/src/rules.rs
@@ -164,6 +164,27 @@
         }
     }
 
+    /// Where each node stands, for the story of a run that ended badly.
+    pub fn standings(&self) -> Vec<String> {
+        let registries = self.registries.iter().enumerate().map(|(n, node)| match &node.core {
+            Some(core) => format!("registry {n}: {}", core.status()),
+            None => format!("registry {n}: down"),
+        });
+        let routers = self.routers.iter().enumerate().map(|(n, node)| match &node.machines {
+            Some(machines) => format!(
+                "router {n}: step {} staged {} roster {} tail {:x?}, front {}, home {:?}",
+                machines.follower.step_number(),
+                machines.follower.staged_number(),
+                machines.follower.roster().number,
+                machines.follower.tail(),
+                machines.front.depth(),
+                machines.home.depths(),
+            ),
+            None => format!("router {n}: down"),
+        });
+        registries.chain(routers).collect()
+    }
+
     pub fn summary(&self) -> String {
         let callers = &self.callers;
         format!(
--- a/crates/sim/src/world.rs
+++ b/crates/sim/src/world.rs
@@ -184,6 +184,9 @@
     if world.rules.broken.is_empty() {
         world.check_end();
     }
+    if trace {
+        world.standings().into_iter().for_each(|line| eprintln!("{line}"));
+    }
     let summary = world.summary();
     Outcome { seed, steps: world.steps, broken: world.rules.broken, summary }
 }
