--- a/crates/bindings/src/check.rs
+++ b/crates/bindings/src/check.rs
@@ -116,6 +116,7 @@
     want("soft_fraction", (0.0..=1.0).contains(&sheet.soft_fraction), "0 to 1");
     want("time_discount", sheet.time_discount > 0.0 && sheet.time_discount <= 1.0, "above 0, up to 1");
     want("target_usage", (0.05..=1.0).contains(&sheet.target_usage), "0.05 to 1");
+    want("demand_floor", (0.0..=1000.0).contains(&sheet.demand_floor), "0 to 1000");
     want("max_scale_up", (1..=1000).contains(&sheet.max_scale_up), "1 to 1000");
     want("max_scale_down", (1..=1000).contains(&sheet.max_scale_down), "1 to 1000");
     want("startup_delay_steps", (1..=8).contains(&sheet.startup_delay_steps), "1 to 8");
--- a/crates/bindings/src/resources.rs
+++ b/crates/bindings/src/resources.rs
@@ -87,6 +87,7 @@
     pub held_weight: f64,
     pub risk_aware: bool,
     pub target_usage: f64,
+    pub demand_floor: f64,
 }
 
 impl Default for WeightSheet {
@@ -107,6 +108,7 @@
             held_weight: 1.0,
             risk_aware: true,
             target_usage: 0.6,
+            demand_floor: 0.005,
         }
     }
 }
--- a/crates/control/src/optimizer.rs
+++ b/crates/control/src/optimizer.rs
@@ -19,6 +19,7 @@
 pub struct Host {
     pub me: NodeId,
     pub solve: Duration,
+    pub plans: bool,
     pub links: Post<LinkOrder>,
 }
 
@@ -53,7 +54,7 @@
                 }
             }
             OptimizerMsg::Frame { from, message: PlanMsg::Ask { ask, function, current, held, waiting } } => {
-                if view.optimizer != host.me {
+                if view.optimizer != host.me || !host.plans {
                     continue;
                 }
                 let Some(function) = functions.get(function.as_str()) else { continue };
--- a/crates/control/src/service.rs
+++ b/crates/control/src/service.rs
@@ -65,7 +65,7 @@
     let pages = api::router(Api { control: control.clone(), tokens, view: shown }, body);
     let api_thread =
         thread("api", move || local(async move { doors::serve(adopt(operators), pages, limits, stopping).await }))?;
-    let host = Host { me, solve: settings.solve, links: find(&directory, "links") };
+    let host = Host { me, solve: settings.solve, plans: settings.plans, links: find(&directory, "links") };
     thread("optimizer", move || optimizer::run(host, optimizer_inbox, Inbox::next_blocking))?;
     let written = control.clone();
     let disk = Disk::start(store, move |result| {
--- a/crates/fleet/src/line.rs
+++ b/crates/fleet/src/line.rs
@@ -12,6 +12,7 @@
   --deployment DIR   folder with deployment.toml, configuration.json, services.json
   --folder DIR       where data, logs and records go [run]
   --programs DIR     where the programs are [beside this one]
+  --no-plans         the fallback alone: registries make no plans
   --routers N        number of routers [the deployment's]
 prove:
   --seconds N        length of the load [60]
@@ -29,6 +30,7 @@
     pub folder: PathBuf,
     pub programs: PathBuf,
     pub routers: Option<usize>,
+    pub plans: bool,
     pub seconds: u64,
     pub seed: u64,
     pub factor: f64,
@@ -45,6 +47,7 @@
         folder: "run".into(),
         programs: beside,
         routers: None,
+        plans: true,
         seconds: 60,
         seed: 1,
         factor: 1.0,
@@ -67,6 +70,10 @@
                 what = word.to_string_lossy().into_owned();
                 continue;
             }
+            Long("no-plans") => {
+                order.plans = false;
+                continue;
+            }
             Long(name) => name.to_owned(),
             other => return Err(other.unexpected().to_string()),
         };
--- a/crates/fleet/src/processes.rs
+++ b/crates/fleet/src/processes.rs
@@ -96,6 +96,8 @@
                     &data.display().to_string(),
                     "--tokens",
                     &tokens,
+                    "--plans",
+                    &order.plans.to_string(),
                 ]),
                 data: Some(data),
             }
--- a/crates/scaler/src/demand.rs
+++ b/crates/scaler/src/demand.rs
@@ -2,7 +2,9 @@
 //! three-sample means of waiting tasks x 0.1 and held tasks x 1.0. The source leaves the unit of
 //! the response time open. It is taken here in units of 50 ms, so that the first term is the mean
 //! number of tasks in flight and every term counts tasks; an instance's capacity is then its limit
-//! at the sheet's target usage, and never less than the one task any instance can do.
+//! at the sheet's target usage, and never less than the one task any instance can do. Demand below
+//! the sheet's floor is none: a forecast is hardly ever exactly zero, and a function called once in
+//! several minutes should sleep between.
 
 use crate::forecast::Forecast;
 use crate::window::Sample;
@@ -35,7 +37,8 @@
 pub fn demand(rates: &[f64], level: Level, sheet: &WeightSheet) -> Vec<f64> {
     let units = level.response.as_secs_f64() / UNIT.as_secs_f64();
     let standing = level.waiting * sheet.waiting_weight + level.held * sheet.held_weight;
-    rates.iter().map(|rate| rate * units * sheet.work_weight + standing).collect()
+    let whole = rates.iter().map(|rate| rate * units * sheet.work_weight + standing);
+    whole.map(|demand| if demand < sheet.demand_floor { 0.0 } else { demand }).collect()
 }
 
 /// Demand, and the coverage the plan is held to: the upper band where the sheet is risk-aware.
@@ -64,6 +67,8 @@
         let asked = demand(&[0.0], rare, &sheet)[0];
         assert!((asked - 1.0 / 3.0).abs() < 1e-12);
         assert_eq!((asked / capacity(1, &sheet)).ceil(), 1.0);
+        let calm = Level::mean([sample(120, 0.0, 0.0)].iter());
+        assert_eq!(demand(&[0.03], calm, &sheet), vec![0.0], "a call in half a minute lets it sleep");
         // 60 a second at 200 ms keep 12 tasks in flight; limit 5 at 0.6 is 3 a piece: 4 instances.
         let busy = Level::mean([sample(200, 0.0, 0.0)].iter());
         let asked = demand(&[60.0], busy, &sheet)[0];
--- a/crates/sim/src/chances.rs
+++ b/crates/sim/src/chances.rs
@@ -11,6 +11,7 @@
     Mixed,
     Planned,
     Crowd,
+    Storm,
 }
 
 impl Sort {
@@ -23,6 +24,7 @@
             "mixed" => Sort::Mixed,
             "planned" => Sort::Planned,
             "crowd" => Sort::Crowd,
+            "storm" => Sort::Storm,
             _ => return None,
         })
     }
@@ -44,7 +46,7 @@
         let seconds = Duration::from_secs;
         Plan {
             sort,
-            routers: 3 + (seed % 3) as usize,
+            routers: if sort == Sort::Storm { 5 } else { 3 + (seed % 3) as usize },
             functions: 8,
             faults_from: seconds(8),
             faults_to: seconds(34),
--- a/crates/sim/src/faults.rs
+++ b/crates/sim/src/faults.rs
@@ -32,9 +32,9 @@
             Sort::Network => &[11, 12, 13],
             Sort::Planned => &[16, 17],
             Sort::Crowd => &[18],
-            Sort::Mixed => &[0, 1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17],
+            Sort::Mixed | Sort::Storm => &[0, 1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17],
         };
-        let pause = self.ms(300, 5000);
+        let pause = if self.plan.sort == Sort::Storm { self.ms(50, 1500) } else { self.ms(300, 5000) };
         self.after(pause, Event::Fault);
         if kinds.is_empty() {
             return;
--- a/crates/sim/src/main.rs
+++ b/crates/sim/src/main.rs
@@ -9,7 +9,7 @@
 Usage: sim run --seed N [--sort SORT]
        sim sweep [--from N] [--count N] [--sort SORT] [--threads N]
 
-SORT is calm, core, routers, network, mixed, planned or crowd [mixed].";
+SORT is calm, core, routers, network, mixed, planned, crowd or storm [mixed].";
 
 fn main() -> ExitCode {
     match work() {
--- a/crates/sim/src/operators.rs
+++ b/crates/sim/src/operators.rs
@@ -82,6 +82,7 @@
             let mark = format!("m{ask}");
             let whole = !self.operators.founded || self.dice.random_ratio(1, 3);
             let invalid = self.operators.founded && self.dice.random_ratio(1, 10);
+            let grows = self.operators.founded && self.dice.random_ratio(1, 12);
             let any = self.dice.random_ratio(1, 5);
             let mut items = if whole { self.items(&mark) } else { vec![mark_line(&mark)] };
             if invalid {
@@ -90,6 +91,15 @@
                     json!({"route": "no-slash", "function": "f", "class": "once"}),
                 ));
             }
+            if grows {
+                let at = ask * 1000;
+                items.extend((at..at + 400).map(|n| {
+                    line(
+                        &format!("function-bindings/grown/g{n}"),
+                        json!({"route": format!("/grown/{n}"), "function": format!("g{n}"), "class": "ordinary"}),
+                    )
+                }));
+            }
             let base = (!any).then_some(base);
             let call = ApiCall::Change { op: mark.clone(), base, whole, scope: String::new(), items };
             self.operators.open.insert((n, ask), Asked { mark, base, invalid });
--- a/crates/traffic/src/home.rs
+++ b/crates/traffic/src/home.rs
@@ -171,10 +171,10 @@
     }
 
     pub(crate) fn forget(&mut self, number: u64) {
-        if let Some(task) = self.tasks.remove(&number) {
-            if let Some(desk) = self.desks.get_mut(&task.function) {
-                desk.held.retain(|held| *held != number);
-            }
+        if let Some(task) = self.tasks.remove(&number)
+            && let Some(desk) = self.desks.get_mut(&task.function)
+        {
+            desk.held.retain(|held| *held != number);
         }
     }
 }
