--- a/crates/fleet/src/line.rs
+++ b/crates/fleet/src/line.rs
@@ -8,6 +8,7 @@
 
 Usage: fleet up --deployment DIR [options]          until interrupted
        fleet prove --deployment DIR [options]       load, faults, verdict
+       fleet smoke --deployment DIR [options]       what callers and operators would try first
 
   --deployment DIR   folder with deployment.toml, configuration.json, services.json
   --folder DIR       where data, logs and records go [run]
@@ -24,8 +25,15 @@
                      crash-worker, drain-worker, undrain-worker; mischief:NAME=SHARE[,..]; patch
   --refusals N       most own refusals let pass [any number]";
 
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum What {
+    Up,
+    Prove,
+    Smoke,
+}
+
 pub struct Order {
-    pub prove: bool,
+    pub what: What,
     pub deployment: PathBuf,
     pub folder: PathBuf,
     pub programs: PathBuf,
@@ -42,7 +50,7 @@
 pub fn parse(mut line: lexopt::Parser) -> Result<Option<Order>, String> {
     let beside = std::env::current_exe().ok().and_then(|path| path.parent().map(PathBuf::from)).unwrap_or_default();
     let mut order = Order {
-        prove: false,
+        what: What::Up,
         deployment: PathBuf::new(),
         folder: "run".into(),
         programs: beside,
@@ -93,10 +101,11 @@
             _ => return Err(format!("no flag --{name}; see --help")),
         }
     }
-    order.prove = match what.as_str() {
-        "up" => false,
-        "prove" => true,
-        _ => return Err("say up or prove; see --help".into()),
+    order.what = match what.as_str() {
+        "up" => What::Up,
+        "prove" => What::Prove,
+        "smoke" => What::Smoke,
+        _ => return Err("say up, prove or smoke; see --help".into()),
     };
     Ok(Some(order))
 }
--- a/crates/fleet/src/processes.rs
+++ b/crates/fleet/src/processes.rs
@@ -72,7 +72,7 @@
         let seats: Vec<(String, String)> = (0..3).map(|_| (port(), port())).collect();
         let seeds = seats.iter().map(|(peer, _)| peer.clone()).collect::<Vec<_>>().join(",");
         let zone = |n: usize| deployment.zones[n % deployment.zones.len().max(1)].clone();
-        let tokens = format!("*={TOKEN}");
+        let tokens = format!("*={TOKEN},pixelkrov=tenant-token-of-pixelkrov");
         let registries = seats.iter().enumerate().map(|(n, (peer, api))| {
             let data = folder.join(format!("registry-{n}"));
             Node {
--- a/crates/fleet/src/prove.rs
+++ b/crates/fleet/src/prove.rs
@@ -2,7 +2,7 @@
 //! load and the faults and asking the checker.
 
 use crate::deployment::Deployment;
-use crate::line::Order;
+use crate::line::{Order, What};
 use crate::processes::{Fleet, TOKEN};
 use heron::{Answer, Call, ask};
 use hyper::Method;
@@ -21,7 +21,8 @@
     result
 }
 
-async fn work(order: &Order, deployment: &Deployment, fleet: &mut Fleet) -> Result<bool, String> {
+/// Starts every process, applies the configuration, and returns once every router is ready.
+pub async fn bring_up(deployment: &Deployment, fleet: &mut Fleet) -> Result<(), String> {
     for node in [vec![fleet.yard.clone()], fleet.registries.clone(), fleet.routers.clone()].concat() {
         fleet.start(&node)?;
     }
@@ -50,9 +51,17 @@
         let ready = Call { address: router.ops, ..call(Method::GET, "/ready") };
         until("every router is ready", fleet, &ready, |answer| answer.status == 200).await?;
     }
-    println!("operators: {api} (token {TOKEN})");
+    Ok(())
+}
+
+async fn work(order: &Order, deployment: &Deployment, fleet: &mut Fleet) -> Result<bool, String> {
+    if order.what == What::Smoke {
+        return crate::smoke::run(order, deployment, fleet).await;
+    }
+    bring_up(deployment, fleet).await?;
+    println!("operators: {} (token {TOKEN})", fleet.registries[0].door);
     println!("callers: {}", doors(fleet));
-    if !order.prove {
+    if order.what == What::Up {
         println!("the fleet is up; interrupt to end it");
         kernel::wait_for_signal().await;
         return Ok(true);
@@ -64,7 +73,7 @@
     fleet.routers.iter().map(|node| node.door.clone()).collect::<Vec<_>>().join(",")
 }
 
-async fn until(what: &str, fleet: &mut Fleet, call: &Call, good: impl Fn(&Answer) -> bool) -> Result<(), String> {
+pub async fn until(what: &str, fleet: &mut Fleet, call: &Call, good: impl Fn(&Answer) -> bool) -> Result<(), String> {
     let begun = Instant::now();
     while begun.elapsed() < PATIENCE {
         if let Ok(answer) = ask(call).await
--- a/crates/heron/src/client.rs
+++ b/crates/heron/src/client.rs
@@ -19,6 +19,7 @@
     pub token: String,
     pub if_match: Option<String>,
     pub operation: Option<String>,
+    pub headers: Vec<(String, String)>,
     pub body: Vec<u8>,
     pub limit: Duration,
 }
@@ -44,6 +45,9 @@
     if let Some(operation) = &call.operation {
         request = request.header("operation-id", operation);
     }
+    for (name, value) in &call.headers {
+        request = request.header(name, value);
+    }
     request.body(Full::new(Bytes::from(call.body.clone()))).map_err(|fault| fault.to_string())
 }
 
--- a/crates/sim/src/router_node.rs
+++ b/crates/sim/src/router_node.rs
@@ -174,7 +174,7 @@
         }
     }
 
-    fn to_registries(&mut self, n: usize, message: PlanMsg) {
+    fn ask_registries(&mut self, n: usize, message: PlanMsg) {
         for registry in 0..self.registries.len() {
             self.send_place(Place::Router(n), Place::Registry(registry), Message::Plan(message.clone()));
         }
@@ -260,20 +260,20 @@
                             }
                             HomeOutput::Enter { ask, body } => {
                                 let message = HoldMsg::Enter { ask, body: body.into() };
-                                self.to_tail(n, tail, message);
+                                self.ask_tail(n, tail, message);
                             }
                             HomeOutput::Read { ask, prefix } => {
                                 let message = HoldMsg::Read { ask, prefix: prefix.into(), from: "".into() };
-                                self.to_tail(n, tail, message);
+                                self.ask_tail(n, tail, message);
                             }
                             HomeOutput::Dispatch(order) => {
                                 self.rules.served(self.now, revision);
                                 self.dispatch(n, order);
                             }
                             HomeOutput::Platform(order) => self.platform_order(n, order),
-                            HomeOutput::PlanAsk { message } => self.to_registries(n, message),
+                            HomeOutput::PlanAsk { message } => self.ask_registries(n, message),
                             HomeOutput::Samples { lines } => {
-                                self.to_registries(n, PlanMsg::Samples { lines: lines.into() });
+                                self.ask_registries(n, PlanMsg::Samples { lines: lines.into() });
                             }
                         }
                     }
@@ -282,7 +282,7 @@
         }
     }
 
-    fn to_tail(&mut self, n: usize, tail: Option<NodeId>, message: HoldMsg) {
+    fn ask_tail(&mut self, n: usize, tail: Option<NodeId>, message: HoldMsg) {
         if let Some(tail) = tail {
             self.send(Place::Router(n), tail, Message::Hold(message));
         }
