--- /dev/null
+++ b/crates/chain/tests/store.rs
@@ -0,0 +1,67 @@
+//! The data file: what was synced comes back; a damaged, foreign or newer file is refused with a
+//! clear word and left as it was.
+
+use chain::{Batch, Store, StoreFault};
+use std::path::PathBuf;
+use wire::{EntryLine, OpNo, Seat};
+
+fn folder(name: &str) -> PathBuf {
+    let folder = std::env::temp_dir().join(format!("heronlink-store-{name}-{}", std::process::id()));
+    let _ = std::fs::remove_dir_all(&folder);
+    std::fs::create_dir_all(&folder).unwrap();
+    folder
+}
+
+fn seat() -> Seat {
+    Seat { id: 5, address: "127.0.0.1:1".into() }
+}
+
+fn write_some(path: &std::path::Path) {
+    let (mut store, stored) = Store::open(path, "posta", seat()).unwrap();
+    assert_eq!((stored.last, stored.meta.seat.id), (0, 5));
+    for seq in 1..=20u64 {
+        let entry = EntryLine { seq, op: OpNo { origin: 1, number: seq }, body: vec![seq as u8; 100].into() };
+        let batch = Batch {
+            pairs: vec![(format!("key {}", seq % 7), Some(vec![seq as u8; 50].into()))],
+            entries: vec![entry],
+            trim_below: seq.saturating_sub(5),
+            last: seq,
+            ..Batch::default()
+        };
+        store.write(&batch).unwrap();
+    }
+}
+
+#[test]
+fn what_was_synced_comes_back_and_old_entries_are_trimmed() {
+    let folder = folder("back");
+    let path = folder.join("registry.redb");
+    write_some(&path);
+    let (_, stored) = Store::open(&path, "posta", Seat { id: 99, address: "".into() }).unwrap();
+    assert_eq!((stored.last, stored.meta.seat.id, stored.state.len()), (20, 5, 7), "identity lives on the disk");
+    assert_eq!(stored.entries.iter().map(|entry| entry.seq).collect::<Vec<_>>(), (15..=20).collect::<Vec<_>>());
+    assert_eq!(stored.state.get("key 6").map(|value| value[0]), Some(20));
+    let _ = std::fs::remove_dir_all(folder);
+}
+
+#[test]
+fn a_foreign_or_damaged_file_is_refused_and_left_as_it_was() {
+    let folder = folder("damaged");
+    let path = folder.join("registry.redb");
+    write_some(&path);
+    let whole = std::fs::read(&path).unwrap();
+    assert!(matches!(Store::open(&path, "pixel", seat()), Err(StoreFault::Foreign(name)) if name == "posta"));
+    let cases: Vec<(&str, Vec<u8>)> = vec![
+        ("garbage", vec![0x5a; 8192]),
+        ("cut", whole[..whole.len() / 3].to_vec()),
+        ("bad head", [vec![0; 512], whole[512..].to_vec()].concat()),
+    ];
+    for (name, bytes) in cases {
+        std::fs::write(&path, &bytes).unwrap();
+        let opened = std::panic::catch_unwind(|| Store::open(&path, "posta", seat()).map(drop));
+        let refused = matches!(&opened, Ok(Err(fault)) if fault.to_string().contains("data file"));
+        assert!(refused, "{name}: {opened:?}");
+        assert_eq!(std::fs::read(&path).unwrap(), bytes, "{name}: the file was written to");
+    }
+    let _ = std::fs::remove_dir_all(folder);
+}
--- a/crates/control/src/service.rs
+++ b/crates/control/src/service.rs
@@ -12,7 +12,7 @@
 use chain::{Disk, Member, Store, Timing};
 use doors::DoorLimits;
 use events::event;
-use kernel::{Directory, Inbox, SendFault, adopt, find, listen, local, thread};
+use kernel::{Directory, Inbox, SendFault, adopt, behind, find, listen, local, thread};
 use links::{LinkEvent, LinkOrder, Me};
 use std::collections::BTreeMap;
 use std::rc::Rc;
@@ -35,7 +35,7 @@
     let newcomer = Seat { id: rand::random::<u64>() | 1, address: settings.address.as_str().into() };
     let (store, stored) = Store::open(&file, &settings.cluster, newcomer)
         .map_err(|fault| format!("{}: {fault}; it is left as it is", file.display()))?;
-    let peers = listen(&settings.address)?;
+    let peers = listen(behind(&settings.bind, &settings.address))?;
     let operators = listen(&settings.api)?;
     let seat = Seat { id: stored.meta.seat.id, address: settings.address.as_str().into() };
     let me = seat.id;
--- a/crates/control/src/settings.rs
+++ b/crates/control/src/settings.rs
@@ -1,7 +1,7 @@
 //! The registry's settings.
 
 use crate::tokens::well_formed;
-use env::{address, any, in_range, non_empty, seeds, word};
+use env::{address, address_or_none, any, in_range, non_empty, seeds, word};
 use std::path::{Path, PathBuf};
 use std::time::Duration;
 
@@ -15,6 +15,7 @@
         zone: String = "a".into(), word, "zone this machine stands in";
         address: String = String::new(), address, "IP number and port for heronlink's own processes";
         api: String = String::new(), address, "IP number and port for operators (HTTP/1.1, JSON)";
+        bind: String = String::new(), address_or_none, "where to listen for them, if not at that address itself";
         seeds: Vec<String> = Vec::new(), seeds, "addresses of the three registries, own address among them or not";
         data: PathBuf = PathBuf::new(), |path: &PathBuf| folder(path), "folder for the data file";
         tokens: Vec<String> = Vec::new(), well_formed, "bearer tokens, tenant=SECRET or *=SECRET, parted by commas";
--- a/crates/env/src/lib.rs
+++ b/crates/env/src/lib.rs
@@ -9,7 +9,7 @@
 pub use lexopt;
 pub use line::{Opening, open};
 pub use parse::{FromWords, Source};
-pub use rules::{address, addresses, any, in_range, non_empty, seeds, word};
+pub use rules::{address, address_or_none, addresses, any, in_range, non_empty, seeds, word};
 
 use derive_more::{Display, Error};
 
--- a/crates/env/src/rules.rs
+++ b/crates/env/src/rules.rs
@@ -37,6 +37,10 @@
         .map_err(|_| "allowed is an IP number with a port, such as 127.0.0.1:7001".into())
 }
 
+pub fn address_or_none(value: &String) -> Result<(), String> {
+    if value.is_empty() { Ok(()) } else { address(value) }
+}
+
 pub fn addresses(value: &Vec<String>) -> Result<(), String> {
     value.iter().try_for_each(address)
 }
--- a/crates/fleet/src/faults.rs
+++ b/crates/fleet/src/faults.rs
@@ -40,6 +40,9 @@
         "undrain-worker",
         "mischief",
         "patch",
+        "cut",
+        "cut-one-way",
+        "heal",
     ];
     if !known.contains(&what.as_str()) {
         return Err(wrong());
@@ -64,6 +67,18 @@
                 }
                 self.platform("/v1/mischief", Value::Object(shares)).await
             }
+            "cut" => {
+                self.relays.cut(&fault.which, false);
+                Ok(())
+            }
+            "cut-one-way" => {
+                self.relays.cut(&fault.which, true);
+                Ok(())
+            }
+            "heal" => {
+                self.relays.heal();
+                Ok(())
+            }
             "patch" => self.patch(&fault.which).await,
             what => {
                 let (verb, kind) = what.split_once('-').unwrap_or_default();
--- a/crates/fleet/src/line.rs
+++ b/crates/fleet/src/line.rs
@@ -22,7 +22,8 @@
   --crowd LIST       AT,FOR,TIMES,SERVICE; may be given often
   --fault LIST       AT:WHAT:WHICH[;..], such as 20:kill-registry:0;40:start-registry:0
                      WHAT: kill, stop, start, freeze, thaw, wipe, each -registry or -router;
-                     crash-worker, drain-worker, undrain-worker; mischief:NAME=SHARE[,..]; patch
+                     crash-worker, drain-worker, undrain-worker; mischief:NAME=SHARE[,..]; patch:NAME;
+                     cut:A+B[/C+D], cut-one-way:A+B[/C+D], heal
   --refusals N       most own refusals let pass [any number]";
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/crates/fleet/src/main.rs
+++ b/crates/fleet/src/main.rs
@@ -7,6 +7,7 @@
 mod line;
 mod processes;
 mod prove;
+mod relay;
 mod smoke;
 
 use std::process::ExitCode;
--- a/crates/fleet/src/processes.rs
+++ b/crates/fleet/src/processes.rs
@@ -3,6 +3,7 @@
 
 use crate::deployment::Deployment;
 use crate::line::Order;
+use crate::relay::Relays;
 use std::fs::{File, OpenOptions};
 use std::net::TcpListener;
 use std::path::PathBuf;
@@ -16,6 +17,7 @@
     pub name: String,
     pub program: &'static str,
     pub peer: String,
+    pub bind: String,
     pub door: String,
     pub ops: String,
     pub arguments: Vec<String>,
@@ -29,6 +31,7 @@
     pub running: Vec<(String, Child)>,
     pub folder: PathBuf,
     pub programs: PathBuf,
+    pub relays: Relays,
 }
 
 fn ports(count: usize) -> Result<Vec<String>, String> {
@@ -42,7 +45,7 @@
         let folder = order.folder.clone();
         std::fs::create_dir_all(folder.join("logs")).map_err(|fault| format!("{}: {fault}", folder.display()))?;
         let count = order.routers.unwrap_or(deployment.routers);
-        let free = ports(1 + 3 * 2 + count * 3)?;
+        let free = ports(1 + 3 * 3 + count * 4)?;
         let mut free = free.into_iter();
         let mut port = || free.next().unwrap_or_default();
         let words = |list: &[&str]| list.iter().map(|word| (*word).to_owned()).collect::<Vec<String>>();
@@ -51,6 +54,7 @@
             name: "yard".into(),
             program: "yard",
             peer: platform.clone(),
+            bind: String::new(),
             door: String::new(),
             ops: platform.clone(),
             arguments: words(&[
@@ -69,16 +73,17 @@
             ]),
             data: None,
         };
-        let seats: Vec<(String, String)> = (0..3).map(|_| (port(), port())).collect();
-        let seeds = seats.iter().map(|(peer, _)| peer.clone()).collect::<Vec<_>>().join(",");
+        let seats: Vec<(String, String, String)> = (0..3).map(|_| (port(), port(), port())).collect();
+        let seeds = seats.iter().map(|(peer, ..)| peer.clone()).collect::<Vec<_>>().join(",");
         let zone = |n: usize| deployment.zones[n % deployment.zones.len().max(1)].clone();
         let tokens = format!("*={TOKEN},pixelkrov=tenant-token-of-pixelkrov");
-        let registries = seats.iter().enumerate().map(|(n, (peer, api))| {
+        let registries = seats.iter().enumerate().map(|(n, (peer, api, bind))| {
             let data = folder.join(format!("registry-{n}"));
             Node {
                 name: format!("registry-{n}"),
                 program: "registry",
                 peer: peer.clone(),
+                bind: bind.clone(),
                 door: api.clone(),
                 ops: api.clone(),
                 arguments: words(&[
@@ -88,6 +93,8 @@
                     &zone(n),
                     "--address",
                     peer,
+                    "--bind",
+                    bind,
                     "--api",
                     api,
                     "--seeds",
@@ -104,7 +111,7 @@
         });
         let registries: Vec<Node> = registries.collect();
         let routers = (0..count).map(|n| {
-            let (peer, door, ops) = (port(), port(), port());
+            let (peer, door, ops, bind) = (port(), port(), port(), port());
             Node {
                 name: format!("router-{n}"),
                 program: "router",
@@ -115,6 +122,8 @@
                     &zone(n),
                     "--address",
                     &peer,
+                    "--bind",
+                    &bind,
                     "--listen",
                     &door,
                     "--ops",
@@ -125,13 +134,30 @@
                     &platform,
                 ]),
                 peer,
+                bind,
                 door,
                 ops,
                 data: None,
             }
         });
         let routers: Vec<Node> = routers.collect();
-        Ok(Fleet { yard, registries, routers, running: Vec::new(), folder, programs: order.programs.clone() })
+        Ok(Fleet {
+            yard,
+            registries,
+            routers,
+            running: Vec::new(),
+            folder,
+            programs: order.programs.clone(),
+            relays: Relays::new(&deployment.cluster),
+        })
+    }
+
+    /// Opens each node's relay, at the address the others dial.
+    pub async fn open_relays(&self) -> Result<(), String> {
+        for node in self.registries.iter().chain(&self.routers) {
+            self.relays.open(&node.name, &node.peer, &node.bind).await?;
+        }
+        Ok(())
     }
 
     pub fn node(&self, kind: &str, number: usize) -> Result<Node, String> {
--- a/crates/fleet/src/prove.rs
+++ b/crates/fleet/src/prove.rs
@@ -23,6 +23,7 @@
 
 /// Starts every process, applies the configuration, and returns once every router is ready.
 pub async fn bring_up(deployment: &Deployment, fleet: &mut Fleet) -> Result<(), String> {
+    fleet.open_relays().await?;
     for node in [vec![fleet.yard.clone()], fleet.registries.clone(), fleet.routers.clone()].concat() {
         fleet.start(&node)?;
     }
--- a/crates/kernel/src/program.rs
+++ b/crates/kernel/src/program.rs
@@ -26,6 +26,11 @@
     Ok(listener)
 }
 
+/// The address to listen at: the one bound to if there is one, else the one others are told.
+pub fn behind<'a>(bind: &'a str, address: &'a str) -> &'a str {
+    if bind.is_empty() { address } else { bind }
+}
+
 /// Takes a bound listener into the running thread's runtime.
 pub fn adopt(listener: std::net::TcpListener) -> TcpListener {
     TcpListener::from_std(listener).expect("a bound listener can be registered")
--- a/crates/traffic/src/dispatch.rs
+++ b/crates/traffic/src/dispatch.rs
@@ -45,12 +45,12 @@
         let report = report.clone();
         spawn_local(async move {
             let number = order.number;
-            report(number, carry_out(order).await);
+            report(number, send_to_instance(order).await);
         });
     }
 }
 
-async fn carry_out(order: DispatchOrder) -> Verdict {
+pub async fn send_to_instance(order: DispatchOrder) -> Verdict {
     let Some(parsed) = wire::from_bytes::<RequestHead>(&order.head) else { return Verdict::NotSent };
     let connected = timeout(CONNECT.min(order.limit), TcpStream::connect(&order.address)).await;
     let Ok(Ok(stream)) = connected else { return Verdict::NotSent };
--- a/crates/traffic/src/lib.rs
+++ b/crates/traffic/src/lib.rs
@@ -32,7 +32,7 @@
 mod status;
 
 pub use budget::{Budget, Window};
-pub use dispatch::{DispatchOrder, Verdict};
+pub use dispatch::{DispatchOrder, Verdict, send_to_instance};
 pub use front::Front;
 pub use front_types::{Call, FrontInput, FrontLimits, FrontOutput, Reply};
 pub use home::Home;
--- a/crates/traffic/src/service.rs
+++ b/crates/traffic/src/service.rs
@@ -15,7 +15,7 @@
 use doors::DoorLimits;
 use events::event;
 use holds::{Follower, FollowerTiming, Standing, mix};
-use kernel::{Directory, adopt, find, listen, local, thread, wait_for_signal};
+use kernel::{Directory, adopt, behind, find, listen, local, thread, wait_for_signal};
 use links::{LinkEvent, LinkOrder, Me};
 use platform::{Client, PlatformOrder};
 use std::collections::{BTreeMap, BTreeSet};
@@ -29,7 +29,8 @@
     let begun = Instant::now();
     let incarnation = rand::random::<u64>() >> 8;
     let me: NodeId = mix(&[b"router", settings.cluster.as_bytes(), settings.address.as_bytes()]) | 1;
-    let (peers, callers, ops) = (listen(&settings.address)?, listen(&settings.listen)?, listen(&settings.ops)?);
+    let (peers, callers, ops) =
+        (listen(behind(&settings.bind, &settings.address))?, listen(&settings.listen)?, listen(&settings.ops)?);
     event!(
         started,
         "router {me:016x} at {}, callers at {}, operations at {}",
--- a/crates/traffic/src/settings.rs
+++ b/crates/traffic/src/settings.rs
@@ -1,6 +1,6 @@
 //! The router's settings.
 
-use env::{address, any, in_range, seeds, word};
+use env::{address, address_or_none, any, in_range, seeds, word};
 use std::time::Duration;
 
 env::settings! {
@@ -10,6 +10,7 @@
         address: String = String::new(), address, "IP number and port for heronlink's own processes";
         listen: String = String::new(), address, "IP number and port for callers (HTTP/1.1)";
         ops: String = String::new(), address, "IP number and port for health, metrics and this node's view";
+        bind: String = String::new(), address_or_none, "where to listen for them, if not at that address itself";
         seeds: Vec<String> = Vec::new(), seeds, "addresses of three registries";
         platform: String = String::new(), address, "IP number and port of the platform's API";
         hold: Duration = Duration::from_millis(1500), in_range(Duration::from_millis(500), Duration::from_secs(10)), "how long a proof of revision lasts; the same on every machine";
--- /dev/null
+++ b/crates/traffic/tests/answers.rs
@@ -0,0 +1,82 @@
+//! What instances may send back, byte for byte, and what the dispatcher makes of it: only a whole
+//! answer is one, and one that was never sent is told apart from one in doubt.
+
+use std::time::Duration;
+use test_case::test_case;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpListener;
+use tokio::task::LocalSet;
+use traffic::{DispatchOrder, Verdict, send_to_instance};
+use wire::RequestHead;
+
+fn order(address: String) -> DispatchOrder {
+    let head = RequestHead { method: "POST".into(), target: "/f".into(), headers: Vec::new().into() };
+    let limit = Duration::from_secs(5);
+    DispatchOrder { number: 1, address, head: wire::to_bytes(&head), body: b"work".to_vec(), limit }
+}
+
+fn verdict(answer: Vec<u8>) -> Verdict {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
+    LocalSet::new().block_on(&runtime, async move {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let address = listener.local_addr().unwrap().to_string();
+        tokio::task::spawn_local(async move {
+            let (mut stream, _) = listener.accept().await.unwrap();
+            let mut asked = Vec::new();
+            while !asked.ends_with(b"work") {
+                let mut buffer = [0u8; 1024];
+                let count = stream.read(&mut buffer).await.unwrap();
+                asked.extend_from_slice(&buffer[..count]);
+            }
+            let _ = stream.write_all(&answer).await;
+        });
+        send_to_instance(order(address)).await
+    })
+}
+
+fn http(words: &str) -> Vec<u8> {
+    words.replace('\n', "\r\n").into_bytes()
+}
+
+#[test_case("HTTP/1.1 200 OK\ncontent-length: 5\n\nwhole", 200, "whole"; "a declared length met")]
+#[test_case("HTTP/1.1 200 OK\ntransfer-encoding: chunked\n\n5\nwhole\n0\n\n", 200, "whole"; "chunks to their end")]
+#[test_case("HTTP/1.1 204 No Content\n\n", 204, ""; "no content")]
+#[test_case("HTTP/1.1 503 Busy\ncontent-length: 0\n\n", 503, ""; "its own refusal")]
+fn a_whole_answer_is_passed_on(words: &str, wanted: u16, text: &str) {
+    match verdict(http(words)) {
+        Verdict::Whole { status, body, turned_away, .. } => {
+            assert_eq!((status, body, turned_away), (wanted, text.as_bytes().to_vec(), wanted == 503));
+        }
+        other => panic!("{other:?}"),
+    }
+}
+
+#[test_case("HTTP/1.1 200 OK\ncontent-length: 9\n\nshort"; "shorter than declared")]
+#[test_case("HTTP/1.1 200 OK\ncontent-length: 5\n\nwhole and more"; "longer than declared")]
+#[test_case("HTTP/1.1 200 OK\n\nuntil it closes"; "no length")]
+#[test_case("HTTP/1.1 200 OK\ntransfer-encoding: chunked\n\n5\nwhole\n"; "chunks cut")]
+#[test_case("HTTP/1.1 200 OK\ntransfer-encoding: chunked\n\nzz\nwhole\n0\n\n"; "chunks of no size")]
+#[test_case("HTTP/1.1 200 OK\ncontent-length: 5\ncontent-length: 6\n\nwhole"; "two lengths")]
+#[test_case("HTTP/1.1 200 OK\ncontent-length: 99999999\n\nwhole"; "a length beyond bounds")]
+#[test_case("HTTP/1.1 200 OK\ncontent-le"; "a cut head")]
+#[test_case("\u{1}\u{2}garbage\n\n"; "garbage")]
+#[test_case(""; "nothing")]
+fn anything_less_is_in_doubt(words: &str) {
+    let told = verdict(http(words));
+    assert!(matches!(told, Verdict::InDoubt { .. }), "{told:?}");
+}
+
+#[test]
+fn an_oversized_answer_is_in_doubt_and_a_closed_door_was_never_sent_to() {
+    let mut long = http("HTTP/1.1 200 OK\ncontent-length: 5000000\n\n");
+    long.extend(std::iter::repeat_n(b'x', 5_000_000));
+    assert!(matches!(verdict(long), Verdict::InDoubt { .. }));
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
+    let told = LocalSet::new().block_on(&runtime, async {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let address = listener.local_addr().unwrap().to_string();
+        drop(listener);
+        send_to_instance(order(address)).await
+    });
+    assert_eq!(told, Verdict::NotSent);
+}
