--- a/crates/fleet/src/faults.rs
+++ b/crates/fleet/src/faults.rs
@@ -79,7 +79,7 @@
                 self.relays.heal();
                 Ok(())
             }
-            "patch" => self.patch(&fault.which).await,
+            "patch" => self.patch(&fault.which).await.map(drop),
             what => {
                 let (verb, kind) = what.split_once('-').unwrap_or_default();
                 for number in fault.which.split(',') {
@@ -119,7 +119,7 @@
     }
 
     /// A named change, on whatever is the latest, at any registry that answers.
-    pub async fn patch(&self, name: &str) -> Result<(), String> {
+    pub async fn patch(&self, name: &str) -> Result<Option<u64>, String> {
         let key = format!("headcount-plans/patched/{}", if name.is_empty() { "one" } else { name });
         let body = json!({"name": name, "set": {key: {"min": 0}}}).to_string().into_bytes();
         for registry in &self.registries {
@@ -137,10 +137,10 @@
                 && answer.status == 200
             {
                 println!("patch {name}: revision {:?}", answer.revision);
-                return Ok(());
+                return Ok(answer.revision);
             }
         }
         println!("patch {name}: not acknowledged");
-        Ok(())
+        Ok(None)
     }
 }
--- a/crates/fleet/src/prove.rs
+++ b/crates/fleet/src/prove.rs
@@ -124,6 +124,7 @@
         return Err("the load failed".into());
     }
     settle_deferred(fleet).await?;
+    let kept = final_fault(fleet).await?;
     let counts =
         Call { address: fleet.yard.peer.clone(), path: "/v1/counts".into(), limit: PATIENCE, ..Call::default() };
     println!("platform: {}", String::from_utf8_lossy(&ask(&counts).await?.body));
@@ -134,7 +135,39 @@
         check.args(["--refusals", &most.to_string()]);
     }
     let verdict = check.status().map_err(|fault| format!("swarm: {fault}"))?;
-    Ok(verdict.success())
+    Ok(verdict.success() && kept)
+}
+
+/// The day's end: a change is acknowledged, every registry loses power at once, and after they are
+/// back the configuration must be the acknowledged one.
+async fn final_fault(fleet: &mut Fleet) -> Result<bool, String> {
+    let Some(acknowledged) = fleet.patch("day-end").await? else { return Ok(false) };
+    for node in fleet.registries.clone() {
+        fleet.signal(&node.name, "KILL")?;
+    }
+    while fleet.running.iter().any(|(name, _)| name.starts_with("registry")) {
+        fleet.reap();
+        sleep(Duration::from_millis(20)).await;
+    }
+    for node in fleet.registries.clone() {
+        fleet.start(&node)?;
+    }
+    let address = fleet.registries[1].door.clone();
+    let limit = Duration::from_secs(15);
+    let read = Call { address, path: "/v1/headcount-plans".into(), token: TOKEN.into(), limit, ..Call::default() };
+    let mut kept = false;
+    let begun = Instant::now();
+    while begun.elapsed() < PATIENCE && !kept {
+        if let Ok(answer) = ask(&read).await
+            && answer.status == 200
+        {
+            kept = answer.revision == Some(acknowledged) && String::from_utf8_lossy(&answer.body).contains("day-end");
+            println!("read back after the final fault: revision {:?}, acknowledged {acknowledged}", answer.revision);
+            break;
+        }
+        sleep(Duration::from_millis(100)).await;
+    }
+    Ok(kept)
 }
 
 /// Waits until no router holds a task any longer: what was accepted has been run.
--- a/crates/swarm/src/rules.rs
+++ b/crates/swarm/src/rules.rs
@@ -12,9 +12,12 @@
     pub task: String,
     #[serde(default)]
     pub service: String,
+    #[serde(default)]
+    pub instance: String,
 }
 
 const TURNED_MOST: usize = 11;
+const LEAVING_MS: u64 = 3000 + 2500;
 const SHOWN: usize = 5;
 
 pub fn broken(attempts: &[Attempt], lines: &[Run], refusals: Option<usize>) -> Vec<String> {
@@ -49,6 +52,7 @@
     let silent: Vec<String> = silent.map(|a| format!("{} at {}: {}", a.label, a.target, a.body)).collect();
     println!("attempts without an answer: {}", silent.len());
     tell("too many turn-aways of one function in 5 s", turned_away(lines));
+    tell("a task was sent to an instance long known to be leaving", sent_to_leaving(&runs, lines));
     tell("second tries beyond a fifth and 60 in 10 s", second_tries(&runs, lines));
     let own = |a: &&Attempt| a.outcome == "not-run" && a.status == 503 || a.outcome == "unknown";
     let own_refusals = attempts.iter().filter(own).count();
@@ -81,6 +85,15 @@
     faults
 }
 
+/// Three seconds after it was learned, which the list's lag and the pause between two lists of it
+/// may put off by as much again.
+fn sent_to_leaving(runs: &[&Run], lines: &[Run]) -> Vec<String> {
+    let leaving = lines.iter().filter(|line| line.what == "leaving");
+    let since: BTreeMap<&str, u64> = leaving.map(|line| (line.instance.as_str(), line.at)).collect();
+    let late = |run: &&&Run| since.get(run.instance.as_str()).is_some_and(|at| run.at > at + LEAVING_MS);
+    runs.iter().filter(late).map(|run| format!("{} to {}", run.task, run.instance)).collect()
+}
+
 fn second_tries(runs: &[&Run], lines: &[Run]) -> Vec<String> {
     let mut by_service: BTreeMap<&str, Vec<(u64, bool)>> = BTreeMap::new();
     let mut seen: BTreeSet<&str> = BTreeSet::new();
@@ -139,7 +152,7 @@
     }
 
     fn run(at: u64, what: &str, task: &str) -> Run {
-        Run { at, what: what.into(), task: task.into(), service: "t/f".into() }
+        Run { at, what: what.into(), task: task.into(), service: "t/f".into(), instance: "i1".into() }
     }
 
     fn found(attempts: &[Attempt], runs: &[Run], rule: &str) -> bool {
@@ -165,6 +178,8 @@
         assert!(!found(&[], &turned[1..], "too many turn-aways"));
         let many: Vec<Run> = (0..70).map(|n| run(n, "run", "y#1")).collect();
         assert!(found(&[], &many, "second tries"));
+        let leaving = [run(0, "leaving", ""), run(5600, "run", "z#1")];
+        assert!(found(&[], &leaving, "a task was sent to an instance"));
         let refused = [attempt("a", "ordinary", 504, "unknown", "")];
         assert!(!broken(&refused, &[], Some(0)).is_empty());
     }
--- a/crates/yard/src/api.rs
+++ b/crates/yard/src/api.rs
@@ -164,7 +164,12 @@
                 Some("crash") => on_it.iter().for_each(|id| _ = yard.remove(id)),
                 Some("drain") => {
                     yard.drained[number] = true;
-                    on_it.iter().filter_map(|id| yard.instances.get_mut(id).map(|held| held.state = "leaving")).count();
+                    for id in &on_it {
+                        if let Some(held) = yard.instances.get_mut(id) {
+                            held.state = "leaving";
+                        }
+                        record.write(json!({"at": wall_ms(), "what": "leaving", "instance": id}));
+                    }
                 }
                 _ => yard.drained[number] = false,
             }
