--- a/crates/sim/src/lib.rs
+++ b/crates/sim/src/lib.rs
@@ -9,6 +9,7 @@
 mod operators;
 mod registry_node;
 mod router_node;
+mod router_turns;
 mod rules;
 mod world;
 mod yard;
--- a/crates/sim/src/router_node.rs
+++ b/crates/sim/src/router_node.rs
@@ -5,10 +5,9 @@
 use bindings::Book;
 use holds::{Follower, FollowerInput, FollowerOutput, FollowerTiming, mix};
 use rand::RngExt;
-use std::collections::VecDeque;
 use std::rc::Rc;
 use std::time::Duration;
-use traffic::{Front, FrontInput, FrontLimits, FrontOutput, Home, HomeInput, HomeOutput, HomeTiming};
+use traffic::{Front, FrontInput, FrontLimits, Home, HomeInput, HomeTiming};
 use wire::{CarryMsg, HoldMsg, Message, NodeId, PlanMsg};
 
 pub struct Machines {
@@ -174,7 +173,7 @@
         }
     }
 
-    fn ask_registries(&mut self, n: usize, message: PlanMsg) {
+    pub fn ask_registries(&mut self, n: usize, message: PlanMsg) {
         for registry in 0..self.registries.len() {
             self.send_place(Place::Router(n), Place::Registry(registry), Message::Plan(message.clone()));
         }
@@ -223,68 +222,4 @@
             FollowerOutput::Standing { standing } => self.say(|| format!("router {n} stands {standing:?}")),
         }
     }
-
-    pub fn turn(&mut self, n: usize, first: Turn) {
-        let mut turns = VecDeque::from([first]);
-        while let Some(turn) = turns.pop_front() {
-            let now = self.router_now(n);
-            let me = self.routers[n].id;
-            let Some(machines) = &mut self.routers[n].machines else { return };
-            let may_serve = now < machines.follower.serves_until();
-            let revision = machines.follower.revision();
-            match turn {
-                Turn::Front(input) => {
-                    for output in machines.front.step(now, may_serve, input) {
-                        match output {
-                            FrontOutput::Reply { ask, reply } => self.caller_reply(n, ask, reply),
-                            FrontOutput::Carry { to, message } => {
-                                self.rules.served(self.now, revision);
-                                if to == me {
-                                    turns.push_back(Turn::Home(HomeInput::Carry { from: to, message }));
-                                } else {
-                                    self.send(Place::Router(n), to, Message::Carry(message));
-                                }
-                            }
-                        }
-                    }
-                }
-                Turn::Home(input) => {
-                    let tail = machines.follower.tail();
-                    for output in machines.home.step(now, may_serve, input) {
-                        match output {
-                            HomeOutput::Carry { to, message } if to == me => {
-                                turns.push_back(Turn::Front(FrontInput::Carried { from: to, message }));
-                            }
-                            HomeOutput::Carry { to, message } => {
-                                self.send(Place::Router(n), to, Message::Carry(message));
-                            }
-                            HomeOutput::Enter { ask, body } => {
-                                let message = HoldMsg::Enter { ask, body: body.into() };
-                                self.ask_tail(n, tail, message);
-                            }
-                            HomeOutput::Read { ask, prefix } => {
-                                let message = HoldMsg::Read { ask, prefix: prefix.into(), from: "".into() };
-                                self.ask_tail(n, tail, message);
-                            }
-                            HomeOutput::Dispatch(order) => {
-                                self.rules.served(self.now, revision);
-                                self.dispatch(n, order);
-                            }
-                            HomeOutput::Platform(order) => self.platform_order(n, order),
-                            HomeOutput::PlanAsk { message } => self.ask_registries(n, message),
-                            HomeOutput::Samples { lines } => {
-                                self.ask_registries(n, PlanMsg::Samples { lines: lines.into() });
-                            }
-                        }
-                    }
-                }
-            }
-        }
-    }
-
-    fn ask_tail(&mut self, n: usize, tail: Option<NodeId>, message: HoldMsg) {
-        if let Some(tail) = tail {
-            self.send(Place::Router(n), tail, Message::Hold(message));
-        }
-    }
 }
--- /dev/null
+++ b/crates/sim/src/router_turns.rs
@@ -0,0 +1,74 @@
+//! Turns of a simulated router's front and home until neither has anything more to do, with the
+//! rule on revisions checked at each carry and each dispatch.
+
+use crate::router_node::Turn;
+use crate::world::{Place, World};
+use std::collections::VecDeque;
+use traffic::{FrontInput, FrontOutput, HomeInput, HomeOutput};
+use wire::{HoldMsg, Message, NodeId, PlanMsg};
+
+impl World {
+    pub fn turn(&mut self, n: usize, first: Turn) {
+        let mut turns = VecDeque::from([first]);
+        while let Some(turn) = turns.pop_front() {
+            let now = self.router_now(n);
+            let me = self.routers[n].id;
+            let Some(machines) = &mut self.routers[n].machines else { return };
+            let may_serve = now < machines.follower.serves_until();
+            let revision = machines.follower.revision();
+            match turn {
+                Turn::Front(input) => {
+                    for output in machines.front.step(now, may_serve, input) {
+                        match output {
+                            FrontOutput::Reply { ask, reply } => self.caller_reply(n, ask, reply),
+                            FrontOutput::Carry { to, message } => {
+                                self.rules.served(self.now, revision);
+                                if to == me {
+                                    turns.push_back(Turn::Home(HomeInput::Carry { from: to, message }));
+                                } else {
+                                    self.send(Place::Router(n), to, Message::Carry(message));
+                                }
+                            }
+                        }
+                    }
+                }
+                Turn::Home(input) => {
+                    let tail = machines.follower.tail();
+                    for output in machines.home.step(now, may_serve, input) {
+                        match output {
+                            HomeOutput::Carry { to, message } if to == me => {
+                                turns.push_back(Turn::Front(FrontInput::Carried { from: to, message }));
+                            }
+                            HomeOutput::Carry { to, message } => {
+                                self.send(Place::Router(n), to, Message::Carry(message));
+                            }
+                            HomeOutput::Enter { ask, body } => {
+                                let message = HoldMsg::Enter { ask, body: body.into() };
+                                self.ask_tail(n, tail, message);
+                            }
+                            HomeOutput::Read { ask, prefix } => {
+                                let message = HoldMsg::Read { ask, prefix: prefix.into(), from: "".into() };
+                                self.ask_tail(n, tail, message);
+                            }
+                            HomeOutput::Dispatch(order) => {
+                                self.rules.served(self.now, revision);
+                                self.dispatch(n, order);
+                            }
+                            HomeOutput::Platform(order) => self.platform_order(n, order),
+                            HomeOutput::PlanAsk { message } => self.ask_registries(n, message),
+                            HomeOutput::Samples { lines } => {
+                                self.ask_registries(n, PlanMsg::Samples { lines: lines.into() });
+                            }
+                        }
+                    }
+                }
+            }
+        }
+    }
+
+    fn ask_tail(&mut self, n: usize, tail: Option<NodeId>, message: HoldMsg) {
+        if let Some(tail) = tail {
+            self.send(Place::Router(n), tail, Message::Hold(message));
+        }
+    }
+}
