Leave the chain by a view of its own; idle instances give way to waiting callers

A registry asked to stop proposes the view without itself, so that the ledger does not wait for its silence; it names the optimizer's next host in the same view. When the workers' memory is full, homes whose callers wait ask all homes to stop an idle instance each, of the tenant with most.

--- a/crates/chain/src/copy.rs
+++ b/crates/chain/src/copy.rs
@@ -43,7 +43,7 @@
             return;
         }
         let chained = self.meta.view.chain.as_slice().contains(&self.meta.seat.id);
-        if chained || self.faulted || now < self.asked_at + RETRY {
+        if chained || self.faulted || self.leaving || now < self.asked_at + RETRY {
             return;
         }
         self.asked_at = now;
--- a/crates/chain/src/member.rs
+++ b/crates/chain/src/member.rs
@@ -43,6 +43,7 @@
     pub(crate) ticket: u64,
     pub(crate) writing: Option<Writing>,
     pub(crate) faulted: bool,
+    pub(crate) leaving: bool,
     pub(crate) heard: BTreeMap<NodeId, (Duration, bool)>,
     pub(crate) proposal: Option<Proposal>,
     pub(crate) propose_after: Duration,
@@ -88,6 +89,7 @@
             ticket: 0,
             writing: None,
             faulted: false,
+            leaving: false,
             heard: BTreeMap::new(),
             proposal: None,
             propose_after: Duration::ZERO,
@@ -122,7 +124,7 @@
                     self.begin_round();
                 }
             }
-            Input::HandOver { optimizer } => self.hand_over(optimizer),
+            Input::Leave => self.leave(),
         }
         let mut outs = Vec::new();
         loop {
--- a/crates/chain/src/types.rs
+++ b/crates/chain/src/types.rs
@@ -70,7 +70,7 @@
     DiskFault,
     Enter { op: OpNo, body: Vec<u8> },
     Confirm,
-    HandOver { optimizer: NodeId },
+    Leave,
 }
 
 #[derive(Clone, Debug)]
--- a/crates/chain/src/view.rs
+++ b/crates/chain/src/view.rs
@@ -149,13 +149,22 @@
         self.propose(next);
     }
 
-    pub(crate) fn hand_over(&mut self, optimizer: NodeId) {
-        let mut next = self.meta.view.clone();
-        if self.proposal.is_none() && next.chain.as_slice().contains(&optimizer) {
-            next.number += 1;
-            next.optimizer = optimizer;
-            self.propose(next);
+    /// A planned stop: names the view without this member, and with it the optimizer's next host,
+    /// while enough are left to keep two copies. It does not ask to join again.
+    pub(crate) fn leave(&mut self) {
+        self.leaving = true;
+        let me = self.meta.seat.id;
+        let view = &self.meta.view;
+        let left: Vec<NodeId> = view.chain.iter().copied().filter(|id| *id != me).collect();
+        let chained = left.len() < view.chain.as_slice().len();
+        if !chained || left.len() < 2 || view.fresh != 0 || self.proposal.is_some() {
+            return;
         }
+        let mut next = view.clone();
+        next.number += 1;
+        next.optimizer = optimizer_for(&left, view.optimizer);
+        next.chain = left.into();
+        self.propose(next);
     }
 }
 
--- a/crates/control/src/apply_change.rs
+++ b/crates/control/src/apply_change.rs
@@ -9,7 +9,8 @@
 use wire::{OpRecord, Receipt};
 
 const OP_TICKS: u64 = 86_400;
-const STEPS_KEPT: u64 = 256;
+const STEPS_KEPT: u64 = 64;
+const STEP_BYTES: usize = 5 * 1024 * 1024;
 const RESOURCES: usize = 50_000;
 
 pub fn change(
@@ -80,6 +81,11 @@
         let status = if faults.iter().all(taken) { 409 } else { 422 };
         return Err((status, serde_json::to_string(&faults).unwrap_or_default()));
     }
+    let bytes: usize = changed.iter().map(|(key, item)| key.len() + item.value.as_slice().len() + 16).sum();
+    if bytes > STEP_BYTES {
+        let told = Fault { path: String::new(), fault: format!("a change of up to {STEP_BYTES} bytes; part it") };
+        return Err((413, serde_json::to_string(&[told]).unwrap_or_default()));
+    }
     let latest = |key: &str| draft.state.get(&format!("{}{key}", keys::LATEST_PAIRS));
     changed.retain(|key, item| match latest(key) {
         Some(value) => item.gone != 0 || value[..] != *item.value.as_slice(),
--- a/crates/control/src/control_loop.rs
+++ b/crates/control/src/control_loop.rs
@@ -16,6 +16,7 @@
 use wire::{Message, View};
 
 const TICK: Duration = Duration::from_millis(10);
+const LEAVE: Duration = Duration::from_millis(800);
 const VIEW_EVERY: Duration = Duration::from_millis(200);
 
 pub struct Control {
@@ -45,7 +46,7 @@
                 biased;
                 _ = ticks.tick() => Some(CoreInput::Tick),
                 message = inbox.next() => match message {
-                    Some(ControlMsg::Stop) | None => return self.leave(begun.elapsed()).await,
+                    Some(ControlMsg::Stop) | None => return self.leave(begun, &mut inbox).await,
                     Some(message) => self.input(message),
                 },
             };
@@ -142,17 +143,20 @@
         }
     }
 
-    /// A planned stop: the optimizer's duty goes to a successor this node names.
-    async fn leave(mut self, now: Duration) {
+    /// A planned stop: the chain goes on without this member by a view it proposes itself, which
+    /// also names the optimizer's next host. It waits for that view, but not for long.
+    async fn leave(mut self, begun: Instant, inbox: &mut Inbox<ControlMsg>) {
         event!(stopping);
-        let view = self.core.member().view().clone();
+        let outputs = self.core.step(begun.elapsed(), CoreInput::Leave);
+        self.carry_out(outputs);
+        let until = Instant::now() + LEAVE;
         let me = self.core.me();
-        if view.optimizer == me
-            && let Some(successor) = view.chain.iter().copied().find(|id| *id != me)
-        {
-            let outputs = self.core.step(now, CoreInput::HandOver { optimizer: successor });
-            self.carry_out(outputs);
-            tokio::time::sleep(Duration::from_millis(100)).await;
+        while self.core.member().view().chain.as_slice().contains(&me) {
+            let Ok(Some(message)) = tokio::time::timeout_at(until.into(), inbox.next()).await else { return };
+            if let Some(input) = self.input(message) {
+                let outputs = self.core.step(begun.elapsed(), input);
+                self.carry_out(outputs);
+            }
         }
     }
 }
--- a/crates/control/src/core.rs
+++ b/crates/control/src/core.rs
@@ -41,7 +41,7 @@
     DiskFault,
     Router { from: NodeId, incarnation: u64, message: HoldMsg },
     Call { ask: u64, call: ApiCall },
-    HandOver { optimizer: NodeId },
+    Leave,
 }
 
 #[derive(Debug)]
@@ -126,7 +126,7 @@
             CoreInput::DiskFault => self.chain(Input::DiskFault),
             CoreInput::Router { from, incarnation, message } => self.router(from, incarnation, message),
             CoreInput::Call { ask, call } => self.call(ask, call),
-            CoreInput::HandOver { optimizer } => self.chain(Input::HandOver { optimizer }),
+            CoreInput::Leave => self.chain(Input::Leave),
         }
         self.after();
         let mut outs = Vec::new();
--- a/crates/sim/src/chances.rs
+++ b/crates/sim/src/chances.rs
@@ -39,6 +39,7 @@
     pub faults_to: Duration,
     pub end: Duration,
     pub rate: f64,
+    pub instances: usize,
 }
 
 impl Plan {
@@ -52,6 +53,7 @@
             faults_to: seconds(34),
             end: seconds(75),
             rate: 25.0,
+            instances: if sort == Sort::Crowd { 9 } else { usize::MAX },
         }
     }
 }
--- a/crates/sim/src/faults.rs
+++ b/crates/sim/src/faults.rs
@@ -104,7 +104,7 @@
         self.turn(n, crate::router_node::Turn::Home(traffic::HomeInput::Leave));
     }
 
-    /// A planned stop of a registry, one at a time: its duty goes to a successor it names.
+    /// A planned stop of a registry, one at a time: the chain goes on without it at once.
     fn stop_registry(&mut self, n: usize) {
         let calm = |node: &crate::registry_node::RegistryNode| {
             node.core.as_ref().is_some_and(|core| core.member().view().chain.as_slice().len() == 3)
@@ -112,8 +112,7 @@
         if !self.registries.iter().all(calm) {
             return;
         }
-        let heir = self.registries[(n + 1) % 3].id;
-        self.feed_registry(n, control::CoreInput::HandOver { optimizer: heir });
+        self.feed_registry(n, control::CoreInput::Leave);
         self.after(Duration::from_millis(100), Event::Mend { what: Mending::EndRegistry(n) });
     }
 
--- a/crates/sim/src/router_node.rs
+++ b/crates/sim/src/router_node.rs
@@ -164,9 +164,9 @@
                 }
                 self.follow(n, FollowerInput::Registry { from, message });
             }
-            Message::Carry(message @ (CarryMsg::Carry { .. } | CarryMsg::Handover { .. })) => {
-                self.turn(n, Turn::Home(HomeInput::Carry { from, message }))
-            }
+            Message::Carry(
+                message @ (CarryMsg::Carry { .. } | CarryMsg::Handover { .. } | CarryMsg::GiveWay { .. }),
+            ) => self.turn(n, Turn::Home(HomeInput::Carry { from, message })),
             Message::Carry(message) => self.turn(n, Turn::Front(FrontInput::Carried { from, message })),
             Message::Plan(message) => self.turn(n, Turn::Home(HomeInput::Plan { message })),
             _ => {}
--- a/crates/sim/src/router_turns.rs
+++ b/crates/sim/src/router_turns.rs
@@ -5,7 +5,7 @@
 use crate::world::{Place, World};
 use std::collections::VecDeque;
 use traffic::{FrontInput, FrontOutput, HomeInput, HomeOutput};
-use wire::{HoldMsg, Message, NodeId, PlanMsg};
+use wire::{CarryMsg, HoldMsg, Message, NodeId, PlanMsg};
 
 impl World {
     pub fn turn(&mut self, n: usize, first: Turn) {
@@ -36,6 +36,9 @@
                     let tail = machines.follower.tail();
                     for output in machines.home.step(now, may_serve, input) {
                         match output {
+                            HomeOutput::Carry { to, message: message @ CarryMsg::GiveWay { .. } } if to == me => {
+                                turns.push_back(Turn::Home(HomeInput::Carry { from: to, message }));
+                            }
                             HomeOutput::Carry { to, message } if to == me => {
                                 turns.push_back(Turn::Front(FrontInput::Carried { from: to, message }));
                             }
--- a/crates/sim/src/yard.rs
+++ b/crates/sim/src/yard.rs
@@ -52,6 +52,9 @@
         let wait = Duration::from_millis(self.dice.random_range(2..40));
         let life = self.routers[n].life;
         let report = match order {
+            PlatformOrder::Start { id, .. } if self.yard.instances.len() >= self.plan.instances => {
+                PlatformReport::Started { id, receipt: StartReceipt::NoMemory }
+            }
             PlatformOrder::Start { id, service, .. } => {
                 self.yard.starts += 1;
                 let boot = Duration::from_millis(self.dice.random_range(800..1500));
--- a/crates/traffic/src/control_loop.rs
+++ b/crates/traffic/src/control_loop.rs
@@ -16,6 +16,7 @@
 use wire::{HoldMsg, Message, NodeId};
 
 const TICK: Duration = Duration::from_millis(10);
+const LASTED: Duration = Duration::from_millis(400);
 const NEAR: Duration = Duration::from_millis(2500);
 const LAST_CALLS: Duration = Duration::from_millis(700);
 
@@ -37,6 +38,8 @@
     pub told_at: Instant,
     pub heard: Option<Instant>,
     pub standing: Standing,
+    pub standing_told: Standing,
+    pub stood_at: Instant,
     pub view: watch::Sender<String>,
     pub grace: Duration,
 }
@@ -53,6 +56,7 @@
                 _ = ticks.tick() => {
                     self.feed(FollowerInput::Tick);
                     self.tell_core();
+                    self.tell_standing();
                 }
                 message = inbox.next() => match message {
                     Some(ControlMsg::Link(event)) => self.link_event(event),
@@ -140,18 +144,27 @@
                     }
                 }
                 FollowerOutput::Standing { standing } => {
-                    match standing {
-                        Standing::Waiting => event!(proof_lost),
-                        Standing::ByCore => event!(proof_back),
-                        Standing::ByPeers => event!(peer_proof),
-                    }
                     self.standing = standing;
+                    self.stood_at = Instant::now();
                     self.show();
                 }
             }
         }
     }
 
+    /// Tells of a standing once it has lasted; each step in force loses the proof for a moment.
+    fn tell_standing(&mut self) {
+        if self.standing == self.standing_told || self.stood_at.elapsed() < LASTED {
+            return;
+        }
+        self.standing_told = self.standing;
+        match self.standing {
+            Standing::Waiting => event!(proof_lost),
+            Standing::ByCore => event!(proof_back),
+            Standing::ByPeers => event!(peer_proof),
+        }
+    }
+
     fn send(&self, to: NodeId, message: HoldMsg) {
         if self.links.send(LinkOrder::Send { to, message: Message::Hold(message) }).is_err() {
             event!(inbox_full, "links");
--- a/crates/traffic/src/desk.rs
+++ b/crates/traffic/src/desk.rs
@@ -32,6 +32,7 @@
     pub looks: u32,
     pub read_at: Option<Duration>,
     pub refused_until: Duration,
+    pub holds_back: Duration,
     pub desired: u32,
 }
 
@@ -56,6 +57,7 @@
             looks: 0,
             read_at: None,
             refused_until: Duration::ZERO,
+            holds_back: Duration::ZERO,
             desired: 0,
         }
     }
--- a/crates/traffic/src/home.rs
+++ b/crates/traffic/src/home.rs
@@ -35,6 +35,7 @@
     pub(crate) refilled: Duration,
     pub(crate) scaled: Duration,
     pub(crate) sampled: Duration,
+    pub(crate) gave_way: Duration,
     pub(crate) outs: Vec<HomeOutput>,
     pub refusals: u64,
 }
@@ -65,6 +66,7 @@
             refilled: Duration::ZERO,
             scaled: Duration::ZERO,
             sampled: Duration::ZERO,
+            gave_way: Duration::ZERO,
             outs: Vec::new(),
             refusals: 0,
         }
@@ -78,6 +80,7 @@
             HomeInput::Carry { from, message: CarryMsg::Handover { function, roster, slots, requests, seconds } } => {
                 self.take_handover(from, function.as_str(), roster, slots.into_vec(), requests, seconds)
             }
+            HomeInput::Carry { message: CarryMsg::GiveWay { function, .. }, .. } => self.give_way(function.as_str()),
             HomeInput::Carry { .. } => {}
             HomeInput::Dispatched { number, verdict } => self.dispatched(number, verdict),
             HomeInput::Ledger { message } => self.ledger_receipt(message),
--- a/crates/traffic/src/instance.rs
+++ b/crates/traffic/src/instance.rs
@@ -74,6 +74,7 @@
     pub paused_until: Duration,
     pub ordered: Duration,
     pub changed: Duration,
+    pub used: Duration,
     pub stopping: Option<Duration>,
     pub listed: bool,
 }
@@ -91,6 +92,7 @@
             paused_until: Duration::ZERO,
             ordered: now,
             changed: now,
+            used: now,
             stopping: None,
             listed: false,
         }
--- a/crates/traffic/src/lib.rs
+++ b/crates/traffic/src/lib.rs
@@ -12,6 +12,7 @@
 mod front_passes;
 mod front_types;
 mod giving_up;
+mod giving_way;
 mod handover;
 mod head;
 mod home;
--- a/crates/traffic/src/passes.rs
+++ b/crates/traffic/src/passes.rs
@@ -88,6 +88,7 @@
             desk.in_flight = desk.in_flight.saturating_sub(1);
             if let Some(instance) = desk.instances.get_mut(&instance_id) {
                 instance.busy = instance.busy.saturating_sub(1);
+                instance.used = now;
                 match &verdict {
                     Verdict::NotSent => instance.paused_until = now + Duration::from_millis(300),
                     Verdict::InDoubt { late: true, .. } => {
--- a/crates/traffic/src/plane.rs
+++ b/crates/traffic/src/plane.rs
@@ -156,7 +156,7 @@
 
     fn carry(&mut self, from: NodeId, message: CarryMsg) {
         match message {
-            CarryMsg::Carry { .. } | CarryMsg::Handover { .. } => {
+            CarryMsg::Carry { .. } | CarryMsg::Handover { .. } | CarryMsg::GiveWay { .. } => {
                 self.turn(Turn::Home(HomeInput::Carry { from, message }))
             }
             _ => self.turn(Turn::Front(FrontInput::Carried { from, message })),
--- a/crates/traffic/src/plane_out.rs
+++ b/crates/traffic/src/plane_out.rs
@@ -8,7 +8,7 @@
 use events::event;
 use links::LinkOrder;
 use std::collections::VecDeque;
-use wire::{HoldMsg, Message, PlanMsg};
+use wire::{CarryMsg, HoldMsg, Message, PlanMsg};
 
 impl Plane {
     pub(crate) fn link(&self, order: LinkOrder) {
@@ -55,6 +55,9 @@
 
     fn carry_out(&mut self, output: HomeOutput) -> Option<Turn> {
         match output {
+            HomeOutput::Carry { to, message: message @ CarryMsg::GiveWay { .. } } if to == self.me => {
+                return Some(Turn::Home(HomeInput::Carry { from: to, message }));
+            }
             HomeOutput::Carry { to, message } if to == self.me => {
                 return Some(Turn::Front(FrontInput::Carried { from: to, message }));
             }
--- a/crates/traffic/src/platform_side.rs
+++ b/crates/traffic/src/platform_side.rs
@@ -55,6 +55,10 @@
                     let pause = if receipt == StartReceipt::NoMemory { NO_MEMORY_PAUSE } else { LIMITED_PAUSE };
                     desk.refused_until = now + pause;
                     desk.instances.remove(id);
+                    let name = desk.function.name.clone();
+                    if receipt == StartReceipt::NoMemory {
+                        self.ask_to_give_way(&name);
+                    }
                 }
             }
             return;
--- a/crates/traffic/src/scale.rs
+++ b/crates/traffic/src/scale.rs
@@ -84,7 +84,8 @@
                 self.outs.push(HomeOutput::PlanAsk { message });
             }
             let count = ready + starting;
-            if desk.desired > count && now >= desk.refused_until {
+            let willing = now >= desk.refused_until && (held > 0 || now >= desk.holds_back);
+            if desk.desired > count && willing {
                 let waking = held > 0 && count == 0;
                 wanting.push((waking, desk.function.player_weight, desk.desired - count, name));
             } else if desk.desired < count {
--- a/crates/traffic/src/service.rs
+++ b/crates/traffic/src/service.rs
@@ -129,6 +129,8 @@
         told_at: begun,
         heard: None,
         standing: Standing::Waiting,
+        standing_told: Standing::Waiting,
+        stood_at: begun,
         view: control_view,
         grace: settings.grace,
     };
--- a/crates/traffic/src/settings.rs
+++ b/crates/traffic/src/settings.rs
@@ -14,11 +14,11 @@
         seeds: Vec<String> = Vec::new(), seeds, "addresses of three registries";
         platform: String = String::new(), address, "IP number and port of the platform's API";
         hold: Duration = Duration::from_millis(1500), in_range(Duration::from_millis(500), Duration::from_secs(10)), "how long a proof of revision lasts; the same on every machine";
-        connections: usize = 2048, in_range(1, 65_536), "most connections of callers at once";
+        connections: usize = 4096, in_range(1, 65_536), "most connections of callers at once";
         head_bytes: usize = 16 * 1024, in_range(8192, 256 * 1024), "longest head of a request in bytes";
         headers: usize = 64, in_range(8, 256), "most headers of a request";
         body: usize = 256 * 1024, in_range(0, 4 * 1024 * 1024), "longest body of a request in bytes";
-        head_time: Duration = Duration::from_secs(5), in_range(Duration::from_millis(100), Duration::from_secs(60)), "how long a request's head, or the pause before it, may take";
+        head_time: Duration = Duration::from_secs(20), in_range(Duration::from_millis(100), Duration::from_secs(60)), "how long a request's head, or the pause before it, may take";
         body_time: Duration = Duration::from_secs(4), in_range(Duration::from_millis(100), Duration::from_secs(60)), "how long a request's body may take";
         life: Duration = Duration::from_secs(600), in_range(Duration::from_secs(1), Duration::from_secs(86_400)), "how long a connection may be kept open";
         grace: Duration = Duration::from_secs(8), in_range(Duration::from_secs(1), Duration::from_secs(120)), "how long a planned stop may take to finish what it has begun";
--- a/crates/wire/src/carry.rs
+++ b/crates/wire/src/carry.rs
@@ -90,4 +90,6 @@
     NotHome { task: u64 },
     #[deku(id = "4")]
     Handover { function: Text, roster: u64, slots: List<SlotLine>, requests: u32, seconds: u32 },
+    #[deku(id = "5")]
+    GiveWay { function: Text, memory_mb: u32 },
 }
