--- a/crates/fleet/src/processes.rs
+++ b/crates/fleet/src/processes.rs
@@ -34,9 +34,20 @@
     pub relays: Relays,
 }
 
+/// Ports that are free now, below those the machine deals out to connections, so that none is
+/// taken by one of ours before its node listens.
 fn ports(count: usize) -> Result<Vec<String>, String> {
-    let held: Result<Vec<TcpListener>, _> = (0..count).map(|_| TcpListener::bind("127.0.0.1:0")).collect();
-    let held = held.map_err(|fault| fault.to_string())?;
+    let from = 10_000 + (std::process::id() as u16).wrapping_mul(97) % 18_000;
+    let mut held = Vec::new();
+    for port in (from..32_000).chain(10_000..from) {
+        if held.len() == count {
+            break;
+        }
+        held.extend(TcpListener::bind(("127.0.0.1", port)));
+    }
+    if held.len() < count {
+        return Err(format!("{count} free ports are needed"));
+    }
     held.iter().map(|l| l.local_addr().map(|a| a.to_string()).map_err(|fault| fault.to_string())).collect()
 }
 
