One main for daemons, one planner for thread and simulator; release late claims

A claim granted after its task was given up is released by its own receipt, not by a release that could overtake it: the key would have stayed taken for half an hour and its repeats would have heard unknown. The fleet tells of processes that end unasked.

--- a/crates/control/src/service.rs
+++ b/crates/control/src/service.rs
@@ -66,7 +66,7 @@
     let api_thread =
         thread("api", move || local(async move { doors::serve(adopt(operators), pages, limits, stopping).await }))?;
     let host = Host { me, solve: settings.solve, plans: settings.plans, links: find(&directory, "links") };
-    thread("optimizer", move || optimizer::run(host, optimizer_inbox, Inbox::next_blocking))?;
+    thread("optimizer", move || optimizer::run(host, optimizer_inbox))?;
     let written = control.clone();
     let disk = Disk::start(store, move |result| {
         written.send_blocking(ControlMsg::Written(result));
--- a/crates/env/src/line.rs
+++ b/crates/env/src/line.rs
@@ -3,19 +3,47 @@
 
 use crate::{SettingFault, Settings, Source};
 use lexopt::prelude::*;
+use std::process::ExitCode;
 
-pub enum Opening<S> {
+enum Opening<S> {
     Run(S),
     Say { words: String, code: u8 },
 }
 
-pub fn open<S: Settings>(program: &str, about: &str, version: &str) -> Opening<S> {
+fn open<S: Settings>(program: &str, about: &str, version: &str) -> Opening<S> {
     match parse::<S>(program, about, version, lexopt::Parser::from_env()) {
         Ok(opening) => opening,
         Err(words) => Opening::Say { words: format!("{program}: {words}"), code: 2 },
     }
 }
 
+/// A daemon's whole main: reads its settings, says what is to be said, else works until it ends.
+/// The work's fault comes with its exit code.
+pub fn program<S: Settings>(
+    name: &str,
+    about: &str,
+    version: &str,
+    work: impl FnOnce(S) -> Result<(), (u8, String)>,
+) -> ExitCode {
+    match open::<S>(name, about, version) {
+        Opening::Run(settings) => match work(settings) {
+            Ok(()) => ExitCode::SUCCESS,
+            Err((code, fault)) => {
+                eprintln!("{name}: {fault}");
+                ExitCode::from(code)
+            }
+        },
+        Opening::Say { words, code: 0 } => {
+            println!("{words}");
+            ExitCode::SUCCESS
+        }
+        Opening::Say { words, code } => {
+            eprintln!("{words}");
+            ExitCode::from(code)
+        }
+    }
+}
+
 fn parse<S: Settings>(
     program: &str,
     about: &str,
--- /dev/null
+++ b/crates/fleet/src/drawing.rs
@@ -0,0 +1,141 @@
+//! Drawing a fleet up: which nodes there are, where each listens and what it is told. Ports are
+//! asked of the machine, none is assumed to be free.
+
+use crate::deployment::Deployment;
+use crate::line::Order;
+use crate::processes::{Fleet, Node, TOKEN};
+use crate::relay::Relays;
+use std::collections::BTreeSet;
+use std::net::TcpListener;
+
+/// Ports that are free now, below those the machine deals out to connections, so that none is
+/// taken by one of ours before its node listens.
+fn ports(count: usize) -> Result<Vec<String>, String> {
+    let from = 10_000 + (std::process::id() as u16).wrapping_mul(97) % 18_000;
+    let mut held = Vec::new();
+    for port in (from..32_000).chain(10_000..from) {
+        if held.len() == count {
+            break;
+        }
+        held.extend(TcpListener::bind(("127.0.0.1", port)));
+    }
+    if held.len() < count {
+        return Err(format!("{count} free ports are needed"));
+    }
+    held.iter().map(|l| l.local_addr().map(|a| a.to_string()).map_err(|fault| fault.to_string())).collect()
+}
+
+impl Fleet {
+    pub fn draw_up(order: &Order, deployment: &Deployment) -> Result<Fleet, String> {
+        let folder = order.folder.clone();
+        std::fs::create_dir_all(folder.join("logs")).map_err(|fault| format!("{}: {fault}", folder.display()))?;
+        let count = order.routers.unwrap_or(deployment.routers);
+        let free = ports(1 + 3 * 3 + count * 4)?;
+        let mut free = free.into_iter();
+        let mut port = || free.next().unwrap_or_default();
+        let words = |list: &[&str]| list.iter().map(|word| (*word).to_owned()).collect::<Vec<String>>();
+        let platform = port();
+        let yard = Node {
+            name: "yard".into(),
+            program: "yard",
+            peer: platform.clone(),
+            bind: String::new(),
+            door: String::new(),
+            ops: platform.clone(),
+            arguments: words(&[
+                "--address",
+                &platform,
+                "--services",
+                &deployment.services.display().to_string(),
+                "--record",
+                &folder.join("runs.jsonl").display().to_string(),
+                "--workers",
+                &deployment.workers.to_string(),
+                "--memory-mb",
+                &deployment.memory_mb.to_string(),
+                "--seed",
+                &order.seed.to_string(),
+            ]),
+            data: None,
+        };
+        let seats: Vec<(String, String, String)> = (0..3).map(|_| (port(), port(), port())).collect();
+        let seeds = seats.iter().map(|(peer, ..)| peer.clone()).collect::<Vec<_>>().join(",");
+        let zone = |n: usize| deployment.zones[n % deployment.zones.len().max(1)].clone();
+        let tokens = format!("*={TOKEN},pixelkrov=tenant-token-of-pixelkrov");
+        let registries = seats.iter().enumerate().map(|(n, (peer, api, bind))| {
+            let data = folder.join(format!("registry-{n}"));
+            Node {
+                name: format!("registry-{n}"),
+                program: "registry",
+                peer: peer.clone(),
+                bind: bind.clone(),
+                door: api.clone(),
+                ops: api.clone(),
+                arguments: words(&[
+                    "--cluster",
+                    &deployment.cluster,
+                    "--zone",
+                    &zone(n),
+                    "--address",
+                    peer,
+                    "--bind",
+                    bind,
+                    "--api",
+                    api,
+                    "--seeds",
+                    &seeds,
+                    "--data",
+                    &data.display().to_string(),
+                    "--tokens",
+                    &tokens,
+                    "--plans",
+                    &order.plans.to_string(),
+                ]),
+                data: Some(data),
+            }
+        });
+        let registries: Vec<Node> = registries.collect();
+        let routers = (0..count).map(|n| {
+            let (peer, door, ops, bind) = (port(), port(), port(), port());
+            Node {
+                name: format!("router-{n}"),
+                program: "router",
+                arguments: words(&[
+                    "--cluster",
+                    &deployment.cluster,
+                    "--zone",
+                    &zone(n),
+                    "--address",
+                    &peer,
+                    "--bind",
+                    &bind,
+                    "--listen",
+                    &door,
+                    "--ops",
+                    &ops,
+                    "--seeds",
+                    &seeds,
+                    "--platform",
+                    &platform,
+                ]),
+                peer,
+                bind,
+                door,
+                ops,
+                data: None,
+            }
+        });
+        let routers: Vec<Node> = routers.collect();
+        Ok(Fleet {
+            yard,
+            registries,
+            routers,
+            running: Vec::new(),
+            folder,
+            programs: order.programs.clone(),
+            relays: Relays::new(&deployment.cluster),
+            ended: Vec::new(),
+            asked: BTreeSet::new(),
+        })
+    }
+}
--- a/crates/fleet/src/main.rs
+++ b/crates/fleet/src/main.rs
@@ -3,6 +3,7 @@
 //! timetable and the checker's verdict. It starts processes, which the product's own never do.
 
 mod deployment;
+mod drawing;
 mod faults;
 mod line;
 mod processes;
--- a/crates/fleet/src/prove.rs
+++ b/crates/fleet/src/prove.rs
@@ -82,7 +82,7 @@
         {
             return Ok(());
         }
-        if let Some((name, code)) = fleet.reap().into_iter().next() {
+        if let Some((name, code)) = fleet.ended_unasked() {
             return Err(format!("{name} ended with {code:?}; see its log in {}", fleet.folder.join("logs").display()));
         }
         sleep(Duration::from_millis(50)).await;
--- a/crates/router/src/main.rs
+++ b/crates/router/src/main.rs
@@ -1,30 +1,14 @@
 //! `router`: the data plane's program, one on every machine.
 
-use env::Opening;
 use std::process::ExitCode;
+use traffic::RouterEnv;
+
+const ABOUT: &str = "meets callers, carries tasks to their homes and runs instances to match the plan";
 
 fn main() -> ExitCode {
-    let about = "meets callers, carries tasks to their homes and runs instances to match the plan";
-    let settings = match env::open::<traffic::RouterEnv>("router", about, env!("CARGO_PKG_VERSION")) {
-        Opening::Run(settings) => settings,
-        Opening::Say { words, code: 0 } => {
-            println!("{words}");
-            return ExitCode::SUCCESS;
-        }
-        Opening::Say { words, code } => {
-            eprintln!("{words}");
-            return ExitCode::from(code);
-        }
-    };
-    if let Err(fault) = events::setup(&settings.log_level, &settings.log_file) {
-        eprintln!("router: setting log_file = {}: {fault}", settings.log_file);
-        return ExitCode::from(2);
-    }
-    match traffic::run(settings) {
-        Ok(()) => ExitCode::SUCCESS,
-        Err(fault) => {
-            eprintln!("router: {fault}");
-            ExitCode::FAILURE
-        }
-    }
+    env::program("router", ABOUT, env!("CARGO_PKG_VERSION"), |settings: RouterEnv| {
+        events::setup(&settings.log_level, &settings.log_file)
+            .map_err(|fault| (2, format!("setting log_file = {}: {fault}", settings.log_file)))?;
+        traffic::run(settings).map_err(|fault| (1, fault))
+    })
 }
--- a/crates/sim/src/registry_node.rs
+++ b/crates/sim/src/registry_node.rs
@@ -3,9 +3,8 @@
 use crate::world::{Event, Place, TICK, World};
 use bindings::Book;
 use chain::{Batch, Member, Stored, Timing, apply_batch};
-use control::{ApiReply, Core, CoreInput, CoreOutput, CoreTiming};
+use control::{ApiReply, Core, CoreInput, CoreOutput, CoreTiming, Planner};
 use rand::RngExt;
-use scaler::{Optimizer, Sample};
 use std::time::Duration;
 use wire::{Message, NodeId, PlanMsg, Seat};
 
@@ -22,8 +21,7 @@
     pub full: bool,
     pub base: Duration,
     pub frozen_until: Duration,
-    pub optimizer: Optimizer,
-    pub book: Book,
+    pub planner: Planner,
 }
 
 impl World {
@@ -40,8 +38,7 @@
             full: false,
             base: Duration::ZERO,
             frozen_until: Duration::ZERO,
-            optimizer: Optimizer::default(),
-            book: Book::default(),
+            planner: Planner::default(),
         });
         self.start_registry(n);
     }
@@ -62,7 +59,7 @@
         node.base = now;
         node.full = false;
         node.frozen_until = Duration::ZERO;
-        node.optimizer = Optimizer::default();
+        node.planner = Planner::default();
         let member = Member::new(seat, node.disk.clone(), Timing::default(), control::apply, Duration::ZERO);
         node.core = Some(Core::new(member, CoreTiming::default(), life << 20));
         self.net.names.insert(seat_id, Place::Registry(n));
@@ -112,37 +109,11 @@
         }
     }
 
-    /// The optimizer's host answers as its thread would, some milliseconds later.
     fn optimize(&mut self, n: usize, from: NodeId, message: PlanMsg) {
         let node = &mut self.registries[n];
         let now = self.now.saturating_sub(node.base);
-        let Some(view) = node.core.as_ref().map(|core| core.member().view().clone()) else { return };
-        match message {
-            PlanMsg::Samples { lines } => {
-                for line in lines.iter() {
-                    let sample = Sample {
-                        rate: line.rate_milli as f64 / 1000.0,
-                        response: Duration::from_micros(line.response_micro),
-                        waiting: line.waiting_milli as f64 / 1000.0,
-                        held: line.held_milli as f64 / 1000.0,
-                    };
-                    node.optimizer.sample(now, line.function.as_str(), sample);
-                }
-            }
-            PlanMsg::Ask { ask, function, current, held, waiting } if view.optimizer == node.id => {
-                let Some(function) = node.book.function(function.as_str()).cloned() else { return };
-                let gauge = Sample { held: held.into(), waiting: waiting.into(), ..Sample::default() };
-                let planned = node.optimizer.plan(now, &function, current, gauge, SOLVE);
-                let receipt = PlanMsg::Receipt {
-                    ask,
-                    fence: view.number,
-                    state: planned.fault.is_none() as u8,
-                    step_ms: planned.step.as_millis() as u32,
-                    desired: planned.desired.into(),
-                };
-                self.send(Place::Registry(n), from, Message::Plan(receipt));
-            }
-            _ => {}
+        if let Some(planned) = node.planner.step(now, node.id, message, SOLVE) {
+            self.send(Place::Registry(n), from, Message::Plan(planned.receipt));
         }
     }
 
@@ -183,15 +154,19 @@
                 self.after(wait, Event::Written { registry: n, life, ticket });
             }
             CoreOutput::Reply { ask, reply } => self.operator_reply(n, ask, reply),
-            CoreOutput::Viewed { view } => self.say(|| {
-                let chain: Vec<String> = view.chain.iter().map(|id| format!("{:04x}", id >> 48)).collect();
-                format!("registry {n} adopts view {} chain {}", view.number, chain.join(" "))
-            }),
+            CoreOutput::Viewed { view } => {
+                self.say(|| {
+                    let chain: Vec<String> = view.chain.iter().map(|id| format!("{:04x}", id >> 48)).collect();
+                    format!("registry {n} adopts view {} chain {}", view.number, chain.join(" "))
+                });
+                self.registries[n].planner.viewed(view);
+            }
             CoreOutput::Activated { step } => {
                 let node = &mut self.registries[n];
                 let Some(core) = &node.core else { return };
                 let pairs = core.state().iter().filter_map(|(key, value)| Some((key.strip_prefix("a/")?, &value[..])));
-                node.book = Book::build(step, 0, pairs);
+                let book = Book::build(step, 0, pairs);
+                node.planner.book(&book);
             }
         }
     }
--- a/crates/traffic/src/giving_up.rs
+++ b/crates/traffic/src/giving_up.rs
@@ -36,6 +36,7 @@
                 }
                 (Class::Deferred, _) => self.accept(number),
                 (Class::Once, Place::Following { .. }) => self.answer_own(number, Outcome::Unknown, 504, again),
+                (Class::Once, Place::Claiming) => self.answer_own(number, Outcome::NotRun, 503, again),
                 (Class::Once, _) => {
                     self.release(number);
                     self.answer_own(number, Outcome::NotRun, 503, again);
--- a/crates/traffic/src/home.rs
+++ b/crates/traffic/src/home.rs
@@ -18,7 +18,6 @@
     pub(crate) now: Duration,
     pub(crate) may_serve: bool,
     pub(crate) core_near: bool,
-    pub(crate) leaving: bool,
     pub(crate) book: Option<Rc<Book>>,
     pub(crate) roster: Rc<Roster>,
     pub(crate) tasks: BTreeMap<u64, HomeTask>,
@@ -49,7 +48,6 @@
             now: Duration::ZERO,
             may_serve: false,
             core_near: false,
-            leaving: false,
             book: None,
             roster: Rc::default(),
             tasks: BTreeMap::new(),
@@ -96,7 +94,6 @@
                 self.align_desks(first);
             }
             HomeInput::Core { near } => self.core_near = near,
-            HomeInput::Leave => self.leaving = true,
             HomeInput::Tick => self.tick(),
         }
         self.dispatch_pass();
--- a/crates/traffic/src/home_types.rs
+++ b/crates/traffic/src/home_types.rs
@@ -23,7 +23,6 @@
     Book { book: Rc<Book> },
     Roster { roster: Rc<Roster> },
     Core { near: bool },
-    Leave,
     Tick,
 }
 
--- a/crates/traffic/src/ledger.rs
+++ b/crates/traffic/src/ledger.rs
@@ -22,8 +22,8 @@
             incarnation,
             ask: number,
         };
-        let (function, left) = (task.function.clone(), task.due.saturating_sub(self.now));
-        self.ask_chain(Ledger::Claim, number, &function, wire::to_bytes(&command), left);
+        let function = task.function.clone();
+        self.ask_chain(Ledger::Claim, number, &function, wire::to_bytes(&command), LASTING);
     }
 
     pub(crate) fn release(&mut self, number: u64) {
@@ -38,6 +38,14 @@
         self.ask_chain(Ledger::Release, number, &function, wire::to_bytes(&command), LASTING);
     }
 
+    /// A claim granted after its task was given up is released, or its key would stay taken.
+    fn release_late(&mut self, claim: &[u8], function: &str) {
+        if let Some(Command::Claim { scope, member, incarnation, ask, .. }) = wire::from_bytes(claim) {
+            let command = Command::Release { scope, member, incarnation, ask };
+            self.ask_chain(Ledger::Release, 0, function, wire::to_bytes(&command), LASTING);
+        }
+    }
+
     pub(crate) fn settle(&mut self, number: u64, answer: &StoredAnswer) {
         let Some(task) = self.tasks.get(&number) else { return };
         let command = Command::Settle {
@@ -99,6 +107,11 @@
         let Some(record) = self.asks.remove(&ask) else { return };
         let Some(receipt) = wire::from_bytes::<Receipt>(body.as_slice()) else { return };
         match (record.kind, receipt) {
+            (Ledger::Claim, Receipt::Claim { state: ClaimState::Granted, .. })
+                if !self.tasks.contains_key(&record.task) =>
+            {
+                self.release_late(&record.body, &record.function);
+            }
             (Ledger::Claim, Receipt::Claim { state, answer }) => self.claimed(record.task, state, answer.as_slice()),
             (Ledger::Store, Receipt::Stored { state, answer }) => self.stored(record.task, state, answer.as_slice()),
             (Ledger::Release, _) => {
--- a/crates/traffic/src/plane.rs
+++ b/crates/traffic/src/plane.rs
@@ -147,10 +147,7 @@
                 self.registries = registries;
                 self.turn(Turn::Home(HomeInput::Core { near }));
             }
-            TrafficMsg::Leave { done } => {
-                self.done = Some(done);
-                self.turn(Turn::Home(HomeInput::Leave));
-            }
+            TrafficMsg::Leave { done } => self.done = Some(done),
         }
     }
 
--- a/crates/yard/src/main.rs
+++ b/crates/yard/src/main.rs
@@ -11,26 +11,8 @@
 use std::process::ExitCode;
 
 fn main() -> ExitCode {
-    let settings = match env::open::<state::YardEnv>(
-        "yard",
-        "stands in for the platform and its instances",
-        env!("CARGO_PKG_VERSION"),
-    ) {
-        env::Opening::Run(settings) => settings,
-        env::Opening::Say { words, code } => {
-            if code == 0 {
-                println!("{words}");
-            } else {
-                eprintln!("{words}");
-            }
-            return ExitCode::from(code);
-        }
-    };
-    match api::run(settings) {
-        Ok(()) => ExitCode::SUCCESS,
-        Err(fault) => {
-            eprintln!("yard: {fault}");
-            ExitCode::FAILURE
-        }
-    }
+    let about = "stands in for the platform and its instances";
+    env::program("yard", about, env!("CARGO_PKG_VERSION"), |settings: state::YardEnv| {
+        api::run(settings).map_err(|fault| (1, fault))
+    })
 }
