--- a/crates/fleet/src/processes.rs
+++ b/crates/fleet/src/processes.rs
@@ -56,6 +56,7 @@
         let ended = self.reap();
         self.ended.extend(ended);
         self.asked.remove(&node.name);
+        self.ended.retain(|(name, _)| *name != node.name);
         if self.running.iter().any(|(name, _)| *name == node.name) {
             return Ok(());
         }
