--- a/crates/control/src/control_loop.rs
+++ b/crates/control/src/control_loop.rs
@@ -34,7 +34,9 @@
 impl Control {
     pub async fn run(mut self, post: Post<ControlMsg>, mut inbox: Inbox<ControlMsg>) {
         let begun = Instant::now();
-        self.dial(&View::default());
+        let view = self.core.member().view().clone();
+        self.dial(&view);
+        let _ = self.optimizer.send(OptimizerMsg::Viewed { view });
         tokio::task::spawn_local(async move {
             wait_for_signal().await;
             post.send_waiting(ControlMsg::Stop).await;
--- a/crates/scaler/src/player.rs
+++ b/crates/scaler/src/player.rs
@@ -1,6 +1,7 @@
 //! The serving side of one function: plays desired[elapsed / step], asks again when the plan has
 //! run out, retries once, and on failure holds the count or starts one under demand. Two small
-//! exceptions: held tasks with nothing running or starting start one at once, and held tasks
+//! exceptions: held tasks with nothing running or starting start one at once, which is
+//! kept while they wait, and held tasks
 //! beyond what the played step can serve ask for a new plan early, at most once a second.
 
 use std::time::Duration;
@@ -103,7 +104,7 @@
         }
         let demand = held + in_flight > 0;
         let desired = played.unwrap_or_else(|| fallback(count, demand, min, max));
-        let woken = if held > 0 && count == 0 { desired.max(1) } else { desired };
+        let woken = if held > 0 { desired.max(1) } else { desired };
         Verdict { desired: woken.clamp(min.min(max), max), ask: asks }
     }
 
@@ -157,6 +158,17 @@
         assert_eq!(player.step(7 * S, 99, situation(0, 0), &timing).desired, 0);
     }
 
+    #[test]
+    fn the_one_that_was_woken_is_not_taken_back_while_callers_wait() {
+        let (timing, mut player) = (PlayerTiming::default(), Player::default());
+        player.step(S, 1, situation(0, 0), &timing);
+        player.take(S, 1, 1, vec![0; 8], 15 * S);
+        assert_eq!(player.step(2 * S, 2, situation(0, 4), &timing).desired, 1);
+        let starting = Situation { starting: 1, ..situation(0, 4) };
+        assert_eq!(player.step(3 * S, 3, starting, &timing).desired, 1);
+        assert_eq!(player.step(4 * S, 4, situation(1, 0), &timing).desired, 0);
+    }
+
     #[test]
     fn held_tasks_beyond_the_step_ask_early_but_not_more_than_once_a_second() {
         let (timing, mut player) = (PlayerTiming::default(), Player::default());
--- a/crates/sim/src/registry_node.rs
+++ b/crates/sim/src/registry_node.rs
@@ -60,6 +60,7 @@
         node.full = false;
         node.frozen_until = Duration::ZERO;
         node.planner = Planner::default();
+        node.planner.viewed(node.disk.meta.view.clone());
         let member = Member::new(seat, node.disk.clone(), Timing::default(), control::apply, Duration::ZERO);
         node.core = Some(Core::new(member, CoreTiming::default(), life << 20));
         self.net.names.insert(seat_id, Place::Registry(n));
