Push from the tail on news or every 40 ms, not after every step

Cause: after each input the tail decoded all members and looked through all sessions for something to send. One change: it does so when the committed position moved, a receipt came, or 40 ms passed.

--- a/crates/control/src/core.rs
+++ b/crates/control/src/core.rs
@@ -12,6 +12,8 @@
 use wire::Command;
 use wire::{ChainMsg, HoldMsg, NodeId, OpNo, View};
 
+const PUSH_EVERY: Duration = Duration::from_millis(40);
+
 #[derive(Clone, Debug)]
 pub struct CoreTiming {
     pub lapse: Duration,
@@ -77,6 +79,9 @@
     pub(crate) ticked: Duration,
     pub(crate) dutied: Duration,
     pub(crate) roster_pushed: u64,
+    pub(crate) pushed_at: Duration,
+    pub(crate) pushed_commit: u64,
+    pub(crate) push_due: bool,
     pub(crate) members_since: (Vec<NodeId>, Duration),
 }
 
@@ -98,6 +103,9 @@
             ticked: Duration::ZERO,
             dutied: Duration::ZERO,
             roster_pushed: 0,
+            pushed_at: Duration::ZERO,
+            pushed_commit: 0,
+            push_due: false,
             members_since: (Vec::new(), Duration::ZERO),
         }
     }
@@ -218,7 +226,11 @@
             self.sessions = Sessions::default();
             self.roster_pushed = 0;
         }
-        if tail && committed >= synced {
+        let due = self.push_due || committed != self.pushed_commit || self.now >= self.pushed_at + PUSH_EVERY;
+        if tail && committed >= synced && due {
+            self.push_due = false;
+            self.pushed_commit = committed;
+            self.pushed_at = self.now;
             self.push();
         }
     }
--- a/crates/control/src/routers.rs
+++ b/crates/control/src/routers.rs
@@ -36,6 +36,7 @@
                     && session.incarnation == incarnation
                 {
                     session.staged = session.staged.max(number);
+                    self.push_due = true;
                 }
             }
             HoldMsg::Enter { ask, body } => {
