Ask for plans of functions in use first, a few a pass

Cause: with 20000 functions bound, all sleeping ones asked for a plan at once and the optimizer's inbox refused some asks of busy ones.

--- a/crates/scaler/src/player.rs
+++ b/crates/scaler/src/player.rs
@@ -35,6 +35,7 @@
     pub min: u32,
     pub max: u32,
     pub fixed: Option<u32>,
+    pub may_ask: bool,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -73,7 +74,7 @@
 
     /// Says what the count should be now, and whether a plan is to be asked for under `ask`.
     pub fn step(&mut self, now: Duration, ask: u64, situation: Situation, timing: &PlayerTiming) -> Verdict {
-        let Situation { running, starting, held, in_flight, capacity, min, max, fixed } = situation;
+        let Situation { running, starting, held, in_flight, capacity, min, max, fixed, may_ask } = situation;
         if let Some(count) = fixed {
             return Verdict { desired: count, ask: false };
         }
@@ -94,7 +95,7 @@
         let early = held > 0 && beyond && self.early_at.is_none_or(|at| now >= at + timing.early);
         let rested = self.resting.is_none_or(|until| now >= until);
         let wanted = played.is_none() || early;
-        let asks = wanted && rested && self.asked.is_none();
+        let asks = may_ask && wanted && rested && self.asked.is_none();
         if asks {
             self.asked = Some((ask, now));
             if early {
@@ -130,7 +131,7 @@
     const S: Duration = Duration::from_secs(1);
 
     fn situation(running: u32, held: u32) -> Situation {
-        Situation { running, held, capacity: 3.0, min: 0, max: 9, ..Situation::default() }
+        Situation { running, held, capacity: 3.0, min: 0, max: 9, may_ask: true, ..Situation::default() }
     }
 
     #[test]
--- a/crates/traffic/src/home.rs
+++ b/crates/traffic/src/home.rs
@@ -35,6 +35,7 @@
     pub(crate) scaled: Duration,
     pub(crate) sampled: Duration,
     pub(crate) gave_way: Duration,
+    pub(crate) idle_from: usize,
     pub(crate) outs: Vec<HomeOutput>,
     pub refusals: u64,
 }
@@ -65,6 +66,7 @@
             scaled: Duration::ZERO,
             sampled: Duration::ZERO,
             gave_way: Duration::ZERO,
+            idle_from: 0,
             outs: Vec::new(),
             refusals: 0,
         }
--- a/crates/traffic/src/scale.rs
+++ b/crates/traffic/src/scale.rs
@@ -13,6 +13,7 @@
 
 const EVERY: Duration = Duration::from_millis(100);
 const BURST: f64 = 8.0;
+const ASKS_PER_PASS: usize = 8;
 const SEEN_LASTS: Duration = Duration::from_secs(90);
 const STOP_AGAIN: Duration = Duration::from_secs(4);
 
@@ -44,8 +45,8 @@
     fn scale_pass(&mut self) {
         let now = self.now;
         let mut wanting: Vec<(bool, f64, u32, String)> = Vec::new();
-        let names: Vec<String> = self.desks.keys().cloned().collect();
-        for name in names {
+        let mut asks_left = ASKS_PER_PASS;
+        for name in self.by_need() {
             let ask = self.number();
             let bound = self.book.as_ref().is_some_and(|book| book.function(&name).is_some());
             let Some(desk) = self.desks.get_mut(&name) else { continue };
@@ -65,6 +66,7 @@
                 min: desk.function.min,
                 max: desk.function.max,
                 fixed: desk.function.fixed,
+                may_ask: asks_left > 0,
             };
             let before = desk.player.fallbacks;
             let verdict = desk.player.step(now, ask, situation, &self.timing.player);
@@ -72,6 +74,7 @@
                 event!(plan_fallback, "{name}");
             }
             desk.desired = if bound { verdict.desired } else { 0 };
+            asks_left -= usize::from(verdict.ask);
             if verdict.ask && bound {
                 let message = PlanMsg::Ask {
                     ask,
@@ -107,6 +110,20 @@
         self.plan_asks.retain(|ask, _| *ask > oldest);
     }
 
+    /// Functions in use first, then the idle ones, beginning each time where the last pass ended,
+    /// so that thousands of sleeping functions do not all ask for plans at once.
+    fn by_need(&mut self) -> Vec<String> {
+        let in_use = |name: &String| {
+            let desk = &self.desks[name];
+            !desk.held.is_empty() || !desk.instances.is_empty() || desk.in_flight > 0
+        };
+        let (mut names, idle): (Vec<String>, Vec<String>) = self.desks.keys().cloned().partition(in_use);
+        let from = if idle.is_empty() { 0 } else { self.idle_from % idle.len() };
+        self.idle_from = from + ASKS_PER_PASS;
+        names.extend(idle[from..].iter().chain(&idle[..from]).cloned());
+        names
+    }
+
     fn start(&mut self, name: &str) {
         let number = self.number();
         let Some(desk) = self.desks.get_mut(name) else { return };
