Refuse at once what cannot be served in time, instead of near its deadline

Cause: a home whose function was overloaded held every task to its deadline and then refused it: with the fallback alone, run-once tasks waited 3.87 s (median) to hear not-run. A task is now held only while its expected wait, by what answers have taken and the instances there or wanted, is within 0.9 of the time it has left; else it is refused on arrival with that wait as Retry-After. Ruled out: a shorter inbox, which would refuse fast functions too.

--- a/crates/traffic/src/desk.rs
+++ b/crates/traffic/src/desk.rs
@@ -67,6 +67,14 @@
         self.mean_time.mul_f64(1.5).clamp(Duration::from_millis(30), Duration::from_millis(1000))
     }
 
+    /// How long a task behind so many others can expect to be held, by what answers have taken and
+    /// the instances there are or are wanted. Nothing is known before the first answer.
+    pub fn expected_wait(&self, ahead: usize) -> Duration {
+        let there = self.count(Phase::Ready) + self.count(Phase::Starting);
+        let slots = there.max(self.desired).max(1) * self.function.instance_limit;
+        self.mean_time.mul_f64(ahead as f64 / f64::from(slots))
+    }
+
     pub fn took(&mut self, time: Duration) {
         self.answered += 1;
         self.answer_time += time;
--- a/crates/traffic/src/giving_up.rs
+++ b/crates/traffic/src/giving_up.rs
@@ -37,12 +37,8 @@
                 (Class::Deferred, _) => self.accept(number),
                 (Class::Once, Place::Following { .. }) => self.answer_own(number, Outcome::Unknown, 504, again),
                 (Class::Once, Place::Claiming) => self.answer_own(number, Outcome::NotRun, 503, again),
-                (Class::Once, _) => {
-                    self.release(number);
-                    self.answer_own(number, Outcome::NotRun, 503, again);
-                }
                 (Class::Ordinary, _) if task.reached => self.answer_own(number, Outcome::Unknown, 504, again),
-                (Class::Ordinary, _) => self.answer_own(number, Outcome::NotRun, 503, again),
+                _ => self.give_up(number, 1),
             }
         }
         let follow: Vec<u64> = self
@@ -54,6 +50,15 @@
         follow.into_iter().for_each(|number| self.claim(number));
     }
 
+    /// Tells at once that a task which was never dispatched will not be, and when to come back.
+    pub(crate) fn give_up(&mut self, number: u64, least: u32) {
+        let again = self.spread(number, least);
+        if self.tasks.get(&number).is_some_and(|task| task.class == Class::Once) {
+            self.release(number);
+        }
+        self.answer_own(number, Outcome::NotRun, 503, again);
+    }
+
     /// Gives a task that was never dispatched back to its front, which finds its home anew.
     pub(crate) fn send_back(&mut self, number: u64) {
         let Some(task) = self.tasks.get_mut(&number) else { return };
--- a/crates/traffic/src/home.rs
+++ b/crates/traffic/src/home.rs
@@ -40,6 +40,9 @@
     pub refusals: u64,
 }
 
+/// A task is held while its expected wait is within this share of the time it has left.
+const HOPE: f64 = 0.9;
+
 impl Home {
     pub fn new(me: NodeId, incarnation: u64, timing: HomeTiming) -> Self {
         Home {
@@ -126,13 +129,15 @@
     pub(crate) fn hold(&mut self, number: u64) {
         let Some(task) = self.tasks.get_mut(&number) else { return };
         task.place = Place::Held;
-        if let Some(desk) = self.desks.get_mut(&task.function) {
-            if task.low {
-                desk.held.push_back(number);
-            } else {
-                let players = desk.held.iter().take_while(|n| self.tasks.get(n).is_some_and(|task| !task.low)).count();
-                desk.held.insert(players, number);
-            }
+        let (low, stored, reached, left) =
+            (task.low, task.stored.is_some(), task.reached, task.due.saturating_sub(self.now));
+        let Some(desk) = self.desks.get_mut(&task.function) else { return };
+        let players = desk.held.iter().take_while(|n| self.tasks.get(n).is_some_and(|task| !task.low)).count();
+        let ahead = if low { desk.held.len() } else { players };
+        let wait = desk.expected_wait(ahead);
+        desk.held.insert(ahead, number);
+        if wait > left.mul_f64(HOPE) && !stored && !reached {
+            self.give_up(number, wait.as_secs() as u32 + 1);
         }
     }
 
--- a/crates/traffic/tests/front.rs
+++ b/crates/traffic/tests/front.rs
@@ -125,3 +125,50 @@
     home.step(ms(5100), true, HomeInput::Carry { from: ME, message });
     assert_eq!(home.depths().0, 0, "let in again after its answer");
 }
+
+#[test]
+fn a_task_that_cannot_be_served_in_time_is_refused_at_once_not_near_its_deadline() {
+    use platform::{PlatformReport, Probe, StartReceipt};
+    use traffic::Verdict;
+    let mut home = Home::new(OTHER, 1, HomeTiming::default());
+    home.step(ms(0), true, HomeInput::Book { book: book() });
+    home.step(ms(0), true, HomeInput::Roster { roster: roster(1, &[OTHER]) });
+    let mut front = front(1, OTHER);
+    let (mut running, mut refused, mut instance) = (Vec::new(), Vec::new(), None);
+    for at in (0..9000u64).step_by(10) {
+        let mut inputs = vec![HomeInput::Tick];
+        if at > 2000 && at % 20 == 0 {
+            let (_, message) = carry(&ask(&mut front, at, true, "/t/f"));
+            inputs.push(HomeInput::Carry { from: ME, message });
+        }
+        let report = |report| HomeInput::Platform { report, listed_at: ms(at) };
+        if let Some(id) = instance.take() {
+            let receipt = StartReceipt::Accepted { address: "10.9.9.9:1".into() };
+            inputs.push(report(PlatformReport::Started { id: String::clone(&id), receipt }));
+            inputs.push(report(PlatformReport::Probed { id, probe: Probe::Ready }));
+        }
+        let done = running.iter().position(|(_, due)| at >= *due).map(|place| running.remove(place));
+        if let Some((number, _)) = done {
+            let verdict = Verdict::Whole { status: 200, head: Vec::new(), body: Vec::new(), turned_away: false };
+            inputs.push(HomeInput::Dispatched { number, verdict });
+        }
+        for output in inputs.into_iter().flat_map(|input| home.step(ms(at), true, input)).collect::<Vec<_>>() {
+            match output {
+                HomeOutput::Dispatch(order) => running.push((order.number, at + 500)),
+                HomeOutput::Platform(platform::PlatformOrder::Start { id, .. }) => instance = Some(id),
+                HomeOutput::Carry {
+                    message: CarryMsg::Carried { outcome: Outcome::NotRun, retry_after, .. }, ..
+                } => {
+                    refused.push((at, retry_after));
+                }
+                _ => {}
+            }
+        }
+    }
+    // One instance, one task at a time, half a second each, fifty tasks a second: once an answer has
+    // taken its time, about seven are worth holding, the others are told so as they come.
+    assert!(home.depths().0 < 16, "{} are held", home.depths().0);
+    assert!(refused.len() > 200 && refused.iter().all(|(_, again)| *again >= 1));
+    let early = refused.iter().filter(|(at, _)| *at < 5500).count();
+    assert!(early > 80, "only {early} were refused before the first deadline");
+}
