--- a/crates/control/src/operators.rs
+++ b/crates/control/src/operators.rs
@@ -4,7 +4,9 @@
 
 use crate::api_calls::{ApiCall, ApiReply};
 use crate::core::{Core, CoreOutput, Wait};
+use crate::keys;
 use bindings::Kind;
+use chain::State;
 use serde_json::{Map, Value, json};
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -180,6 +182,14 @@
     }
 }
 
+/// The configuration in force as one data file keeps it, which may be behind the others'.
+pub fn stored_document(state: &State) -> Value {
+    let pairs = keys::with_prefix(state, keys::ACTIVE_PAIRS)
+        .map(|(key, value)| (key[keys::ACTIVE_PAIRS.len()..].to_owned(), value.to_vec()))
+        .collect();
+    document(keys::number(state, keys::ACTIVE_REVISION), "", &pairs)
+}
+
 pub fn document(revision: u64, scope: &str, pairs: &BTreeMap<String, Vec<u8>>) -> Value {
     let mut kinds: BTreeMap<&str, Map<String, Value>> =
         Kind::ALL.iter().map(|kind| (kind.word(), Map::new())).collect();
--- a/crates/control/src/service.rs
+++ b/crates/control/src/service.rs
@@ -6,6 +6,7 @@
 use crate::apply::apply;
 use crate::control_loop::Control;
 use crate::core::{Core, CoreTiming};
+use crate::operators::stored_document;
 use crate::optimizer::{self, Host, OptimizerMsg};
 use crate::settings::RegistryEnv;
 use crate::tokens::Tokens;
@@ -15,6 +16,7 @@
 use kernel::{Directory, Inbox, SendFault, adopt, behind, find, listen, local, thread};
 use links::{LinkEvent, LinkOrder, Me};
 use std::collections::BTreeMap;
+use std::io::Write;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 use tokio::sync::{oneshot, watch};
@@ -29,12 +31,19 @@
 
 pub fn run(settings: RegistryEnv) -> Result<(), String> {
     let incarnation = rand::random::<u64>() >> 8;
+    let file = settings.data.join("registry.redb");
+    if settings.show && !file.exists() {
+        return Err(format!("{}: there is no data file", file.display()));
+    }
     std::fs::create_dir_all(&settings.data)
         .map_err(|fault| format!("data folder {}: {fault}", settings.data.display()))?;
-    let file = settings.data.join("registry.redb");
     let newcomer = Seat { id: rand::random::<u64>() | 1, address: settings.address.as_str().into() };
     let (store, stored) = Store::open(&file, &settings.cluster, newcomer)
         .map_err(|fault| format!("{}: {fault}; it is left as it is", file.display()))?;
+    if settings.show {
+        let page = format!("{:#}\n", stored_document(&stored.state));
+        return std::io::stdout().write_all(page.as_bytes()).map_err(|fault| format!("cannot print: {fault}"));
+    }
     let peers = listen(behind(&settings.bind, &settings.address))?;
     let operators = listen(&settings.api)?;
     let seat = Seat { id: stored.meta.seat.id, address: settings.address.as_str().into() };
--- a/crates/control/src/settings.rs
+++ b/crates/control/src/settings.rs
@@ -24,6 +24,7 @@
         body: usize = 4 * 1024 * 1024, in_range(1024, 5 * 1024 * 1024), "longest body of an operator's call in bytes";
         solve: Duration = Duration::from_millis(1000), in_range(Duration::from_millis(10), Duration::from_secs(10)), "limit on one solve of a headcount plan";
         plans: bool = true, any, "whether plans are made here when this registry is the optimizer's host; without, homes fall back";
+        show: bool = false, any, "print the configuration kept in the data folder and stop; nothing is served or changed";
         log_level: String = "info".into(), |level: &String| one_of_levels(level), "error, warn, info, debug or trace";
         log_file: String = String::new(), any, "log file, rolled over by size; empty for standard error";
     }
--- a/crates/heron/src/main.rs
+++ b/crates/heron/src/main.rs
@@ -4,6 +4,7 @@
 use hyper::Method;
 use lexopt::prelude::*;
 use serde_json::Value;
+use std::io::Write;
 use std::process::ExitCode;
 use std::time::Duration;
 
@@ -145,10 +146,11 @@
 
 async fn show(call: Call) -> Ended {
     let answer = ask(&call).await.map_err(|told| (4, told))?;
-    match serde_json::from_slice::<Value>(&answer.body) {
-        Ok(value) => println!("{}", serde_json::to_string_pretty(&value).unwrap_or_default()),
-        Err(_) => println!("{}", String::from_utf8_lossy(&answer.body)),
-    }
+    let page = match serde_json::from_slice::<Value>(&answer.body) {
+        Ok(value) => format!("{value:#}\n"),
+        Err(_) => format!("{}\n", String::from_utf8_lossy(&answer.body)),
+    };
+    std::io::stdout().write_all(page.as_bytes()).map_err(|fault| (4, format!("cannot print: {fault}")))?;
     Ok(match answer.status {
         200..=299 => 0,
         504 => 3,
--- a/crates/wire/src/codec.rs
+++ b/crates/wire/src/codec.rs
@@ -120,6 +120,9 @@
             assert!(decode("posta", checksum, &damaged[8..]).is_err());
         }
         assert!(matches!(decode("pixel", checksum, &bytes[8..]), Err(FrameFault::Foreign(_))));
+        let later = encode(&Frame { format: FORMAT + 1, ..frame() });
+        let checksum = u32::from_le_bytes(later[4..8].try_into().unwrap());
+        assert!(matches!(decode("posta", checksum, &later[8..]), Err(FrameFault::Format(_))));
     }
 
     #[test]
