--- a/crates/scaler/src/player.rs
+++ b/crates/scaler/src/player.rs
@@ -159,6 +159,16 @@
         assert_eq!(player.step(7 * S, 99, situation(0, 0), &timing).desired, 0);
     }
 
+    #[test]
+    fn an_operators_fixed_count_goes_before_any_plan_and_asks_for_none() {
+        let (timing, mut player) = (PlayerTiming::default(), Player::default());
+        player.step(S, 1, situation(1, 0), &timing);
+        player.take(S, 1, 1, vec![9; 4], 15 * S);
+        let fixed = Situation { fixed: Some(3), ..situation(1, 50) };
+        assert_eq!(player.step(2 * S, 2, fixed, &timing), Verdict { desired: 3, ask: false });
+        assert_eq!(player.step(99 * S, 3, fixed, &timing), Verdict { desired: 3, ask: false });
+    }
+
     #[test]
     fn the_one_that_was_woken_is_not_taken_back_while_callers_wait() {
         let (timing, mut player) = (PlayerTiming::default(), Player::default());
