--- a/crates/traffic/src/home_types.rs
+++ b/crates/traffic/src/home_types.rs
@@ -65,7 +65,7 @@
             start_expiry: Duration::from_secs(10),
             deferred_read: Duration::from_secs(10),
             deferred_limit: Duration::from_secs(20),
-            function_inbox: 1536,
+            function_inbox: 512,
             starts_per_second: 64.0,
             player: scaler::PlayerTiming::default(),
         }
