Say twice-written things once and drop what nothing read

One place each now: being in the chain, the limits of a proof, first numbers of an incarnation, which machine a carried frame is for, whether the budget allows a second try (which copied its windows to ask). Gone: a condition that was always true, fields and arguments nothing read, a budget call nothing made.

--- a/crates/chain/src/copy.rs
+++ b/crates/chain/src/copy.rs
@@ -42,8 +42,7 @@
             }
             return;
         }
-        let chained = self.meta.view.chain.as_slice().contains(&self.meta.seat.id);
-        if chained || self.faulted || self.leaving || now < self.asked_at + RETRY {
+        if self.is_chained() || self.faulted || self.leaving || now < self.asked_at + RETRY {
             return;
         }
         self.asked_at = now;
@@ -75,8 +74,9 @@
     }
 
     pub(crate) fn on_take_copy(&mut self, from: NodeId, view: u64) {
-        let chained = self.meta.view.chain.as_slice().contains(&self.meta.seat.id);
-        if self.copying.is_some() || (chained && (self.predecessor() != Some(from) || view != self.meta.view.number)) {
+        if self.copying.is_some()
+            || (self.is_chained() && (self.predecessor() != Some(from) || view != self.meta.view.number))
+        {
             return;
         }
         self.copying =
@@ -170,8 +170,7 @@
     pub(crate) fn installed(&mut self) {
         let Some(copying) = self.copying.take() else { return };
         self.snapshots = [(self.synced, self.synced_state.clone())].into();
-        let chained = self.meta.view.chain.as_slice().contains(&self.meta.seat.id);
-        if chained {
+        if self.is_chained() {
             self.enter_line();
         } else {
             let seat = self.meta.seat.clone();
--- a/crates/chain/src/line.rs
+++ b/crates/chain/src/line.rs
@@ -23,6 +23,10 @@
         self.meta.view.chain.as_slice().get(self.place()? + 1).copied()
     }
 
+    pub fn is_chained(&self) -> bool {
+        self.place().is_some()
+    }
+
     pub fn is_head(&self) -> bool {
         self.place() == Some(0)
     }
--- a/crates/control/src/control_loop.rs
+++ b/crates/control/src/control_loop.rs
@@ -152,8 +152,7 @@
         let outputs = self.core.step(begun.elapsed(), CoreInput::Leave);
         self.carry_out(outputs);
         let until = Instant::now() + LEAVE;
-        let me = self.core.me();
-        while self.core.member().view().chain.as_slice().contains(&me) {
+        while self.core.member().is_chained() {
             let Ok(Some(message)) = tokio::time::timeout_at(until.into(), inbox.next()).await else { return };
             if let Some(input) = self.input(message) {
                 let outputs = self.core.step(begun.elapsed(), input);
--- a/crates/control/src/operators.rs
+++ b/crates/control/src/operators.rs
@@ -20,7 +20,6 @@
     pub scope: String,
     pub step: Option<u64>,
     pub pairs: BTreeMap<String, Vec<u8>>,
-    pub next: String,
     pub asked: Duration,
     pub due: Duration,
 }
@@ -59,7 +58,7 @@
         if self.waits.len() + self.reads.len() + self.activations.len() >= CALLS * 16 {
             return self.busy(ask, "too many calls at once");
         }
-        if !self.member.view().chain.as_slice().contains(&self.me()) {
+        if !self.member.is_chained() {
             return self.busy(ask, "this registry is not in the chain at present; ask another");
         }
         match call {
@@ -76,8 +75,7 @@
             }
             ApiCall::Configuration { scope } => {
                 let due = self.now + self.timing.call;
-                let read =
-                    ReadJob { scope, step: None, pairs: BTreeMap::new(), next: String::new(), asked: self.now, due };
+                let read = ReadJob { scope, step: None, pairs: BTreeMap::new(), asked: self.now, due };
                 self.reads.insert(ask, read);
                 self.read_on(ask, String::new());
             }
@@ -154,7 +152,6 @@
         let Some(tail) = self.member.view().chain.as_slice().last().copied() else { return };
         if let Some(read) = self.reads.get_mut(&ask) {
             read.asked = self.now;
-            read.next = from.clone();
             if from.is_empty() {
                 read.step = None;
                 read.pairs.clear();
--- a/crates/control/src/routers.rs
+++ b/crates/control/src/routers.rs
@@ -131,7 +131,7 @@
             let due = now >= session.pushed_at + PUSH_AGAIN;
             let mut sent = false;
             let from = if due { session.staged } else { session.staged.max(session.pushed) };
-            if session.staged + STEPS_PER_PUSH > from && session.staged >= active.min(session.staged) {
+            if session.staged + STEPS_PER_PUSH > from {
                 for step in (from + 1..=latest.min(from + STEPS_PER_PUSH)).filter_map(|n| keys::step(&state, n)) {
                     session.pushed = step.number;
                     outs.push((*id, HoldMsg::Stage { step }));
--- a/crates/control/src/status.rs
+++ b/crates/control/src/status.rs
@@ -33,7 +33,7 @@
                 "suspects": self.member.suspects().into_iter().map(hex).collect::<Vec<_>>(),
             },
             "role": if self.member.is_head() { "head" } else if self.member.is_tail() { "tail" }
-                else if view.chain.as_slice().contains(&self.me()) { "middle" } else { "out" },
+                else if self.member.is_chained() { "middle" } else { "out" },
             "current_tail": self.tail_since.is_some(),
             "positions": {"last": last, "synced": synced, "committed": committed},
             "revision": {
--- a/crates/holds/src/follower.rs
+++ b/crates/holds/src/follower.rs
@@ -60,7 +60,6 @@
     pub(crate) staged: BTreeMap<u64, StepLine>,
     pub(crate) latest_known: u64,
     pub(crate) roster: Roster,
-    pub(crate) member: bool,
     pub(crate) ready: bool,
     pub(crate) leaving: bool,
     pub(crate) tail: Option<(NodeId, Duration)>,
@@ -76,6 +75,12 @@
     standing: Standing,
 }
 
+/// Numbers of one incarnation are never those of another, so that an answer meant for the one
+/// before finds nothing asked by this one.
+pub fn first_number(incarnation: u64) -> u64 {
+    (incarnation & 0x3fff_ffff) << 32
+}
+
 impl Follower {
     pub fn new(me: NodeId, incarnation: u64, address: &str, zone: &str, ops: &str, timing: FollowerTiming) -> Self {
         Follower {
@@ -91,12 +96,11 @@
             staged: BTreeMap::new(),
             latest_known: 0,
             roster: Roster::default(),
-            member: false,
             ready: false,
             leaving: false,
             tail: None,
             asks: BTreeMap::new(),
-            next_ask: (incarnation & 0x3fff_ffff) << 32,
+            next_ask: first_number(incarnation),
             proof: None,
             peer_proof: None,
             peer_round: None,
@@ -151,11 +155,10 @@
 
     /// Asked again at the very moment of each dispatch.
     pub fn standing_at(&mut self, now: Duration) -> Standing {
-        let younger = |proof: Option<Duration>, limit: Duration| proof.is_some_and(|asked| now < asked + limit);
-        let limit = if self.is_guarded() { self.timing.guard } else { self.timing.hold };
-        let event = if younger(self.proof, limit) {
+        let (by_core, by_peers) = self.proved_until();
+        let event = if now < by_core {
             StandingEvent::CoreProved
-        } else if younger(self.peer_proof, self.timing.guard) && !self.is_guarded() {
+        } else if now < by_peers {
             StandingEvent::PeersProved
         } else {
             StandingEvent::Unproved
@@ -165,11 +168,17 @@
 
     /// The moment until which this router may serve by its step, as far as it knows now.
     pub fn serves_until(&self) -> Duration {
+        let (by_core, by_peers) = self.proved_until();
+        by_core.max(by_peers)
+    }
+
+    /// How long the core's word lasts and how long the peers', zero where there is none.
+    fn proved_until(&self) -> (Duration, Duration) {
         let limit = if self.is_guarded() { self.timing.guard } else { self.timing.hold };
         let by_core = self.proof.map_or(Duration::ZERO, |asked| asked + limit);
         let by_peers =
             self.peer_proof.filter(|_| !self.is_guarded()).map_or(Duration::ZERO, |asked| asked + self.timing.guard);
-        by_core.max(by_peers)
+        (by_core, by_peers)
     }
 
     pub(crate) fn is_guarded(&self) -> bool {
--- a/crates/holds/src/lib.rs
+++ b/crates/holds/src/lib.rs
@@ -10,7 +10,7 @@
 mod standing;
 mod steps;
 
-pub use follower::{Follower, FollowerInput, FollowerOutput, FollowerTiming};
+pub use follower::{Follower, FollowerInput, FollowerOutput, FollowerTiming, first_number};
 pub use roster::{MemberLine, Roster, mix};
 pub use sessions::{Session, Sessions};
 pub use standing::{Standing, StandingEvent, Standings};
--- a/crates/holds/src/steps.rs
+++ b/crates/holds/src/steps.rs
@@ -34,7 +34,6 @@
     fn on_proof(&mut self, from: NodeId, ask: u64, active: u64, latest: u64, member: bool) {
         let Some(asked) = self.asks.remove(&ask) else { return };
         self.tail = Some((from, self.now));
-        self.member = member;
         self.latest_known = self.latest_known.max(latest);
         if !member {
             self.proof = None;
--- a/crates/sim/src/router_node.rs
+++ b/crates/sim/src/router_node.rs
@@ -43,6 +43,15 @@
     Home(HomeInput),
 }
 
+impl Turn {
+    pub fn carried(from: NodeId, message: CarryMsg) -> Turn {
+        match message.is_for_home() {
+            true => Turn::Home(HomeInput::Carry { from, message }),
+            false => Turn::Front(FrontInput::Carried { from, message }),
+        }
+    }
+}
+
 impl World {
     pub fn add_router(&mut self, n: usize) {
         let address = format!("10.0.1.{n}:1");
@@ -164,10 +173,7 @@
                 }
                 self.follow(n, FollowerInput::Registry { from, message });
             }
-            Message::Carry(
-                message @ (CarryMsg::Carry { .. } | CarryMsg::Handover { .. } | CarryMsg::GiveWay { .. }),
-            ) => self.turn(n, Turn::Home(HomeInput::Carry { from, message })),
-            Message::Carry(message) => self.turn(n, Turn::Front(FrontInput::Carried { from, message })),
+            Message::Carry(message) => self.turn(n, Turn::carried(from, message)),
             Message::Plan(message) => self.turn(n, Turn::Home(HomeInput::Plan { message })),
             _ => {}
         }
--- a/crates/sim/src/router_turns.rs
+++ b/crates/sim/src/router_turns.rs
@@ -4,8 +4,8 @@
 use crate::router_node::Turn;
 use crate::world::{Place, World};
 use std::collections::VecDeque;
-use traffic::{FrontInput, FrontOutput, HomeInput, HomeOutput};
-use wire::{CarryMsg, HoldMsg, Message, NodeId, PlanMsg};
+use traffic::{FrontOutput, HomeOutput};
+use wire::{HoldMsg, Message, NodeId, PlanMsg};
 
 impl World {
     pub fn turn(&mut self, n: usize, first: Turn) {
@@ -24,7 +24,7 @@
                             FrontOutput::Carry { to, message } => {
                                 self.rules.served(self.now, revision);
                                 if to == me {
-                                    turns.push_back(Turn::Home(HomeInput::Carry { from: to, message }));
+                                    turns.push_back(Turn::carried(to, message));
                                 } else {
                                     self.send(Place::Router(n), to, Message::Carry(message));
                                 }
@@ -36,11 +36,8 @@
                     let tail = machines.follower.tail();
                     for output in machines.home.step(now, may_serve, input) {
                         match output {
-                            HomeOutput::Carry { to, message: message @ CarryMsg::GiveWay { .. } } if to == me => {
-                                turns.push_back(Turn::Home(HomeInput::Carry { from: to, message }));
-                            }
                             HomeOutput::Carry { to, message } if to == me => {
-                                turns.push_back(Turn::Front(FrontInput::Carried { from: to, message }));
+                                turns.push_back(Turn::carried(to, message))
                             }
                             HomeOutput::Carry { to, message } => {
                                 self.send(Place::Router(n), to, Message::Carry(message));
--- a/crates/traffic/src/budget.rs
+++ b/crates/traffic/src/budget.rs
@@ -48,21 +48,16 @@
         self.requests.add(now);
     }
 
-    pub fn try_second(&mut self, now: Duration) -> bool {
-        if now < self.from {
-            return false;
-        }
-        let allowed = self.requests.count(now) / SHARE + self.spare;
-        if self.seconds.count(now) >= allowed {
-            return false;
-        }
-        self.seconds.add(now);
-        true
+    pub fn may_second(&mut self, now: Duration) -> bool {
+        now >= self.from && self.seconds.count(now) < self.requests.count(now) / SHARE + self.spare
     }
 
-    /// A caller's own repeat, which cannot be refused for its being one, still counts.
-    pub fn repeat(&mut self, now: Duration) {
-        self.seconds.add(now);
+    pub fn try_second(&mut self, now: Duration) -> bool {
+        let may = self.may_second(now);
+        if may {
+            self.seconds.add(now);
+        }
+        may
     }
 
     pub fn counts(&mut self, now: Duration) -> (usize, usize) {
--- a/crates/traffic/src/front.rs
+++ b/crates/traffic/src/front.rs
@@ -4,7 +4,7 @@
 
 use crate::front_types::{Call, FrontInput, FrontLimits, FrontOutput, Record, Reply, Stage};
 use bindings::Book;
-use holds::Roster;
+use holds::{Roster, first_number};
 use std::collections::{BTreeMap, BTreeSet};
 use std::rc::Rc;
 use std::time::Duration;
@@ -31,12 +31,6 @@
     pub refusals: u64,
 }
 
-/// Numbers of one incarnation are never those of another, so that an answer meant for a task of
-/// the one before cannot find a task of this one.
-pub fn first_number(incarnation: u64) -> u64 {
-    (incarnation & 0x3fff_ffff) << 32
-}
-
 impl Front {
     pub fn new(me: NodeId, incarnation: u64, limits: FrontLimits) -> Self {
         Front {
--- a/crates/traffic/src/giving_way.rs
+++ b/crates/traffic/src/giving_way.rs
@@ -54,7 +54,7 @@
         if let Some(desk) = self.desks.get_mut(&name) {
             desk.holds_back = now + HOLDS_BACK;
             if let Some(instance) = desk.instances.get_mut(&id) {
-                instance.take(now, InstanceEvent::Drain);
+                instance.take(InstanceEvent::Drain);
             }
         }
     }
--- a/crates/traffic/src/handover.rs
+++ b/crates/traffic/src/handover.rs
@@ -8,7 +8,7 @@
 use crate::instance::{Instance, InstanceEvent, Phase};
 use events::event;
 use std::time::Duration;
-use wire::{CarryMsg, NodeId, SlotLine};
+use wire::{CarryMsg, SlotLine};
 
 const REPEAT: Duration = Duration::from_millis(200);
 const FOREIGN: Duration = Duration::from_millis(600);
@@ -101,15 +101,7 @@
         self.outs.push(HomeOutput::Carry { to: next, message });
     }
 
-    pub(crate) fn take_handover(
-        &mut self,
-        _from: NodeId,
-        name: &str,
-        roster: u64,
-        slots: Vec<SlotLine>,
-        requests: u32,
-        seconds: u32,
-    ) {
+    pub(crate) fn take_handover(&mut self, name: &str, roster: u64, slots: Vec<SlotLine>, requests: u32, seconds: u32) {
         let now = self.now;
         let mine = self.is_home(name) && roster <= self.roster.number;
         let Some(desk) = self.desks.get_mut(name).filter(|_| mine) else { return };
@@ -131,7 +123,7 @@
                 instance.address = address.to_owned();
             }
             if slot.ready != 0 {
-                instance.take(now, InstanceEvent::Ready);
+                instance.take(InstanceEvent::Ready);
             }
             instance.foreign = slot.busy;
             instance.foreign_until = now + FOREIGN;
--- a/crates/traffic/src/home.rs
+++ b/crates/traffic/src/home.rs
@@ -5,7 +5,7 @@
 use crate::desk::Desk;
 use crate::home_types::{HomeInput, HomeOutput, HomeTask, HomeTiming, Ledger, LedgerAsk, Place, TaskId};
 use bindings::Book;
-use holds::Roster;
+use holds::{Roster, first_number};
 use std::collections::BTreeMap;
 use std::rc::Rc;
 use std::time::Duration;
@@ -63,7 +63,7 @@
             stopped: BTreeMap::new(),
             unbound: BTreeMap::new(),
             finished: BTreeMap::new(),
-            next: crate::front::first_number(incarnation),
+            next: first_number(incarnation),
             starts_left: 4.0,
             refilled: Duration::ZERO,
             scaled: Duration::ZERO,
@@ -80,8 +80,8 @@
         self.may_serve = may_serve;
         match input {
             HomeInput::Carry { from, message: carry @ CarryMsg::Carry { .. } } => self.let_in(from, carry),
-            HomeInput::Carry { from, message: CarryMsg::Handover { function, roster, slots, requests, seconds } } => {
-                self.take_handover(from, function.as_str(), roster, slots.into_vec(), requests, seconds)
+            HomeInput::Carry { message: CarryMsg::Handover { function, roster, slots, requests, seconds }, .. } => {
+                self.take_handover(function.as_str(), roster, slots.into_vec(), requests, seconds)
             }
             HomeInput::Carry { message: CarryMsg::GiveWay { function, .. }, .. } => self.give_way(function.as_str()),
             HomeInput::Carry { .. } => {}
@@ -141,7 +141,7 @@
         }
     }
 
-    pub(crate) fn refuse(&mut self, number: u64, _told: &str) {
+    pub(crate) fn refuse(&mut self, number: u64) {
         let again = self.spread(number, 1);
         self.answer_own(number, Outcome::NotRun, 503, again);
     }
@@ -184,9 +184,7 @@
             desk.held.retain(|held| *held != number);
         }
     }
-}
 
-impl Home {
     pub(crate) fn ask_chain(&mut self, kind: Ledger, task: u64, function: &str, body: Vec<u8>, lasts: Duration) -> u64 {
         let ask = self.number();
         let due = self.now + lasts;
--- a/crates/traffic/src/instance.rs
+++ b/crates/traffic/src/instance.rs
@@ -73,7 +73,6 @@
     pub allowed_at: Duration,
     pub paused_until: Duration,
     pub ordered: Duration,
-    pub changed: Duration,
     pub used: Duration,
     pub stopping: Option<Duration>,
     pub listed: bool,
@@ -91,19 +90,14 @@
             allowed_at: now,
             paused_until: Duration::ZERO,
             ordered: now,
-            changed: now,
             used: now,
             stopping: None,
             listed: false,
         }
     }
 
-    pub fn take(&mut self, now: Duration, event: InstanceEvent) {
-        let before = self.phase();
+    pub fn take(&mut self, event: InstanceEvent) {
         self.life.handle(&event);
-        if self.phase() != before {
-            self.changed = now;
-        }
     }
 
     pub fn phase(&self) -> Phase {
@@ -132,13 +126,13 @@
     #[test]
     fn nothing_leads_back_from_draining_or_gone() {
         let mut instance = Instance::new(Duration::ZERO, "127.0.0.1:1");
-        instance.take(Duration::ZERO, InstanceEvent::Ready);
+        instance.take(InstanceEvent::Ready);
         assert_eq!(instance.room(Duration::ZERO, 4), 4);
-        instance.take(Duration::ZERO, InstanceEvent::Drain);
-        instance.take(Duration::ZERO, InstanceEvent::Ready);
+        instance.take(InstanceEvent::Drain);
+        instance.take(InstanceEvent::Ready);
         assert_eq!((instance.phase(), instance.room(Duration::ZERO, 4)), (Phase::Draining, 0));
-        instance.take(Duration::ZERO, InstanceEvent::Lost);
-        instance.take(Duration::ZERO, InstanceEvent::Ready);
+        instance.take(InstanceEvent::Lost);
+        instance.take(InstanceEvent::Ready);
         assert_eq!(instance.phase(), Phase::Gone);
     }
 }
--- a/crates/traffic/src/ledger.rs
+++ b/crates/traffic/src/ledger.rs
@@ -140,7 +140,7 @@
             ClaimState::Settled => self.answer_stored(number, answer),
             ClaimState::Unknown => self.answer_own(number, Outcome::Unknown, 504, 0),
             ClaimState::OtherBody => self.answer_own(number, Outcome::NotRun, 422, 0),
-            ClaimState::Full => self.refuse(number, "the ledger is full"),
+            ClaimState::Full => self.refuse(number),
         }
     }
 
@@ -168,7 +168,7 @@
             }
             ClaimState::Full | ClaimState::Unknown => {
                 task.stored = None;
-                self.refuse(number, "the store is full");
+                self.refuse(number);
             }
         }
     }
--- a/crates/traffic/src/letting_in.rs
+++ b/crates/traffic/src/letting_in.rs
@@ -62,14 +62,14 @@
         };
         self.tasks.insert(number, record);
         if full {
-            return self.refuse(number, "this function's inbox is full");
+            return self.refuse(number);
         }
         if spent {
             return self.answer_own(number, Outcome::Unknown, 504, 2);
         }
         match bound.class {
             Class::Ordinary => self.hold(number),
-            _ if !self.core_near => self.refuse(number, "the core cannot be reached"),
+            _ if !self.core_near => self.refuse(number),
             Class::Once => self.claim(number),
             Class::Deferred => self.store(number),
         }
--- a/crates/traffic/src/passes.rs
+++ b/crates/traffic/src/passes.rs
@@ -179,7 +179,7 @@
         let now = self.now;
         let Some(task) = self.tasks.get_mut(&number) else { return false };
         let Some(desk) = self.desks.get_mut(&task.function) else { return false };
-        if now + Duration::from_millis(200) > task.due || !desk.budget.clone().try_second(now) {
+        if now + Duration::from_millis(200) > task.due || !desk.budget.may_second(now) {
             return false;
         }
         task.not_before = now + Duration::from_millis(20);
@@ -188,9 +188,8 @@
     }
 
     fn lose(&mut self, name: &str, instance_id: &str) {
-        let now = self.now;
         if let Some(instance) = self.desks.get_mut(name).and_then(|desk| desk.instances.get_mut(instance_id)) {
-            instance.take(now, InstanceEvent::Lost);
+            instance.take(InstanceEvent::Lost);
         }
     }
 }
--- a/crates/traffic/src/plane.rs
+++ b/crates/traffic/src/plane.rs
@@ -59,6 +59,15 @@
     Home(HomeInput),
 }
 
+impl Turn {
+    pub(crate) fn carried(from: NodeId, message: CarryMsg) -> Turn {
+        match message.is_for_home() {
+            true => Turn::Home(HomeInput::Carry { from, message }),
+            false => Turn::Front(FrontInput::Carried { from, message }),
+        }
+    }
+}
+
 impl Plane {
     pub async fn run(mut self, mut inbox: Inbox<TrafficMsg>) {
         let mut ticks = tokio::time::interval(TICK);
@@ -112,7 +121,7 @@
             TrafficMsg::Link(LinkEvent::Up { id, .. }) => self.turn(Turn::Front(FrontInput::Link { id, up: true })),
             TrafficMsg::Link(LinkEvent::Down { id }) => self.turn(Turn::Front(FrontInput::Link { id, up: false })),
             TrafficMsg::Link(LinkEvent::Frame { from, message, .. }) => match message {
-                Message::Carry(message) => self.carry(from, message),
+                Message::Carry(message) => self.turn(Turn::carried(from, message)),
                 Message::Plan(message) => self.turn(Turn::Home(HomeInput::Plan { message })),
                 Message::Hold(HoldMsg::ReadReceipt { ask, items, .. }) if ask & STATUS_BIT != 0 => {
                     let first = items.as_slice().first().map(|item| item.value.as_slice().to_vec());
@@ -151,15 +160,6 @@
         }
     }
 
-    fn carry(&mut self, from: NodeId, message: CarryMsg) {
-        match message {
-            CarryMsg::Carry { .. } | CarryMsg::Handover { .. } | CarryMsg::GiveWay { .. } => {
-                self.turn(Turn::Home(HomeInput::Carry { from, message }))
-            }
-            _ => self.turn(Turn::Front(FrontInput::Carried { from, message })),
-        }
-    }
-
     fn tell_status(&mut self, ask: u64, record: Option<Vec<u8>>) {
         let Some((reply, _)) = self.statuses.remove(&ask) else { return };
         let told = match record.and_then(|raw| wire::from_bytes::<DeferredRecord>(&raw)) {
--- a/crates/traffic/src/plane_out.rs
+++ b/crates/traffic/src/plane_out.rs
@@ -2,13 +2,13 @@
 //! their outputs carried to links, dispatcher, platform and waiting callers.
 
 use crate::dispatch::Verdict;
-use crate::front_types::{FrontInput, FrontOutput, Reply};
+use crate::front_types::{FrontOutput, Reply};
 use crate::home_types::{HomeInput, HomeOutput};
 use crate::plane::{Plane, Turn};
 use events::event;
 use links::LinkOrder;
 use std::collections::VecDeque;
-use wire::{CarryMsg, HoldMsg, Message, PlanMsg};
+use wire::{HoldMsg, Message, PlanMsg};
 
 impl Plane {
     pub(crate) fn link(&self, order: LinkOrder) {
@@ -34,7 +34,7 @@
                         match output {
                             FrontOutput::Reply { ask, reply } => self.reply(ask, reply),
                             FrontOutput::Carry { to, message } if to == self.me => {
-                                turns.push_back(Turn::Home(HomeInput::Carry { from: to, message }));
+                                turns.push_back(Turn::carried(to, message));
                             }
                             FrontOutput::Carry { to, message } => {
                                 self.link(LinkOrder::Send { to, message: Message::Carry(message) });
@@ -55,12 +55,7 @@
 
     fn carry_out(&mut self, output: HomeOutput) -> Option<Turn> {
         match output {
-            HomeOutput::Carry { to, message: message @ CarryMsg::GiveWay { .. } } if to == self.me => {
-                return Some(Turn::Home(HomeInput::Carry { from: to, message }));
-            }
-            HomeOutput::Carry { to, message } if to == self.me => {
-                return Some(Turn::Front(FrontInput::Carried { from: to, message }));
-            }
+            HomeOutput::Carry { to, message } if to == self.me => return Some(Turn::carried(to, message)),
             HomeOutput::Carry { to, message } => self.link(LinkOrder::Send { to, message: Message::Carry(message) }),
             HomeOutput::Enter { ask, body } => self.to_core(HoldMsg::Enter { ask, body: body.into() }),
             HomeOutput::Read { ask, prefix } => {
--- a/crates/traffic/src/platform_side.rs
+++ b/crates/traffic/src/platform_side.rs
@@ -16,14 +16,13 @@
 
 impl Home {
     pub(crate) fn platform(&mut self, report: PlatformReport, listed_at: Duration) {
-        let now = self.now;
         match report {
             PlatformReport::Started { id, receipt } => self.started(&id, receipt),
             PlatformReport::Probed { id, probe } => {
                 if let Some(instance) = self.instance(&id) {
                     match probe {
-                        Probe::Ready => instance.take(now, InstanceEvent::Ready),
-                        Probe::Silent => instance.take(now, InstanceEvent::Lost),
+                        Probe::Ready => instance.take(InstanceEvent::Ready),
+                        Probe::Silent => instance.take(InstanceEvent::Lost),
                     }
                 }
             }
@@ -86,13 +85,13 @@
                             instance.address = line.address.clone();
                         }
                         match line.state.as_str() {
-                            "running" if instance.stopping.is_none() => instance.take(now, InstanceEvent::Ready),
-                            "leaving" => instance.take(now, InstanceEvent::Drain),
+                            "running" if instance.stopping.is_none() => instance.take(InstanceEvent::Ready),
+                            "leaving" => instance.take(InstanceEvent::Drain),
                             _ => {}
                         }
                     }
                     None if instance.listed || asked > instance.ordered + overlay => {
-                        instance.take(now, InstanceEvent::Lost);
+                        instance.take(InstanceEvent::Lost);
                     }
                     None => {}
                 }
@@ -106,7 +105,7 @@
                         let mut instance = Instance::new(now, &line.address);
                         instance.listed = true;
                         if line.state == "running" {
-                            instance.take(now, InstanceEvent::Ready);
+                            instance.take(InstanceEvent::Ready);
                         }
                         desk.instances.insert(line.id.clone(), instance);
                     }
--- a/crates/traffic/src/scale.rs
+++ b/crates/traffic/src/scale.rs
@@ -142,7 +142,6 @@
 
     /// Takes the least busy out of use, those still starting first where nobody waits for them.
     fn drain(&mut self, name: &str, count: u32) {
-        let now = self.now;
         let Some(desk) = self.desks.get_mut(name) else { return };
         let mut list: Vec<(u32, bool, String)> = desk
             .instances
@@ -153,7 +152,7 @@
         list.sort();
         for (_, _, id) in list.into_iter().take(count as usize) {
             if let Some(instance) = desk.instances.get_mut(&id) {
-                instance.take(now, InstanceEvent::Drain);
+                instance.take(InstanceEvent::Drain);
             }
         }
     }
--- a/crates/wire/src/carry.rs
+++ b/crates/wire/src/carry.rs
@@ -93,3 +93,10 @@
     #[deku(id = "5")]
     GiveWay { function: Text, memory_mb: u32 },
 }
+
+impl CarryMsg {
+    /// Whether it is meant for the receiver's home; if not, it answers the receiver's front.
+    pub fn is_for_home(&self) -> bool {
+        !matches!(self, CarryMsg::Carried { .. } | CarryMsg::NotHome { .. })
+    }
+}
