Simulate what was never brought about; judge recovery after every mending

Cause: the simulator raised no turn-aways of its own, all machines shared one clock, herds, overload, slow links, cuts inside the core, zones, garbled answers, waking together, floods, eager repeats, growth and moved seeds were not there, and recovery was held against a fixed number long after the last fault.

Change: thirteen sorts instead of eight; each node's clock drifts by its own few parts in a thousand; failures come in two bouts with calms in which every second from 12 s after the last return is held against a quarter of the level before; all registries and one router lose power before each read-back. Clippy refuses the wall clock in product code, so that no jump of it can decide anything.

--- a/crates/sim/src/callers.rs
+++ b/crates/sim/src/callers.rs
@@ -29,41 +29,66 @@
     pub refused: u64,
     pub unknown: u64,
     pub lost: u64,
-    pub good_times: Vec<Duration>,
     pub crowd: Option<(usize, Duration)>,
+    pub flood_until: Duration,
+    pub eager_until: Duration,
+    pub short_of: [u64; 2],
 }
 
 pub const CLASSES: [&str; 4] = ["ordinary", "once", "deferred", "ordinary"];
+const FLOODER: usize = 0;
+const TENANTS: usize = 3;
+
+pub fn service_of(function: usize) -> String {
+    format!("t{}/f{function}", function % TENANTS)
+}
 
 impl World {
     pub fn caller(&mut self) {
         let crowd = self.callers.crowd.filter(|(_, until)| self.now < *until).map(|(function, _)| function);
-        let rate = if crowd.is_some() { self.plan.rate * 10.0 } else { self.plan.rate };
+        let flood = self.now < self.callers.flood_until;
+        let times = if flood { 40.0 } else { f64::from(1 + 9 * u8::from(crowd.is_some())) };
+        let rate = self.plan.rate * times;
         let wait = Duration::from_secs_f64(-(1.0 - self.dice.random::<f64>()).ln() / rate);
-        if self.now < self.plan.end - Duration::from_secs(14) {
+        if self.now < self.plan.callers_end {
             self.after(wait, Event::Caller);
         }
         let drawn = self.dice.random_range(0..self.plan.functions);
-        let function = crowd.filter(|_| self.dice.random_ratio(9, 10)).unwrap_or(drawn);
+        let mut function = crowd.filter(|_| self.dice.random_ratio(9, 10)).unwrap_or(drawn);
+        if flood && self.dice.random_ratio(39, 40) {
+            function = drawn / TENANTS * TENANTS + FLOODER;
+        }
+        self.ask_for(function);
+    }
+
+    fn ask_for(&mut self, function: usize) {
         self.callers.next += 1;
+        let number = self.callers.next;
+        let service = service_of(function);
         let task = SimTask {
-            label: format!("{}#1", self.callers.next),
-            key: self.callers.next.to_string(),
+            label: format!("{number}#1"),
+            key: number.to_string(),
             class: CLASSES[function % 4],
-            path: format!("/t{}/f{function}", function % 3),
-            service: format!("t{}/f{function}", function % 3),
+            path: format!("/{service}"),
+            service,
             tries: 1,
             begun: self.now,
         };
-        if task.class == "once" && self.dice.random_ratio(1, 10) {
-            let mut twin = task.clone();
-            twin.label = format!("{}#twin", self.callers.next);
-            twin.tries = 9;
-            self.call(twin);
+        let eager = self.now < self.callers.eager_until;
+        if task.class != "ordinary" && (eager || self.dice.random_ratio(1, 10)) {
+            for twin in 0..if eager { 4 } else { 1 } {
+                let label = format!("{number}#twin{twin}");
+                self.call(SimTask { label, tries: 9, ..task.clone() });
+            }
         }
         self.call(task);
     }
 
+    /// Every function is called for in the same moment.
+    pub fn wake_all(&mut self) {
+        (0..self.plan.functions).for_each(|function| self.ask_for(function));
+    }
+
     pub fn caller_retry(&mut self, task: u64) {
         if let Some(task) = self.callers.again.remove(&task) {
             self.call(task);
@@ -107,12 +132,12 @@
         match reply.outcome {
             Some(Outcome::Answered) if reply.status == 200 => {
                 self.callers.answered += 1;
-                self.callers.good_times.push(now);
+                self.rules.served_well(now);
                 self.rules.answered(now, &task.label, &task.key, &reply.body);
             }
             Some(Outcome::Accepted) => {
                 self.callers.answered += 1;
-                self.callers.good_times.push(now);
+                self.rules.served_well(now);
                 self.rules.accepted(&task.key);
             }
             Some(Outcome::NotRun) => {
@@ -125,6 +150,7 @@
             Some(Outcome::Unknown) => self.callers.unknown += 1,
             _ => self.callers.refused += 1,
         }
+        self.count_short(&task, reply.outcome);
         if waited > Duration::from_secs(6) && self.frozen_lately(n) {
             self.callers.lost += 1;
         } else if waited > Duration::from_secs(6) {
@@ -142,6 +168,14 @@
         }
     }
 
+    /// What a caller did not get before the final fault: the flooding tenant's, and the others'.
+    fn count_short(&mut self, task: &SimTask, outcome: Option<Outcome>) {
+        if self.now < self.plan.final_fault && !matches!(outcome, Some(Outcome::Answered | Outcome::Accepted)) {
+            let flooder = task.service.starts_with(&format!("t{FLOODER}/"));
+            self.callers.short_of[usize::from(!flooder)] += 1;
+        }
+    }
+
     fn frozen_lately(&self, n: usize) -> bool {
         self.routers[n].frozen_until + Duration::from_secs(7) > self.now && !self.routers[n].frozen_until.is_zero()
     }
--- a/crates/sim/src/lib.rs
+++ b/crates/sim/src/lib.rs
@@ -4,6 +4,8 @@
 
 mod callers;
 mod chances;
+mod ending;
+mod failing;
 mod faults;
 mod net;
 mod operators;
--- a/crates/sim/src/main.rs
+++ b/crates/sim/src/main.rs
@@ -9,7 +9,7 @@
 Usage: sim run --seed N [--sort SORT]
        sim sweep [--from N] [--count N] [--sort SORT] [--threads N]
 
-SORT is calm, core, routers, network, mixed, planned, crowd or storm [mixed].";
+--sort: what fails [mixed]";
 
 fn main() -> ExitCode {
     match work() {
@@ -29,7 +29,7 @@
     while let Some(arg) = line.next().map_err(|fault| fault.to_string())? {
         let name = match arg {
             Short('h') | Long("help") => {
-                println!("{HELP}");
+                println!("{HELP}\nSORT is one of {}.", Sort::words());
                 return Ok(true);
             }
             Value(word) if what.is_empty() => {
--- a/crates/sim/src/net.rs
+++ b/crates/sim/src/net.rs
@@ -14,6 +14,7 @@
     pub last: BTreeMap<(Place, Place), Duration>,
     pub names: BTreeMap<NodeId, Place>,
     pub sent: u64,
+    pub slow: BTreeMap<(Place, Place), Duration>,
 }
 
 impl World {
@@ -36,7 +37,8 @@
         let message = if self.net.sent.is_multiple_of(64) { through_codec(message) } else { message };
         let micros = self.dice.random_range(150..1500);
         let slow = if self.dice.random_ratio(1, 400) { self.dice.random_range(1..400_000) } else { 0 };
-        let mut time = self.now + Duration::from_micros(micros + slow);
+        let more = self.net.slow.get(&(from, to)).copied().unwrap_or_default();
+        let mut time = self.now + Duration::from_micros(micros + slow) + more;
         let last = self.net.last.entry((from, to)).or_default();
         time = time.max(*last + Duration::from_micros(1));
         *last = time;
--- a/crates/sim/src/operators.rs
+++ b/crates/sim/src/operators.rs
@@ -27,6 +27,7 @@
     pub reading: Option<(usize, u64)>,
     pub read: Option<Value>,
     pub last_ack: Duration,
+    pub grows: bool,
 }
 
 impl Operators {
@@ -53,7 +54,7 @@
         let mut items: Vec<ItemLine> = (0..self.plan.functions)
             .map(|function| {
                 let class = crate::callers::CLASSES[function % 4];
-                let limit = crate::yard::LIMIT;
+                let limit = self.plan.limit;
                 let binding = json!({"route": format!("/t{}/f{function}", function % 3), "function": format!("f{function}"), "class": class, "instance_limit": limit, "max": 6});
                 line(&format!("function-bindings/t{}/f{function}", function % 3), binding)
             })
@@ -63,7 +64,7 @@
     }
 
     pub fn operator(&mut self) {
-        let quiet = self.now > self.plan.end - Duration::from_secs(16);
+        let quiet = self.now + Duration::from_secs(1) > self.plan.final_fault;
         if quiet {
             return self.read_back();
         }
@@ -82,7 +83,10 @@
             let mark = format!("m{ask}");
             let whole = !self.operators.founded || self.dice.random_ratio(1, 3);
             let invalid = self.operators.founded && self.dice.random_ratio(1, 10);
-            let grows = self.operators.founded && self.dice.random_ratio(1, 12);
+            let mut grown = if self.operators.founded && self.dice.random_ratio(1, 12) { 400 } else { 0 };
+            if self.operators.founded && std::mem::take(&mut self.operators.grows) {
+                grown = 3000;
+            }
             let any = self.dice.random_ratio(1, 5);
             let mut items = if whole { self.items(&mark) } else { vec![mark_line(&mark)] };
             if invalid {
@@ -91,9 +95,9 @@
                     json!({"route": "no-slash", "function": "f", "class": "once"}),
                 ));
             }
-            if grows {
-                let at = ask * 1000;
-                items.extend((at..at + 400).map(|n| {
+            if grown > 0 {
+                let at = ask * 10_000;
+                items.extend((at..at + grown).map(|n| {
                     line(
                         &format!("function-bindings/grown/g{n}"),
                         json!({"route": format!("/grown/{n}"), "function": format!("g{n}"), "class": "ordinary"}),
@@ -148,7 +152,8 @@
         if self.operators.read.is_some() {
             return;
         }
-        if self.operators.reading.is_none() && self.operators.open.is_empty() {
+        let back = self.now > self.plan.final_fault + Duration::from_secs(4);
+        if back && self.operators.reading.is_none() && self.operators.open.is_empty() {
             let n = self.dice.random_range(0..3);
             if self.registries[n].core.is_some() {
                 self.operators.next += 1;
--- a/crates/sim/src/registry_node.rs
+++ b/crates/sim/src/registry_node.rs
@@ -21,6 +21,7 @@
     pub full: bool,
     pub base: Duration,
     pub frozen_until: Duration,
+    pub drift: f64,
     pub planner: Planner,
 }
 
@@ -38,6 +39,7 @@
             full: false,
             base: Duration::ZERO,
             frozen_until: Duration::ZERO,
+            drift: 1.0,
             planner: Planner::default(),
         });
         self.start_registry(n);
@@ -50,7 +52,9 @@
         let fresh = self.dice.random::<u64>() | 1;
         let life = self.dice.random::<u64>() >> 8;
         let now = self.now;
+        let drift = self.drift();
         let node = &mut self.registries[n];
+        node.drift = drift;
         let seat_id = if node.disk.meta.seat.id == 0 { fresh } else { node.disk.meta.seat.id };
         let seat = Seat { id: seat_id, address: node.address.as_str().into() };
         node.disk.meta.seat = seat.clone();
@@ -89,7 +93,7 @@
     }
 
     pub fn feed_registry(&mut self, n: usize, input: CoreInput) {
-        let now = self.now.saturating_sub(self.registries[n].base);
+        let now = self.registry_now(n);
         let Some(core) = self.registries[n].core.as_mut() else { return };
         let outputs = core.step(now, input);
         for output in outputs {
@@ -97,6 +101,11 @@
         }
     }
 
+    fn registry_now(&self, n: usize) -> Duration {
+        let node = &self.registries[n];
+        self.now.saturating_sub(node.base).mul_f64(node.drift)
+    }
+
     pub fn tick_registry(&mut self, n: usize) {
         self.feed_registry(n, CoreInput::Tick);
     }
@@ -111,8 +120,8 @@
     }
 
     fn optimize(&mut self, n: usize, from: NodeId, message: PlanMsg) {
+        let now = self.registry_now(n);
         let node = &mut self.registries[n];
-        let now = self.now.saturating_sub(node.base);
         if let Some(planned) = node.planner.step(now, node.id, message, SOLVE) {
             self.send(Place::Registry(n), from, Message::Plan(planned.receipt));
         }
--- a/crates/sim/src/router_node.rs
+++ b/crates/sim/src/router_node.rs
@@ -25,6 +25,7 @@
     pub life: u64,
     pub base: Duration,
     pub frozen_until: Duration,
+    pub drift: f64,
     pub leaving_since: Option<Duration>,
     pub machines: Option<Machines>,
 }
@@ -62,6 +63,7 @@
             life: 0,
             base: Duration::ZERO,
             frozen_until: Duration::ZERO,
+            drift: 1.0,
             leaving_since: None,
             machines: None,
         });
@@ -73,7 +75,9 @@
             return;
         }
         let life = self.dice.random::<u64>() >> 8;
+        let drift = self.drift();
         let node = &mut self.routers[n];
+        node.drift = drift;
         node.life = life;
         node.base = self.now;
         node.frozen_until = Duration::ZERO;
@@ -125,7 +129,8 @@
     }
 
     pub fn router_now(&self, n: usize) -> Duration {
-        self.now.saturating_sub(self.routers[n].base)
+        let node = &self.routers[n];
+        self.now.saturating_sub(node.base).mul_f64(node.drift)
     }
 
     pub fn tick_router(&mut self, n: usize) {
@@ -149,7 +154,7 @@
         if (waited > LAST_CALLS && handed && idle) || waited > GRACE {
             let depths = (machines.front.depth(), machines.home.depths());
             self.say(|| format!("router {n} goes, open: {depths:?}"));
-            if !idle && self.plan.sort == Sort::Planned {
+            if !idle && self.plan.sort == Sort::Planned && self.now < self.plan.final_fault {
                 self.rules.tell(self.now, format!("router {n} left with work open"));
             }
             self.kill_router(n);
--- a/crates/sim/src/rules.rs
+++ b/crates/sim/src/rules.rs
@@ -7,6 +7,7 @@
 const SLIP: Duration = Duration::from_millis(250);
 const OLD: Duration = Duration::from_secs(3);
 const TURNED_MOST: usize = 11;
+const RETURN: Duration = Duration::from_secs(12);
 
 #[derive(Default)]
 pub struct Rules {
@@ -23,6 +24,8 @@
     tries: BTreeMap<String, VecDeque<(Duration, bool)>>,
     chain: BTreeMap<u64, (u64, u64)>,
     chain_seen: BTreeMap<usize, u64>,
+    faults: Vec<(Duration, Duration)>,
+    good: Vec<Duration>,
     pub run_count: u64,
 }
 
@@ -90,6 +93,10 @@
         self.accepted.insert(key.to_owned());
     }
 
+    pub fn accepted_but_never_run(&self) -> Vec<String> {
+        self.accepted.iter().filter(|key| !self.by_key.contains_key(*key)).cloned().collect()
+    }
+
     pub fn not_run(&mut self, now: Duration, label: &str) {
         if self.runs.contains_key(label) {
             self.tell(now, format!("{label} heard not-run though it ran"));
@@ -97,6 +104,41 @@
         self.not_run.insert(label.to_owned());
     }
 
+    /// Something is failing from one moment to the other, at the most.
+    pub fn faulty(&mut self, from: Duration, to: Duration) {
+        self.faults.push((from, to));
+    }
+
+    pub fn served_well(&mut self, now: Duration) {
+        self.good.push(now);
+    }
+
+    /// Service must be above a quarter of its earlier level in every second that lies more than 12 s
+    /// after all machines returned and before anything fails anew. Says what was judged.
+    pub fn recovered(&mut self, from: Duration, until: Duration) -> usize {
+        let mut levels = vec![0u32; until.as_secs() as usize + 1];
+        for at in self.good.iter().filter(|at| **at < until) {
+            levels[at.as_secs() as usize] += 1;
+        }
+        let whole = |second: u64| {
+            let (begin, end) = (Duration::from_secs(second), Duration::from_secs(second + 1));
+            self.faults.iter().all(|(from, to)| *from >= end || *to + RETURN <= begin)
+        };
+        let before: Vec<u64> = (from.as_secs()..until.as_secs())
+            .take_while(|second| self.faults.iter().all(|(from, _)| from.as_secs() > *second))
+            .collect();
+        let level = before.iter().map(|second| levels[*second as usize]).sum::<u32>() / before.len().max(1) as u32;
+        let judged: Vec<u64> = (from.as_secs() + before.len() as u64..until.as_secs()).filter(|s| whole(*s)).collect();
+        for second in &judged {
+            let good = levels[*second as usize];
+            if good < level / 4 {
+                let told = format!("{good} tasks served in second {second}, {level} a second before anything failed");
+                self.tell(until, told);
+            }
+        }
+        judged.len()
+    }
+
     pub fn acknowledged(&mut self, now: Duration, revision: u64) {
         self.acked.push((now, revision));
     }
@@ -146,65 +188,4 @@
         let now = self.now;
         faults.into_iter().for_each(|fault| self.rules.tell(now, fault));
     }
-
-    pub fn check_end(&mut self) {
-        let now = self.now;
-        self.check_read_back();
-        let lost: Vec<String> =
-            self.rules.accepted.iter().filter(|key| !self.rules.by_key.contains_key(*key)).cloned().collect();
-        if !lost.is_empty() {
-            self.rules.tell(now, format!("accepted but never run: {lost:?}"));
-        }
-        let from = self.plan.faults_to + Duration::from_secs(16);
-        let to = self.plan.end - Duration::from_secs(14);
-        let good = self.callers.good_times.iter().filter(|at| **at > from && **at < to).count() as f64;
-        let wanted = self.plan.rate * (to - from).as_secs_f64() / 4.0;
-        if self.plan.sort == crate::Sort::Planned {
-            let short = self.callers.refused + self.callers.unknown;
-            if short > 5 {
-                self.rules.tell(now, format!("{short} tasks refused or unknown in planned stops alone"));
-            }
-        }
-        if good < wanted {
-            self.rules.tell(now, format!("{good} tasks served after the mending, a quarter would be {wanted:.0}"));
-        }
-    }
-
-    /// Where each node stands, for the story of a run that ended badly.
-    pub fn standings(&self) -> Vec<String> {
-        let registries = self.registries.iter().enumerate().map(|(n, node)| match &node.core {
-            Some(core) => format!("registry {n}: {}", core.status()),
-            None => format!("registry {n}: down"),
-        });
-        let routers = self.routers.iter().enumerate().map(|(n, node)| match &node.machines {
-            Some(machines) => format!(
-                "router {n}: step {} staged {} roster {} tail {:x?}, front {}, home {:?}",
-                machines.follower.step_number(),
-                machines.follower.staged_number(),
-                machines.follower.roster().number,
-                machines.follower.tail(),
-                machines.front.depth(),
-                machines.home.depths(),
-            ),
-            None => format!("router {n}: down"),
-        });
-        registries.chain(routers).collect()
-    }
-
-    pub fn summary(&self) -> String {
-        let callers = &self.callers;
-        format!(
-            "steps {} runs {} answered {} refused {} unknown {} lost {} acked {} refused changes {} unknown changes {} starts {}",
-            self.steps,
-            self.rules.run_count,
-            callers.answered,
-            callers.refused,
-            callers.unknown,
-            callers.lost,
-            self.operators.acked.len(),
-            self.operators.refused.len(),
-            self.operators.unknown.len(),
-            self.yard.starts,
-        )
-    }
 }
--- a/crates/sim/src/world.rs
+++ b/crates/sim/src/world.rs
@@ -8,7 +8,7 @@
 use crate::router_node::RouterNode;
 use crate::rules::Rules;
 use crate::yard::SimYard;
-use rand::SeedableRng;
+use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BinaryHeap};
@@ -55,7 +55,7 @@
     pub operators: Operators,
     pub rules: Rules,
     pub steps: u64,
-    pub faulting: bool,
+    pub judged: usize,
     pub trace: bool,
 }
 
@@ -85,7 +85,7 @@
             operators: Operators::default(),
             rules: Rules::default(),
             steps: 0,
-            faulting: false,
+            judged: 0,
             trace: false,
             plan,
         };
@@ -98,7 +98,7 @@
         world.at(Duration::from_millis(500), Event::Listing);
         world.at(Duration::from_secs(3), Event::Operator);
         world.at(Duration::from_secs(5), Event::Caller);
-        world.at(world.plan.faults_from, Event::Fault);
+        world.at(world.plan.bouts[0].0, Event::Fault);
         world
     }
 
@@ -112,6 +112,11 @@
         self.at(self.now + wait, event);
     }
 
+    /// No two machines' clocks run alike: a few parts in a thousand, drawn at each start.
+    pub fn drift(&mut self) -> f64 {
+        self.dice.random_range(0.995..1.005)
+    }
+
     pub fn say(&self, told: impl FnOnce() -> String) {
         if self.trace {
             eprintln!("{:>9.3} {}", self.now.as_secs_f64(), told());
--- a/crates/sim/src/yard.rs
+++ b/crates/sim/src/yard.rs
@@ -10,7 +10,7 @@
 use traffic::{DispatchOrder, HomeInput, Verdict};
 use wire::{AnswerHead, RequestHead};
 
-pub const LIMIT: u32 = 3;
+const ORDERS: usize = 80;
 
 pub struct SimInstance {
     pub service: String,
@@ -36,11 +36,34 @@
     pub lose: f64,
     pub turn_away: f64,
     pub unanswered: f64,
+    pub garble: f64,
+    pub limits: BTreeMap<String, u32>,
+    pub order_times: VecDeque<Duration>,
+    pub limited: u64,
     pub told_gone: BTreeMap<(usize, String), Duration>,
     pub starts: u64,
 }
 
 impl SimYard {
+    pub fn behave(&mut self) {
+        (self.lose, self.turn_away, self.unanswered, self.garble) = (0.0, 0.0, 0.0, 0.0);
+        self.limits.clear();
+    }
+
+    /// The platform takes about eighty orders a second.
+    fn takes_order(&mut self, now: Duration) -> bool {
+        while self.order_times.front().is_some_and(|at| now > *at + Duration::from_secs(1)) {
+            self.order_times.pop_front();
+        }
+        let takes = self.order_times.len() < ORDERS;
+        if takes {
+            self.order_times.push_back(now);
+        } else {
+            self.limited += 1;
+        }
+        takes
+    }
+
     pub fn forget_router(&mut self, n: usize) {
         self.told_gone.retain(|(router, _), _| *router != n);
     }
@@ -51,7 +74,10 @@
         let lost = self.yard.unanswered > 0.0 && self.dice.random_bool(self.yard.unanswered);
         let wait = Duration::from_millis(self.dice.random_range(2..40));
         let life = self.routers[n].life;
+        let taken = self.yard.takes_order(self.now);
         let report = match order {
+            PlatformOrder::Start { id, .. } if !taken => PlatformReport::Started { id, receipt: StartReceipt::Limited },
+            PlatformOrder::Stop { id } if !taken => PlatformReport::Stopped { id, taken: false },
             PlatformOrder::Start { id, .. } if self.yard.instances.len() >= self.plan.instances => {
                 PlatformReport::Started { id, receipt: StartReceipt::NoMemory }
             }
@@ -134,21 +160,24 @@
             .map(|line| String::from_utf8_lossy(line.value.as_slice()).into_owned())
             .unwrap_or_default();
         self.say(|| format!("task {label} goes from router {n} to {}", order.address));
-        let (lose, turn) = (self.yard.lose, self.yard.turn_away);
-        let lost = lose > 0.0 && self.dice.random_bool(lose);
-        let turned = turn > 0.0 && self.dice.random_bool(turn);
+        let lost = self.dice.random_bool(self.yard.lose);
+        let garbled = self.dice.random_bool(self.yard.garble);
+        let turned = self.dice.random_bool(self.yard.turn_away);
+        let limits = &self.yard.limits;
         let mut took = Duration::from_millis(self.dice.random_range(20..120));
         let told = self.yard.told_gone.get(&(n, order.address.clone())).copied();
         if told.is_some_and(|at| self.now > at + Duration::from_secs(3)) {
             self.rules.tell(self.now, format!("{label} was sent to {} long after it was known leaving", order.address));
         }
         let now = self.now;
+        let declared = self.plan.limit;
+        let limit = |service: &String| limits.get(service).copied().unwrap_or(declared);
         let verdict = match self.yard.instances.get_mut(&order.address) {
             None => Verdict::NotSent,
             Some(instance) if instance.ready_at > now => Verdict::NotSent,
-            Some(instance) if instance.busy >= LIMIT || turned => {
+            Some(instance) if instance.busy >= limit(&instance.service) || turned => {
                 let service = instance.service.clone();
-                let over = instance.busy >= LIMIT;
+                let over = instance.busy >= declared;
                 self.rules.turned_away(now, &service, over);
                 Verdict::Whole { status: 503, head: empty(), body: b"at its limit".to_vec(), turned_away: true }
             }
@@ -156,8 +185,9 @@
                 instance.busy += 1;
                 let service = instance.service.clone();
                 self.rules.ran(now, &label, &service);
-                if lost {
-                    Verdict::InDoubt { told: "lost".into(), late: false }
+                if lost || garbled {
+                    let told = if lost { "lost" } else { "bytes after the answer's declared end" };
+                    Verdict::InDoubt { told: told.into(), late: false }
                 } else {
                     Verdict::Whole { status: 200, head: empty(), body: label.clone().into_bytes(), turned_away: false }
                 }
@@ -165,7 +195,7 @@
         };
         let ran = matches!(&verdict, Verdict::Whole { status: 200, .. } | Verdict::InDoubt { .. });
         if !ran {
-            took = Duration::from_millis(1);
+            took = Duration::from_millis(self.dice.random_range(1..15));
         }
         self.yard.next += 1;
         let number = self.yard.next;
--- a/crates/sim/tests/rules.rs
+++ b/crates/sim/tests/rules.rs
@@ -51,6 +51,24 @@
     (0..count).for_each(|n| rules.ran(ms(n), "9#1", "t0/f0"));
 }
 
+/// Ten tasks a second, a fault from 8 to 10 s, and service again from 23 s on, or too late.
+fn stays_low_after_the_return(rules: &mut Rules, planted: bool) {
+    rules.faulty(ms(8_000), ms(10_000));
+    let back = if planted { 24_000 } else { 22_000 };
+    (0..600u64).map(|n| n * 100).filter(|at| *at < 8_000 || *at >= back).for_each(|at| rules.served_well(ms(at)));
+    assert_eq!(rules.recovered(ms(2_000), ms(60_000)), 38, "seconds from 22 to 59 are judged");
+}
+
+/// The same silence is let pass while something else fails, and for 12 s after.
+fn low_while_another_fault_lasts(rules: &mut Rules, planted: bool) {
+    rules.faulty(ms(8_000), ms(10_000));
+    rules.faulty(ms(20_000), ms(if planted { 20_500 } else { 30_000 }));
+    (0..600u64).map(|n| n * 100).filter(|at| *at < 8_000 || *at >= 40_000).for_each(|at| rules.served_well(ms(at)));
+    rules.recovered(ms(2_000), ms(60_000));
+}
+
+#[test_case(stays_low_after_the_return; "service that does not come back in time")]
+#[test_case(low_while_another_fault_lasts; "service low with nothing failing any longer")]
 #[test_case(run_once_twice; "a run-once task that runs twice")]
 #[test_case(not_run_then_run; "a task that runs after not-run")]
 #[test_case(run_then_not_run; "not-run told of a task that ran")]
--- a/crates/swarm/src/load.rs
+++ b/crates/swarm/src/load.rs
@@ -1,6 +1,8 @@
 //! The open loop: tasks leave on the seed's schedule whatever became of the ones before. Each
 //! attempt is recorded with its own label, which the instance echoes and records.
 
+#![expect(clippy::disallowed_types, reason = "two records are held against each other by it")]
+
 use crate::mix::{self, Route};
 use crate::tally::{self, Attempt};
 use bytes::Bytes;
--- a/crates/yard/src/instance.rs
+++ b/crates/yard/src/instance.rs
@@ -2,6 +2,8 @@
 //! tasks at once, turns the rest away, echoes what it was sent, and records each run before it
 //! answers.
 
+#![expect(clippy::disallowed_types, reason = "two records are held against each other by it")]
+
 use crate::record::Record;
 use crate::services::Service;
 use crate::state::Yard;
