Let those with nothing have memory first; a router told to leave still joins

Change: room is given four times a second, first by functions with several instances; while a function with nothing waits, none that has some grows; if nothing is idle, the function with most of the tenant with most drains one and rests. A leaving router joins once more if it has to.

--- a/crates/holds/src/steps.rs
+++ b/crates/holds/src/steps.rs
@@ -37,7 +37,7 @@
         self.latest_known = self.latest_known.max(latest);
         if !member {
             self.proof = None;
-            if !self.leaving && self.joined.is_none_or(|last| self.now >= last + self.timing.renew) {
+            if self.joined.is_none_or(|last| self.now >= last + self.timing.renew) {
                 self.joined = Some(self.now);
                 let (address, zone, ops) = self.joining.clone();
                 self.tell_registry(Some(from), HoldMsg::Join { address, zone, ops });
--- a/crates/sim/src/callers.rs
+++ b/crates/sim/src/callers.rs
@@ -125,7 +125,10 @@
     pub fn caller_reply(&mut self, n: usize, ask: u64, reply: Reply) {
         let Some(mut task) = self.callers.open.remove(&(n, ask)) else { return };
         self.say(|| {
-            format!("task {} ({}) answered {:?} {} at router {n}", task.label, task.class, reply.outcome, reply.status)
+            format!(
+                "task {} ({} {}) answered {:?} {} at router {n}",
+                task.label, task.class, task.service, reply.outcome, reply.status
+            )
         });
         let now = self.now;
         let waited = now - task.begun;
--- a/crates/traffic/src/giving_way.rs
+++ b/crates/traffic/src/giving_way.rs
@@ -1,6 +1,8 @@
 //! When the workers' memory is full: a home whose callers wait asks all homes to give way, and each
-//! stops at most one idle instance a second, of the tenant that has most here, longest idle first.
-//! What gave way is not started again for a while unless callers wait for it.
+//! stops at most one idle instance in a while: first one of several, then of the tenant that has most
+//! on the platform's list, longest idle first. Where a function with nothing at all asks and nothing
+//! is idle, the function with most, of the tenant with most, drains one that is busy. What gave way is
+//! not started again for a while unless callers wait for it.
 
 use crate::home::Home;
 use crate::home_types::HomeOutput;
@@ -9,9 +11,13 @@
 use std::time::Duration;
 use wire::{CarryMsg, NodeId};
 
-const PAUSE: Duration = Duration::from_secs(1);
+const PAUSE: Duration = Duration::from_millis(250);
 const HOLDS_BACK: Duration = Duration::from_secs(10);
-const IDLE: Duration = Duration::from_millis(500);
+/// While a function with nothing at all waits for memory, none that has some grows.
+const NO_GROWTH: Duration = Duration::from_millis(800);
+/// One that gave way though its callers wait does not take the place back at once.
+const REST: Duration = Duration::from_secs(3);
+const IDLE: Duration = Duration::from_millis(250);
 
 impl Home {
     pub(crate) fn ask_to_give_way(&mut self, name: &str) {
@@ -27,15 +33,44 @@
         }
     }
 
+    /// How many instances each tenant has, by the platform's latest list.
+    fn per_tenant(&self) -> BTreeMap<&str, u32> {
+        let mut counts = BTreeMap::new();
+        for (name, count) in &self.listed {
+            *counts.entry(tenant_of(name)).or_default() += count;
+        }
+        counts
+    }
+
+    fn has_some(&self, function: &str) -> bool {
+        self.listed.get(function).is_some_and(|count| *count > 0)
+    }
+
+    /// An instance, busy or not, of the function that has most of the tenant that has most, if that
+    /// function is homed here and the asker has nothing while its tenant has fewer.
+    fn busy_beyond_its_share(&self, asking: &str) -> Option<(String, String)> {
+        let counts = self.per_tenant();
+        let (most_tenant, most) = counts.iter().max_by_key(|(tenant, count)| (**count, **tenant))?;
+        let asker = counts.get(tenant_of(asking)).copied().unwrap_or_default();
+        if self.has_some(asking) || asker + 1 >= *most {
+            return None;
+        }
+        let of_it = self.listed.iter().filter(|(name, _)| tenant_of(name) == *most_tenant);
+        let (name, _) = of_it.max_by_key(|(name, count)| (**count, *name))?;
+        let desk = self.desks.get(name).filter(|desk| desk.leaving.is_none() && desk.count(Phase::Ready) > 1)?;
+        let ready = desk.instances.iter().filter(|(_, instance)| instance.phase() == Phase::Ready);
+        ready.min_by_key(|(_, instance)| instance.busy).map(|(id, _)| (name.clone(), id.clone()))
+    }
+
     pub(crate) fn give_way(&mut self, asking: &str) {
         let now = self.now;
+        if !self.has_some(asking) {
+            self.no_growth = now + NO_GROWTH;
+        }
         if now < self.gave_way + PAUSE {
             return;
         }
-        let mut per_tenant: BTreeMap<String, usize> = BTreeMap::new();
-        for desk in self.desks.values() {
-            *per_tenant.entry(desk.function.tenant.clone()).or_default() += desk.instances.len();
-        }
+        let per_tenant = self.per_tenant();
         let idle = self.desks.iter().filter(|(name, desk)| {
             let spare = desk.count(Phase::Ready) > desk.function.fixed.unwrap_or(desk.function.min);
             name.as_str() != asking && desk.held.is_empty() && desk.leaving.is_none() && spare
@@ -45,17 +80,24 @@
             .filter(|(_, _, _, instance)| instance.phase() == Phase::Ready && instance.busy == 0)
             .filter(|(_, _, _, instance)| now > instance.used + IDLE)
             .min_by_key(|(_, desk, id, instance)| {
-                let share = per_tenant.get(&desk.function.tenant).copied().unwrap_or_default();
-                (std::cmp::Reverse(share), instance.used, (*id).clone())
+                let share = per_tenant.get(desk.function.tenant.as_str()).copied().unwrap_or_default();
+                (desk.count(Phase::Ready) < 2, std::cmp::Reverse(share), instance.used, (*id).clone())
             })
             .map(|(name, _, id, _)| (name.clone(), id.clone()));
-        let Some((name, id)) = selected else { return };
+        let Some((name, id)) = selected.or_else(|| self.busy_beyond_its_share(asking)) else { return };
         self.gave_way = now;
         if let Some(desk) = self.desks.get_mut(&name) {
             desk.holds_back = now + HOLDS_BACK;
+            if !desk.held.is_empty() {
+                desk.refused_until = now + REST;
+            }
             if let Some(instance) = desk.instances.get_mut(&id) {
                 instance.take(InstanceEvent::Drain);
             }
         }
     }
 }
+
+fn tenant_of(function: &str) -> &str {
+    function.split('/').next().unwrap_or_default()
+}
--- a/crates/traffic/src/platform_side.rs
+++ b/crates/traffic/src/platform_side.rs
@@ -51,9 +51,10 @@
                 StartReceipt::Unanswered => event!(platform_refused, "start of {id} unanswered"),
                 StartReceipt::NoMemory | StartReceipt::Limited => {
                     event!(platform_refused, "start of {id}: {receipt:?}");
-                    let pause = if receipt == StartReceipt::NoMemory { NO_MEMORY_PAUSE } else { LIMITED_PAUSE };
-                    desk.refused_until = now + pause;
                     desk.instances.remove(id);
+                    let wakes = desk.instances.is_empty() && !desk.held.is_empty();
+                    let grows = receipt == StartReceipt::NoMemory && !wakes;
+                    desk.refused_until = now + if grows { NO_MEMORY_PAUSE } else { LIMITED_PAUSE };
                     let name = desk.function.name.clone();
                     if receipt == StartReceipt::NoMemory {
                         self.ask_to_give_way(&name);
@@ -73,6 +74,7 @@
         for line in listing.instances {
             by_function.entry(line.service.clone()).or_default().push(line);
         }
+        self.listed = by_function.iter().map(|(name, lines)| (name.clone(), lines.len() as u32)).collect();
         let overlay = self.timing.start_expiry;
         for (name, desk) in &mut self.desks {
             let lines = by_function.remove(name).unwrap_or_default();
--- a/crates/traffic/src/scale.rs
+++ b/crates/traffic/src/scale.rs
@@ -88,7 +88,8 @@
             }
             let count = ready + starting;
             let willing = now >= desk.refused_until && (held > 0 || now >= desk.holds_back);
-            if desk.desired > count && willing {
+            let may_grow = count == 0 || now >= self.no_growth;
+            if desk.desired > count && willing && may_grow {
                 let waking = held > 0 && count == 0;
                 wanting.push((waking, desk.function.player_weight, desk.desired - count, name));
             } else if desk.desired < count {
