Count tasks at risk of a turn-away, and keep a part of the limit for a new home

Cause: a function without a recent turn-away could have any number of tasks just sent, and a home after a crash knew nothing of the count before it.

Change: `Risk`, one small part of a desk. A task sent less than the usual time of a turn-away ago (25 ms, more where it was seen to be more) is at risk; turned away and at risk stay below seven, below four for a home that knows nothing of the one before.

Ruled out: counting all tasks in flight (a busy function would stand at seven); trusting instances that answered lately (all may fall at once).

--- a/crates/sim/tests/seeds.rs
+++ b/crates/sim/tests/seeds.rs
@@ -14,6 +14,7 @@
 #[test_case(Sort::Herd, &[1, 2, 3]; "herd")]
 #[test_case(Sort::Grown, &[1, 2]; "grown")]
 #[test_case(Sort::Storm, &[1, 2]; "storm")]
+#[test_case(Sort::Overload, &[7, 21]; "turn-aways across a crash and in a burst")]
 #[test_case(Sort::Planned, &[22]; "a router asked to leave before it had joined")]
 #[test_case(Sort::Wake, &[10, 19]; "memory given way too slowly to those with nothing")]
 #[test_case(Sort::Flood, &[22]; "a tenant's flood kept the others asleep")]
--- a/crates/traffic/src/desk.rs
+++ b/crates/traffic/src/desk.rs
@@ -1,15 +1,14 @@
 //! One function at its home: its held tasks, its instances, its budget and its part of the plan.
 
-use crate::budget::{Budget, Window};
+use crate::budget::Budget;
 use crate::instance::{Instance, Phase};
+use crate::risk::Risk;
 use bindings::Function;
 use scaler::Player;
 use std::collections::{BTreeMap, VecDeque};
 use std::time::Duration;
 use wire::NodeId;
 
-const TURNED_LENGTH: Duration = Duration::from_secs(5);
-const TURNED_MOST: usize = 9;
 const GROW: Duration = Duration::from_secs(1);
 const GROW_CALM: Duration = Duration::from_millis(200);
 
@@ -19,7 +18,7 @@
     pub instances: BTreeMap<String, Instance>,
     pub player: Player,
     pub budget: Budget,
-    pub turned: Window,
+    pub risk: Risk,
     pub in_flight: u32,
     pub adopting: Option<(Duration, bool)>,
     pub leaving: Option<(NodeId, Duration)>,
@@ -44,7 +43,7 @@
             instances: BTreeMap::new(),
             player: Player::default(),
             budget: Budget::new(now, fresh),
-            turned: Window::new(TURNED_LENGTH),
+            risk: Risk::new(now),
             in_flight: 0,
             adopting,
             leaving: None,
@@ -85,12 +84,6 @@
         self.instances.values().filter(|instance| instance.phase() == phase).count() as u32
     }
 
-    /// Whether one more task may go out without risking an eleventh turn-away in five seconds.
-    pub fn may_risk(&mut self, now: Duration) -> bool {
-        let turned = self.turned.count(now);
-        turned == 0 || turned + (self.in_flight as usize) < TURNED_MOST
-    }
-
     pub fn roomiest(&self, now: Duration) -> Option<String> {
         let limit = self.function.instance_limit;
         self.instances
@@ -103,7 +96,6 @@
 
     /// Reduces at once what an instance is sent after it turned a task away; it grows back slowly.
     pub fn turned_away(&mut self, now: Duration, id: &str) {
-        self.turned.add(now);
         let limit = self.function.instance_limit;
         if let Some(instance) = self.instances.get_mut(id) {
             instance.allowed = (instance.busy.min(limit) / 2).max(1);
@@ -114,7 +106,8 @@
 
     pub fn grow_back(&mut self, now: Duration) {
         let limit = self.function.instance_limit;
-        let pause = if self.turned.count(now) == 0 { GROW_CALM } else { GROW };
+        self.risk.fade();
+        let pause = if self.risk.turned(now) == 0 { GROW_CALM } else { GROW };
         for instance in self.instances.values_mut() {
             if instance.allowed < limit && now > instance.allowed_at + pause {
                 instance.allowed += 1;
--- a/crates/traffic/src/lib.rs
+++ b/crates/traffic/src/lib.rs
@@ -27,6 +27,7 @@
 mod plane;
 mod plane_out;
 mod platform_side;
+mod risk;
 mod scale;
 mod service;
 mod settings;
--- a/crates/traffic/src/passes.rs
+++ b/crates/traffic/src/passes.rs
@@ -35,7 +35,7 @@
                 if !ready {
                     continue;
                 }
-                if !desk.may_risk(now) {
+                if !desk.risk.may_send(now) {
                     break;
                 }
                 let Some(selected_instance) = desk.roomiest(now) else { break };
@@ -63,6 +63,7 @@
         let Some(instance) = desk.instances.get_mut(&instance_id) else { return };
         instance.busy += 1;
         desk.in_flight += 1;
+        desk.risk.sent(now, order);
         desk.held.retain(|held| *held != number);
         task.dispatches += 1;
         task.place = Place::Running { number: order };
@@ -86,6 +87,7 @@
         let Some((number, name, instance_id, begun)) = self.running.remove(&order) else { return };
         if let Some(desk) = self.desks.get_mut(&name) {
             desk.in_flight = desk.in_flight.saturating_sub(1);
+            desk.risk.ended(now, order, begun, matches!(verdict, Verdict::Whole { turned_away: true, .. }));
             if let Some(instance) = desk.instances.get_mut(&instance_id) {
                 instance.busy = instance.busy.saturating_sub(1);
                 instance.used = now;
--- a/crates/traffic/src/status.rs
+++ b/crates/traffic/src/status.rs
@@ -20,7 +20,7 @@
                     "fixed": desk.function.fixed, "fallbacks": desk.player.fallbacks,
                     "early_asks": desk.player.early_asks,
                     "requests_10s": requests, "second_tries_10s": seconds,
-                    "turned_away_5s": desk.turned.count(now),
+                    "turned_away_5s": desk.risk.turned(now),
                     "adopting": desk.adopting.is_some(), "leaving": desk.leaving.is_some(),
                 }),
             );
