--- a/crates/traffic/src/risk.rs
+++ b/crates/traffic/src/risk.rs
@@ -77,7 +77,7 @@
                 let now = Duration::from_millis(order);
                 for (_, number, begun) in open.extract_if(.., |(at, ..)| *at <= now) {
                     all.push(now);
-                    if !crashed || begun > crash {
+                    if !crashed || begun >= crash {
                         risk.ended(now, number, begun, true);
                     }
                 }
