--- a/crates/chain/src/store.rs
+++ b/crates/chain/src/store.rs
@@ -4,7 +4,7 @@
 use crate::types::{Batch, Meta, Stored};
 use deku::prelude::*;
 use derive_more::{Display, Error, From};
-use redb::{Database, ReadableDatabase, ReadableTable, TableDefinition};
+use redb::{Database, ReadOnlyDatabase, ReadableDatabase, ReadableTable, StorageBackend, TableDefinition};
 use std::path::Path;
 use wire::{EntryLine, Seat, Text, View};
 
@@ -51,7 +51,19 @@
 
 impl Store {
     pub fn open(path: &Path, cluster: &str, seat: Seat) -> Result<(Store, Stored), StoreFault> {
-        let base = Database::create(path)?;
+        // One that was closed cleanly is looked at without a byte of it being written.
+        if let Some(base) = path.exists().then(|| ReadOnlyDatabase::open(path).ok()).flatten() {
+            kept_meta(&base, cluster)?;
+        }
+        Store::begin(Database::create(path)?, cluster, seat)
+    }
+
+    /// On a disk of another kind, such as one that loses its power.
+    pub fn open_on(disk: impl StorageBackend, cluster: &str, seat: Seat) -> Result<(Store, Stored), StoreFault> {
+        Store::begin(Database::builder().create_with_backend(disk)?, cluster, seat)
+    }
+
+    fn begin(base: Database, cluster: &str, seat: Seat) -> Result<(Store, Stored), StoreFault> {
         let mut store = Store { base, cluster: cluster.to_owned() };
         let stored = match store.load()? {
             Some(stored) => stored,
@@ -65,21 +77,9 @@
     }
 
     fn load(&self) -> Result<Option<Stored>, StoreFault> {
+        let Some(record) = kept_meta(&self.base, &self.cluster)? else { return Ok(None) };
         let read = self.base.begin_read()?;
-        let meta = match read.open_table(META) {
-            Ok(table) => table,
-            Err(redb::TableError::TableDoesNotExist(_)) => return Ok(None),
-            Err(fault) => return Err(fault.into()),
-        };
-        let raw = meta.get("meta")?.ok_or(StoreFault::Damaged)?.value().to_vec();
-        let format = raw.get(..2).map(|b| u16::from_le_bytes([b[0], b[1]])).ok_or(StoreFault::Damaged)?;
-        if format != RECORD_FORMAT {
-            return Err(StoreFault::Format(format));
-        }
-        let record: MetaRecord = wire::from_bytes(&raw).ok_or(StoreFault::Damaged)?;
-        if record.cluster.as_str() != self.cluster {
-            return Err(StoreFault::Foreign(record.cluster.as_str().to_owned()));
-        }
+        let meta = read.open_table(META)?;
         let mut stored = Stored {
             meta: Meta {
                 seat: record.seat,
@@ -141,3 +141,23 @@
         Ok(())
     }
 }
+
+/// The record that says whose file this is, if anything was ever written to it.
+fn kept_meta(base: &impl ReadableDatabase, cluster: &str) -> Result<Option<MetaRecord>, StoreFault> {
+    let read = base.begin_read()?;
+    let meta = match read.open_table(META) {
+        Ok(table) => table,
+        Err(redb::TableError::TableDoesNotExist(_)) => return Ok(None),
+        Err(fault) => return Err(fault.into()),
+    };
+    let raw = meta.get("meta")?.ok_or(StoreFault::Damaged)?.value().to_vec();
+    let format = raw.get(..2).map(|b| u16::from_le_bytes([b[0], b[1]])).ok_or(StoreFault::Damaged)?;
+    if format != RECORD_FORMAT {
+        return Err(StoreFault::Format(format));
+    }
+    let record: MetaRecord = wire::from_bytes(&raw).ok_or(StoreFault::Damaged)?;
+    if record.cluster.as_str() != cluster {
+        return Err(StoreFault::Foreign(record.cluster.as_str().to_owned()));
+    }
+    Ok(Some(record))
+}
--- a/crates/chain/tests/store.rs
+++ b/crates/chain/tests/store.rs
@@ -2,6 +2,7 @@
 //! clear word and left as it was.
 
 use chain::{Batch, Store, StoreFault};
+use redb::{Database, ReadableTable, TableDefinition};
 use std::path::PathBuf;
 use wire::{EntryLine, OpNo, Seat};
 
@@ -51,6 +52,7 @@
     write_some(&path);
     let whole = std::fs::read(&path).unwrap();
     assert!(matches!(Store::open(&path, "pixel", seat()), Err(StoreFault::Foreign(name)) if name == "posta"));
+    assert!(std::fs::read(&path).unwrap() == whole, "a foreign file was written to");
     let cases: Vec<(&str, Vec<u8>)> = vec![
         ("garbage", vec![0x5a; 8192]),
         ("cut", whole[..whole.len() / 3].to_vec()),
@@ -61,7 +63,28 @@
         let opened = std::panic::catch_unwind(|| Store::open(&path, "posta", seat()).map(drop));
         let refused = matches!(&opened, Ok(Err(fault)) if fault.to_string().contains("data file"));
         assert!(refused, "{name}: {opened:?}");
-        assert_eq!(std::fs::read(&path).unwrap(), bytes, "{name}: the file was written to");
+        assert!(std::fs::read(&path).unwrap() == bytes, "{name}: the file was written to");
     }
     let _ = std::fs::remove_dir_all(folder);
 }
+
+#[test]
+fn a_file_of_a_record_format_not_known_here_is_refused_and_left_as_it_was() {
+    let folder = folder("format");
+    let path = folder.join("registry.redb");
+    write_some(&path);
+    {
+        let base = Database::open(&path).unwrap();
+        let write = base.begin_write().unwrap();
+        let table: TableDefinition<&str, &[u8]> = TableDefinition::new("meta");
+        let mut raw = write.open_table(table).unwrap().get("meta").unwrap().unwrap().value().to_vec();
+        raw[..2].copy_from_slice(&9u16.to_le_bytes());
+        write.open_table(table).unwrap().insert("meta", raw.as_slice()).unwrap();
+        write.commit().unwrap();
+    }
+    let before = std::fs::read(&path).unwrap();
+    let refused = Store::open(&path, "posta", seat()).map(drop);
+    assert!(matches!(refused, Err(StoreFault::Format(9))), "{refused:?}");
+    assert!(std::fs::read(&path).unwrap() == before, "the file was written to");
+    let _ = std::fs::remove_dir_all(folder);
+}
--- a/crates/fleet/src/faults.rs
+++ b/crates/fleet/src/faults.rs
@@ -34,6 +34,8 @@
         "stop-router",
         "start-router",
         "roll-registry",
+        "switch-registry",
+        "switch-router",
         "roll-router",
         "fill-registry",
         "freeze-router",
@@ -133,6 +135,7 @@
                 None => Ok(()),
             },
             "roll" => self.start_as(&node, Start::Other),
+            "switch" => self.start_as(&node, Start::Switched),
             "fill" => {
                 self.signal(&node.name, "KILL")?;
                 self.wait_for(&node.name);
--- a/crates/fleet/src/line.rs
+++ b/crates/fleet/src/line.rs
@@ -22,7 +22,8 @@
   --crowd LIST       AT,FOR,TIMES,SERVICE; may be given often
   --fault LIST       AT:WHAT:WHICH[;..], such as 20:kill-registry:0;40:start-registry:0
                      WHAT: kill, stop, start, freeze, thaw, wipe, each -registry or -router;
-                     roll-registry, roll-router (start with the other programs); fill-registry (no room);
+                     roll-, switch- (start by the other programs, in the oldest format or the newest);
+                     fill-registry (its data file cannot grow);
                      crash-worker, drain-worker, undrain-worker; mischief:NAME=SHARE[,..]; patch:NAME;
                      cut:A+B[/C+D], cut-one-way:A+B[/C+D], heal
   --turns SECONDS    turn a route every so often, 0 for never [3]
--- a/crates/fleet/src/processes.rs
+++ b/crates/fleet/src/processes.rs
@@ -25,7 +25,9 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Start {
     Plain,
+    /// By the other programs, speaking the oldest format, and then the newest.
     Other,
+    Switched,
     Full,
 }
 
@@ -72,8 +74,8 @@
 
     fn command(&self, node: &Node, start: Start) -> Result<Command, String> {
         let folder = match (start, &self.other) {
-            (Start::Other, None) => return Err("--other is needed to roll".into()),
-            (Start::Other, Some(other)) => other,
+            (Start::Other | Start::Switched, None) => return Err("--other is needed to roll".into()),
+            (Start::Other | Start::Switched, Some(other)) => other,
             _ => &self.programs,
         };
         let path = folder.join(node.program);
@@ -94,8 +96,11 @@
             return Ok(());
         }
         let mut command = self.command(node, start)?;
+        let oldest = ["--format".to_owned(), wire::OLDEST.to_string()];
+        let more = if start == Start::Other { oldest.as_slice() } else { &[] };
         let child = command
             .args(&node.arguments)
+            .args(more)
             .stdin(Stdio::null())
             .stdout(Stdio::null())
             .stderr(self.log(&node.name)?)
--- a/crates/fleet/src/timeline.rs
+++ b/crates/fleet/src/timeline.rs
@@ -22,7 +22,7 @@
         match (verb, kind) {
             ("kill" | "freeze" | "fill", _) => names().for_each(|name| self.begin(name, now, false)),
             ("stop", _) => names().for_each(|name| self.begin(name, now, true)),
-            ("roll" | "start" | "thaw", _) => names().for_each(|name| self.end(&name, now)),
+            ("roll" | "switch" | "start" | "thaw", _) => names().for_each(|name| self.end(&name, now)),
             ("cut", _) => self.begin("cut".into(), now, false),
             ("heal", _) => self.end("cut", now),
             ("mischief", _) => {
