Replay HTTP archives from the load generator

Cause: the users ask for HAR replay in time, as a small part and by a library.

Change: `swarm replay` reads an archive by the `har` library (times by `jiff`), sends its requests at their own pace or a multiple of it, with their own headers but the hop's, and records attempts as the load does; one attempt is now one piece of code for both.

Ruled out: reading the JSON by hand.

Seen: an archive that is cut, empty or mistimed is refused with one message, exit 2.

--- /dev/null
+++ b/crates/swarm/src/attempt.rs
@@ -0,0 +1,77 @@
+//! One attempt at a task: a request with a label of its own, and the record of what came of it.
+
+#![expect(clippy::disallowed_types, reason = "two records are held against each other by it")]
+
+use crate::tally::Attempt;
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::Request;
+use hyper_util::client::legacy::Client;
+use hyper_util::client::legacy::connect::HttpConnector;
+use hyper_util::rt::TokioExecutor;
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+use tokio::time::timeout;
+
+const PATIENCE: Duration = Duration::from_secs(6);
+
+pub type Http = Client<HttpConnector, Full<Bytes>>;
+
+pub struct Ask<'a> {
+    pub method: &'a str,
+    pub path: &'a str,
+    pub headers: Vec<(String, String)>,
+    pub body: String,
+    pub class: &'a str,
+    pub service: &'a str,
+    pub task: &'a str,
+    pub number: u32,
+    pub target: &'a str,
+}
+
+pub fn client() -> Http {
+    Client::builder(TokioExecutor::new())
+        .pool_max_idle_per_host(64)
+        .pool_idle_timeout(Duration::from_secs(30))
+        .build_http()
+}
+
+pub async fn attempt(http: &Http, ask: Ask<'_>) -> Attempt {
+    let label = format!("{}#{}", ask.task, ask.number);
+    let mut attempt = Attempt {
+        task: ask.task.to_owned(),
+        label: label.clone(),
+        class: ask.class.to_owned(),
+        service: ask.service.to_owned(),
+        path: ask.path.to_owned(),
+        target: ask.target.to_owned(),
+        at: SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |since| since.as_millis() as u64),
+        ..Attempt::default()
+    };
+    let url = format!("http://{}{}", ask.target, ask.path);
+    let mut request = Request::builder().method(ask.method).uri(url).header("x-task", &label);
+    for (name, value) in &ask.headers {
+        request = request.header(name, value);
+    }
+    let Ok(request) = request.body(Full::new(Bytes::from(ask.body))) else { return attempt };
+    let begun = Instant::now();
+    let work = async {
+        let answer = http.request(request).await.map_err(|fault| format!("{fault:?}"))?;
+        let status = answer.status().as_u16();
+        let text = |name: &str| answer.headers().get(name).and_then(|v| v.to_str().ok()).unwrap_or_default().to_owned();
+        let (outcome, retry_after) = (text("heronlink-outcome"), !text("retry-after").is_empty());
+        let body = Limited::new(answer.into_body(), 1 << 20).collect().await.map_err(|fault| fault.to_string())?;
+        Ok::<_, String>((status, outcome, retry_after, body.to_bytes()))
+    };
+    match timeout(PATIENCE, work).await {
+        Ok(Ok((status, outcome, retry_after, body))) => {
+            attempt.status = status;
+            attempt.outcome = outcome;
+            attempt.retry_after = retry_after;
+            attempt.body = String::from_utf8_lossy(&body).into_owned();
+        }
+        Ok(Err(told)) => attempt.body = told,
+        Err(_) => attempt.body = "no answer in time".into(),
+    }
+    attempt.took = begun.elapsed().as_millis() as u64;
+    attempt
+}
--- a/crates/swarm/src/line.rs
+++ b/crates/swarm/src/line.rs
@@ -2,12 +2,14 @@
 
 use crate::check::CheckOrder;
 use crate::load::{Crowd, LoadOrder};
+use crate::replay::ReplayOrder;
 use lexopt::prelude::*;
 use std::path::PathBuf;
 
 pub const HELP: &str = "swarm: load generator and checker
 
 Usage: swarm load --targets A,B --configuration FILE --services FILE --out FILE [options]
+       swarm replay --har FILE --targets A,B --out FILE [--speed F]
        swarm check --tasks FILE --runs FILE [options]
 
 load:
@@ -21,6 +23,9 @@
   --repeat SHARE        share of run-once tasks repeated at another router [0.05]
   --eager SHARE         share of callers that try again at once when refused [0.2]
   --crowd AT,FOR,TIMES,SERVICE   a crowd at one service; may be given often
+replay:
+  --har FILE            an HTTP archive; its requests keep their pace
+  --speed F             so many times as fast [1.0]
 check:
   --tasks FILE          record of attempts
   --runs FILE           record of the instances
@@ -33,11 +38,13 @@
     Help,
     Version,
     Load(LoadOrder),
+    Replay(ReplayOrder),
     Check(CheckOrder),
 }
 
 pub fn parse(mut line: lexopt::Parser) -> Result<Order, String> {
     let mut what = None;
+    let (mut har, mut speed) = (PathBuf::new(), 1.0);
     let mut load = LoadOrder::default();
     let mut check = CheckOrder { turned: "/probe/turn".into(), ..CheckOrder::default() };
     while let Some(arg) = line.next().map_err(|fault| fault.to_string())? {
@@ -57,6 +64,8 @@
             "configuration" => load.configuration = text()?.into(),
             "services" => load.services = text()?.into(),
             "out" => load.out = text()?.into(),
+            "har" => har = text()?.into(),
+            "speed" => speed = number("speed", &text()?)?,
             "seconds" => load.seconds = number("seconds", &text()?)?,
             "factor" => load.factor = number("factor", &text()?)?,
             "seed" => load.seed = number("seed", &text()?)?,
@@ -73,17 +82,23 @@
         }
     }
     match what.as_deref() {
-        Some("load") => {
+        Some(what @ ("load" | "replay")) => {
             let loopback = |target: &String| {
                 target.parse::<std::net::SocketAddr>().is_ok_and(|address| address.ip().is_loopback())
             };
             if load.targets.is_empty() || !load.targets.iter().all(loopback) {
                 return Err("--targets: allowed are loopback addresses with ports".into());
             }
+            if what == "replay" {
+                if !(0.01..=1000.0).contains(&speed) {
+                    return Err(format!("--speed {speed}: allowed is 0.01 to 1000"));
+                }
+                return Ok(Order::Replay(ReplayOrder { har, targets: load.targets, out: load.out, speed }));
+            }
             Ok(Order::Load(load))
         }
         Some("check") => Ok(Order::Check(check)),
-        _ => Err("say load or check; see --help".into()),
+        _ => Err("say load, replay or check; see --help".into()),
     }
 }
 
--- a/crates/swarm/src/load.rs
+++ b/crates/swarm/src/load.rs
@@ -1,25 +1,17 @@
 //! The open loop: tasks leave on the seed's schedule whatever became of the ones before. Each
 //! attempt is recorded with its own label, which the instance echoes and records.
 
-#![expect(clippy::disallowed_types, reason = "two records are held against each other by it")]
-
+use crate::attempt::{Ask, Http, attempt, client};
 use crate::mix::{self, Route};
 use crate::tally::{self, Attempt};
-use bytes::Bytes;
-use http_body_util::{BodyExt, Full, Limited};
-use hyper::Request;
-use hyper_util::client::legacy::Client;
-use hyper_util::client::legacy::connect::HttpConnector;
-use hyper_util::rt::TokioExecutor;
 use rand::{RngExt, SeedableRng};
 use std::io::{BufWriter, Write};
 use std::path::PathBuf;
-use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+use std::time::{Duration, Instant};
 use tokio::sync::mpsc;
 use tokio::task::{JoinSet, LocalSet, spawn_local};
-use tokio::time::{sleep_until, timeout};
+use tokio::time::sleep_until;
 
-const PATIENCE: Duration = Duration::from_secs(6);
 const AT_ONCE: usize = 20_000;
 
 #[derive(Clone, Debug)]
@@ -61,8 +53,6 @@
     }
 }
 
-type Http = Client<HttpConnector, Full<Bytes>>;
-
 pub fn run(order: LoadOrder) -> Result<bool, String> {
     let routes = mix::load(&order.configuration, &order.services, order.factor)?;
     let file = std::fs::File::create(&order.out).map_err(|fault| format!("{}: {fault}", order.out.display()))?;
@@ -73,10 +63,7 @@
 }
 
 async fn drive(order: LoadOrder, routes: Vec<Route>, file: std::fs::File) -> Result<Vec<Attempt>, String> {
-    let http: Http = Client::builder(TokioExecutor::new())
-        .pool_max_idle_per_host(64)
-        .pool_idle_timeout(Duration::from_secs(30))
-        .build_http();
+    let http: Http = client();
     let (sender, mut inbox) = mpsc::channel::<Attempt>(65_536);
     let writer = spawn_local(async move {
         let mut file = BufWriter::new(file);
@@ -130,8 +117,8 @@
     record: mpsc::Sender<Attempt>,
 ) {
     if repeats {
-        let one = attempt(&http, &route, &task, 1, &targets[0]);
-        let two = attempt(&http, &route, &task, 2, &targets[1]);
+        let one = attempt(&http, asked(&route, &task, 1, &targets[0]));
+        let two = attempt(&http, asked(&route, &task, 2, &targets[1]));
         let (one, two) = tokio::join!(one, two);
         let _ = record.send(one).await;
         let _ = record.send(two).await;
@@ -139,7 +126,7 @@
     }
     let tries = if eager { 3 } else { 1 };
     for number in 1..=tries {
-        let done = attempt(&http, &route, &task, number, &targets[number as usize % 2]).await;
+        let done = attempt(&http, asked(&route, &task, number, &targets[number as usize % 2])).await;
         let settled = done.status > 0 && done.status < 500;
         let _ = record.send(done).await;
         if settled {
@@ -148,47 +135,17 @@
     }
 }
 
-async fn attempt(http: &Http, route: &Route, task: &str, number: u32, target: &str) -> Attempt {
-    let body = format!("{{\"task\":\"{task}\"}}");
-    let label = format!("{task}#{number}");
-    let mut attempt = Attempt {
-        task: task.to_owned(),
-        label: label.clone(),
-        class: route.class.clone(),
-        service: route.service.clone(),
-        path: route.path.clone(),
-        target: target.to_owned(),
-        at: SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |since| since.as_millis() as u64),
-        took: 0,
-        status: 0,
-        outcome: String::new(),
-        retry_after: false,
-        body: String::new(),
-    };
-    let mut request = Request::post(format!("http://{target}{}", route.path)).header("x-task", &label);
-    if route.class != "ordinary" {
-        request = request.header("idempotency-key", task);
-    }
-    let Ok(request) = request.body(Full::new(Bytes::from(body))) else { return attempt };
-    let begun = Instant::now();
-    let work = async {
-        let answer = http.request(request).await.map_err(|fault| format!("{fault:?}"))?;
-        let status = answer.status().as_u16();
-        let text = |name: &str| answer.headers().get(name).and_then(|v| v.to_str().ok()).unwrap_or_default().to_owned();
-        let (outcome, retry_after) = (text("heronlink-outcome"), !text("retry-after").is_empty());
-        let body = Limited::new(answer.into_body(), 1 << 20).collect().await.map_err(|fault| fault.to_string())?;
-        Ok::<_, String>((status, outcome, retry_after, body.to_bytes()))
-    };
-    match timeout(PATIENCE, work).await {
-        Ok(Ok((status, outcome, retry_after, body))) => {
-            attempt.status = status;
-            attempt.outcome = outcome;
-            attempt.retry_after = retry_after;
-            attempt.body = String::from_utf8_lossy(&body).into_owned();
-        }
-        Ok(Err(told)) => attempt.body = told,
-        Err(_) => attempt.body = "no answer in time".into(),
+fn asked<'a>(route: &'a Route, task: &'a str, number: u32, target: &'a str) -> Ask<'a> {
+    let keyed = (route.class != "ordinary").then(|| ("idempotency-key".to_owned(), task.to_owned()));
+    Ask {
+        method: "POST",
+        path: &route.path,
+        headers: keyed.into_iter().collect(),
+        body: format!("{{\"task\":\"{task}\"}}"),
+        class: &route.class,
+        service: &route.service,
+        task,
+        number,
+        target,
     }
-    attempt.took = begun.elapsed().as_millis() as u64;
-    attempt
 }
--- a/crates/swarm/src/main.rs
+++ b/crates/swarm/src/main.rs
@@ -1,12 +1,14 @@
 //! `swarm`: the load generator and its checker. `swarm load` sends a seeded open-loop load and
-//! records every attempt; `swarm check` holds that record against what the instances say they
+//! records every attempt; `swarm replay` sends what an HTTP archive holds; `swarm check` holds that record against what the instances say they
 //! ran and names each broken rule.
 
+mod attempt;
 mod check;
 mod fresh;
 mod line;
 mod load;
 mod mix;
+mod replay;
 mod rules;
 mod spans;
 mod tally;
@@ -24,6 +26,13 @@
             ExitCode::SUCCESS
         }
         Ok(line::Order::Load(order)) => end(load::run(order)),
+        Ok(line::Order::Replay(order)) => match replay::read(&order.har) {
+            Ok(_) => end(replay::run(&order)),
+            Err(told) => {
+                eprintln!("swarm: {told}");
+                ExitCode::from(2)
+            }
+        },
         Ok(line::Order::Check(order)) => end(check::run(&order)),
         Err(told) => {
             eprintln!("swarm: {told}");
--- /dev/null
+++ b/crates/swarm/src/replay.rs
@@ -0,0 +1,168 @@
+//! Replaying an HTTP archive: its requests go to the routers at the pace they were taken in, or a
+//! multiple of it. The archive is read by a library; hosts, connections and cookies of the page it was
+//! taken from stay behind.
+
+use crate::attempt::{Ask, Http, attempt, client};
+use crate::tally::{self, Attempt};
+use derive_more::{Display, Error};
+use serde_json::Value;
+use std::path::{Path, PathBuf};
+use std::time::{Duration, Instant};
+use tokio::task::{JoinSet, LocalSet};
+use tokio::time::sleep_until;
+
+const MOST: usize = 100_000;
+const STAYS: [&str; 8] =
+    ["host", "connection", "content-length", "transfer-encoding", "cookie", "te", "upgrade", "keep-alive"];
+
+#[derive(Debug, Display, Error)]
+pub enum ReplayFault {
+    #[display("{}: not a whole HTTP archive: {told}", path.display())]
+    Unread { path: PathBuf, told: String },
+    #[display("{}: there are no requests in it", path.display())]
+    Empty { path: PathBuf },
+    #[display("{}: more than {MOST} requests", path.display())]
+    TooMany { path: PathBuf },
+    #[display("request {number}: {told}")]
+    Request { number: usize, told: String },
+}
+
+#[derive(Clone, Debug, Default)]
+pub struct ReplayOrder {
+    pub har: PathBuf,
+    pub targets: Vec<String>,
+    pub out: PathBuf,
+    pub speed: f64,
+}
+
+#[derive(Clone, Debug, PartialEq)]
+pub struct Taken {
+    pub after: Duration,
+    pub method: String,
+    pub path: String,
+    pub headers: Vec<(String, String)>,
+    pub body: String,
+}
+
+pub fn read(path: &Path) -> Result<Vec<Taken>, ReplayFault> {
+    let unread = |told: String| ReplayFault::Unread { path: path.to_owned(), told };
+    let archive = har::from_path(path).map_err(|fault| unread(fault.to_string()))?;
+    let whole = serde_json::to_value(&archive).map_err(|fault| unread(fault.to_string()))?;
+    let entries = whole["log"]["entries"].as_array().map(Vec::as_slice).unwrap_or_default();
+    if entries.is_empty() {
+        return Err(ReplayFault::Empty { path: path.to_owned() });
+    }
+    if entries.len() > MOST {
+        return Err(ReplayFault::TooMany { path: path.to_owned() });
+    }
+    let mut list = Vec::new();
+    for (place, entry) in entries.iter().enumerate() {
+        let wrong = |told: String| ReplayFault::Request { number: place + 1, told };
+        let text = |value: &Value| value.as_str().unwrap_or_default().to_owned();
+        let at: jiff::Timestamp =
+            text(&entry["startedDateTime"]).parse().map_err(|fault: jiff::Error| wrong(fault.to_string()))?;
+        let url: hyper::Uri = text(&entry["request"]["url"])
+            .parse()
+            .map_err(|fault: hyper::http::uri::InvalidUri| wrong(fault.to_string()))?;
+        let headers = entry["request"]["headers"].as_array().into_iter().flatten();
+        let headers = headers.map(|line| (text(&line["name"]).to_lowercase(), text(&line["value"])));
+        let headers = headers.filter(|(name, _)| !name.starts_with(':') && !STAYS.contains(&name.as_str())).collect();
+        let taken = Taken {
+            after: Duration::ZERO,
+            method: text(&entry["request"]["method"]),
+            path: url.path_and_query().map_or("/".to_owned(), |path| path.as_str().to_owned()),
+            headers,
+            body: text(&entry["request"]["postData"]["text"]),
+        };
+        list.push((at, taken));
+    }
+    list.sort_by_key(|(at, _)| *at);
+    let first = list[0].0;
+    let since = |at: jiff::Timestamp| at.duration_since(first).unsigned_abs();
+    Ok(list.into_iter().map(|(at, taken)| Taken { after: since(at), ..taken }).collect())
+}
+
+pub fn run(order: &ReplayOrder) -> Result<bool, String> {
+    let list = read(&order.har).map_err(|fault| fault.to_string())?;
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().map_err(|f| f.to_string())?;
+    let attempts = LocalSet::new().block_on(&runtime, drive(order, list));
+    let lines: String = attempts.iter().filter_map(|a| serde_json::to_string(a).ok()).map(|line| line + "\n").collect();
+    std::fs::write(&order.out, lines).map_err(|fault| format!("{}: {fault}", order.out.display()))?;
+    println!("{}", tally::summary(&attempts));
+    Ok(true)
+}
+
+async fn drive(order: &ReplayOrder, list: Vec<Taken>) -> Vec<Attempt> {
+    let http: Http = client();
+    let begun = Instant::now();
+    let mut open = JoinSet::new();
+    for (number, taken) in list.into_iter().enumerate() {
+        sleep_until((begun + taken.after.div_f64(order.speed)).into()).await;
+        let (http, target) = (http.clone(), order.targets[number % order.targets.len()].clone());
+        open.spawn_local(async move {
+            let task = format!("har-{}", number + 1);
+            let ask = Ask {
+                method: &taken.method,
+                path: &taken.path,
+                headers: taken.headers.clone(),
+                body: taken.body.clone(),
+                class: "replayed",
+                service: "",
+                task: &task,
+                number: 1,
+                target: &target,
+            };
+            attempt(&http, ask).await
+        });
+    }
+    open.join_all().await
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn archive(name: &str, text: &str) -> PathBuf {
+        let path = std::env::temp_dir().join(format!("swarm-{name}-{}.har", std::process::id()));
+        std::fs::write(&path, text).unwrap();
+        path
+    }
+
+    fn entry(at: &str, path: &str) -> String {
+        format!(
+            r#"{{"startedDateTime":"{at}","time":1,"request":{{"method":"POST","url":"https://example.test{path}","httpVersion":"HTTP/1.1","cookies":[],"headers":[{{"name":"Host","value":"example.test"}},{{"name":"Idempotency-Key","value":"k"}}],"queryString":[],"postData":{{"mimeType":"text/plain","text":"gives 3"}},"headersSize":-1,"bodySize":7}},"response":{{"status":200,"statusText":"OK","httpVersion":"HTTP/1.1","cookies":[],"headers":[],"content":{{"size":0,"mimeType":"text/plain"}},"redirectURL":"","headersSize":-1,"bodySize":0}},"cache":{{}},"timings":{{"send":0,"wait":1,"receive":0}}}}"#
+        )
+    }
+
+    fn whole(entries: &[String]) -> String {
+        let creator = r#""version":"1.2","creator":{"name":"x","version":"1"}"#;
+        format!(r#"{{"log":{{{creator},"entries":[{}]}}}}"#, entries.join(","))
+    }
+
+    #[test]
+    fn requests_keep_their_order_in_time_their_paths_and_their_own_headers() {
+        let entries = [entry("2026-01-02T10:00:01.500+01:00", "/b?x=1"), entry("2026-01-02T09:00:00Z", "/a")];
+        let path = archive("good", &whole(&entries));
+        let list = read(&path).unwrap();
+        assert_eq!(
+            list.iter().map(|t| (t.after.as_millis(), t.path.as_str())).collect::<Vec<_>>(),
+            [(0, "/a"), (1500, "/b?x=1")]
+        );
+        assert_eq!((list[0].method.as_str(), list[0].body.as_str()), ("POST", "gives 3"));
+        assert_eq!(list[0].headers, [("idempotency-key".to_owned(), "k".to_owned())]);
+        let _ = std::fs::remove_file(path);
+    }
+
+    #[test]
+    fn an_archive_that_is_cut_or_empty_is_refused_with_one_message() {
+        let text = whole(&[entry("2026-01-02T09:00:00Z", "/a")]);
+        let cut = archive("cut", &text[..text.len() / 2]);
+        assert!(matches!(read(&cut), Err(ReplayFault::Unread { .. })));
+        let empty = archive("empty", &whole(&[]));
+        assert!(matches!(read(&empty), Err(ReplayFault::Empty { .. })));
+        let odd = archive("odd", &whole(&[entry("yesterday", "/a")]));
+        let told = read(&odd).unwrap_err().to_string();
+        assert!(told.starts_with("request 1: ") && !told.contains('\n'), "{told}");
+        [cut, empty, odd].iter().for_each(|path| _ = std::fs::remove_file(path));
+    }
+}
