--- a/crates/bindings/src/book.rs
+++ b/crates/bindings/src/book.rs
@@ -26,6 +26,7 @@
     bindings: BTreeMap<String, FunctionBinding>,
     functions: BTreeMap<String, Function>,
     deferred: BTreeSet<String>,
+    raw: BTreeMap<String, Vec<u8>>,
 }
 
 impl Book {
@@ -35,6 +36,7 @@
         let mut plans: BTreeMap<String, HeadcountPlan> = BTreeMap::new();
         for (key, value) in pairs {
             let Some((kind, name)) = key.split_once('/') else { continue };
+            book.raw.insert(key.to_owned(), value.to_vec());
             match Kind::from_word(kind) {
                 Some(Kind::FunctionBinding) => {
                     if let Ok(binding) = serde_json::from_slice::<FunctionBinding>(value) {
@@ -100,6 +102,10 @@
     pub fn takes_deferred(&self, function: &str) -> bool {
         self.deferred.contains(function)
     }
+    /// The resources as they were declared, by kind/tenant/name.
+    pub fn declared(&self) -> impl Iterator<Item = (&str, &[u8])> {
+        self.raw.iter().map(|(key, value)| (key.as_str(), value.as_slice()))
+    }
     pub fn routes(&self) -> usize {
         self.routes.len()
     }
--- a/crates/bindings/src/check.rs
+++ b/crates/bindings/src/check.rs
@@ -2,6 +2,7 @@
 //! of them at once, each with the path of the resource and field it sits in.
 
 use crate::resources::{FunctionBinding, HeadcountPlan, Kind, WeightSheet};
+use crate::tuning;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 use std::collections::BTreeMap;
@@ -120,6 +121,7 @@
     want("max_scale_up", (1..=1000).contains(&sheet.max_scale_up), "1 to 1000");
     want("max_scale_down", (1..=1000).contains(&sheet.max_scale_down), "1 to 1000");
     want("startup_delay_steps", (1..=8).contains(&sheet.startup_delay_steps), "1 to 8");
+    tuning::faults(&sheet.tuning).iter().for_each(|(field, allowed)| want(field, false, allowed));
 }
 
 fn check_plan(key: &str, plan: &HeadcountPlan, faults: &mut Vec<Fault>) {
@@ -146,7 +148,8 @@
             ("function-bindings/b/y", br#"{"route":"/a/x","function":"y","class":"ordinary","deadline_ms":1}"#),
             ("function-bindings/b/z", br#"{"route":"/b/z","function":"z","class":"sometimes"}"#),
             ("headcount-plans/b/y", br#"{"min":3,"max":1}"#),
-            ("weight-sheets/b/y", br#"{"time_discount":0}"#),
+            ("weight-sheets/b/y", br#"{"time_discount":0,"tuning":{"target_usage":{"least":0.9,"most":0.3}}}"#),
+            ("weight-sheets/b/z", br#"{"tuning":{"sla_hard":{"most":-1}}}"#),
         ];
         let paths: Vec<String> = check(pairs.into_iter()).into_iter().map(|fault| fault.path).collect();
         let expected = [
@@ -155,6 +158,8 @@
             "function-bindings/b/z",
             "headcount-plans/b/y/min",
             "weight-sheets/b/y/time_discount",
+            "weight-sheets/b/y/tuning/target_usage/least",
+            "weight-sheets/b/z/tuning/sla_hard/most",
         ];
         assert_eq!(paths, expected);
     }
--- a/crates/bindings/src/lib.rs
+++ b/crates/bindings/src/lib.rs
@@ -4,7 +4,9 @@
 mod book;
 mod check;
 mod resources;
+mod tuning;
 
 pub use book::{Book, Function};
 pub use check::{Fault, check, check_name};
 pub use resources::{Class, FunctionBinding, HeadcountPlan, Kind, WeightSheet};
+pub use tuning::{Bounds, Span, Tuning};
--- a/crates/bindings/src/resources.rs
+++ b/crates/bindings/src/resources.rs
@@ -1,5 +1,6 @@
 //! The three declared kinds and their fields, with the defaults an operator may leave out.
 
+use crate::tuning::Tuning;
 use serde::{Deserialize, Serialize};
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -88,6 +89,7 @@
     pub risk_aware: bool,
     pub target_usage: f64,
     pub demand_floor: f64,
+    pub tuning: Tuning,
 }
 
 impl Default for WeightSheet {
@@ -109,6 +111,7 @@
             risk_aware: true,
             target_usage: 0.6,
             demand_floor: 0.005,
+            tuning: Tuning::default(),
         }
     }
 }
--- a/crates/control/src/api.rs
+++ b/crates/control/src/api.rs
@@ -4,14 +4,14 @@
 use crate::api_calls::{ApiCall, ApiReply};
 use crate::api_views::{metrics, ready, status, watch_view};
 use crate::service::ControlMsg;
-use crate::tokens::Tokens;
 use axum::Router;
 use axum::body::Bytes;
 use axum::extract::{DefaultBodyLimit, Path, State};
-use axum::http::{HeaderMap, StatusCode, header};
+use axum::http::{HeaderMap, StatusCode, Uri, header};
 use axum::response::{IntoResponse, Response};
 use axum::routing::{get, put};
 use bindings::Kind;
+use doors::Tokens;
 use kernel::Post;
 use serde_json::{Map, Value, json};
 use tokio::sync::{oneshot, watch};
@@ -81,7 +81,8 @@
         told.await.unwrap_or_else(|_| ApiReply::new(504, json!({"outcome": "unknown", "fault": "stopping"})))
     }
 
-    async fn change(&self, headers: &HeaderMap, whole: bool, items: Vec<ItemLine>) -> Response {
+    async fn change(&self, headers: &HeaderMap, uri: &Uri, whole: bool, items: Vec<ItemLine>) -> Response {
+        let dry = uri.query().is_some_and(|query| query.split('&').any(|part| part == "dry-run=true"));
         let Some(scope) = self.scope(headers) else { return refuse(401, "a bearer token is needed") };
         let text = |name: &str| headers.get(name).and_then(|value| value.to_str().ok()).map(str::to_owned);
         let base = match text("if-match").as_deref().map(|tag| tag.trim().trim_matches('"').to_owned()) {
@@ -96,7 +97,7 @@
         if env::word(&op).is_err() {
             return refuse(400, "Operation-Id is 1 to 64 letters, digits, '-', '_' or '.'");
         }
-        let reply = self.ask(ApiCall::Change { op: op.clone(), base, whole, scope, items }).await;
+        let reply = self.ask(ApiCall::Change { op: op.clone(), base, whole, scope, items, dry }).await;
         if reply.status != 200 {
             events::event!(change_refused, "operation {op}: {}", reply.status);
         }
@@ -150,21 +151,23 @@
     State(api): State<Api>,
     Path((kind, tenant, name)): Path<(String, String, String)>,
     headers: HeaderMap,
+    uri: Uri,
     body: Bytes,
 ) -> Response {
     let Ok(value) = serde_json::from_slice::<Value>(&body) else { return refuse(400, "the body is not JSON") };
-    api.change(&headers, false, vec![item(&format!("{kind}/{tenant}/{name}"), Some(&value))]).await
+    api.change(&headers, &uri, false, vec![item(&format!("{kind}/{tenant}/{name}"), Some(&value))]).await
 }
 
 async fn delete_one(
     State(api): State<Api>,
     Path((kind, tenant, name)): Path<(String, String, String)>,
     headers: HeaderMap,
+    uri: Uri,
 ) -> Response {
-    api.change(&headers, false, vec![item(&format!("{kind}/{tenant}/{name}"), None)]).await
+    api.change(&headers, &uri, false, vec![item(&format!("{kind}/{tenant}/{name}"), None)]).await
 }
 
-async fn replace(State(api): State<Api>, headers: HeaderMap, body: Bytes) -> Response {
+async fn replace(State(api): State<Api>, headers: HeaderMap, uri: Uri, body: Bytes) -> Response {
     let Ok(Value::Object(whole)) = serde_json::from_slice::<Value>(&body) else {
         return refuse(400, "the body is not a JSON object");
     };
@@ -181,10 +184,10 @@
         };
         items.extend(list.iter().map(|(name, value)| item(&format!("{kind}/{name}"), Some(value))));
     }
-    api.change(&headers, true, items).await
+    api.change(&headers, &uri, true, items).await
 }
 
-async fn patch(State(api): State<Api>, headers: HeaderMap, body: Bytes) -> Response {
+async fn patch(State(api): State<Api>, headers: HeaderMap, uri: Uri, body: Bytes) -> Response {
     let Ok(patch) = serde_json::from_slice::<Map<String, Value>>(&body) else {
         return refuse(400, "the body is not a JSON object");
     };
@@ -202,5 +205,5 @@
         Some(Value::Array(list)) => items.extend(list.iter().filter_map(Value::as_str).map(|key| item(key, None))),
         Some(_) => return refuse(422, "remove: a list of kind/tenant/name"),
     }
-    api.change(&headers, false, items).await
+    api.change(&headers, &uri, false, items).await
 }
--- a/crates/control/src/api_calls.rs
+++ b/crates/control/src/api_calls.rs
@@ -4,7 +4,7 @@
 
 #[derive(Clone, Debug)]
 pub enum ApiCall {
-    Change { op: String, base: Option<u64>, whole: bool, scope: String, items: Vec<ItemLine> },
+    Change { op: String, base: Option<u64>, whole: bool, scope: String, items: Vec<ItemLine>, dry: bool },
     Configuration { scope: String },
     Operation { op: String },
     Status,
--- a/crates/control/src/apply_change.rs
+++ b/crates/control/src/apply_change.rs
@@ -1,9 +1,12 @@
 //! Configuration: compare-and-set on the latest revision, checked whole, kept as a numbered step
 //! until it is activated. A change asked again under its operation id gets its first receipt.
 
+use crate::api_calls::ApiReply;
 use crate::apply::Draft;
 use crate::keys;
 use bindings::Fault;
+use chain::State;
+use serde_json::{Value, json};
 use std::collections::BTreeMap;
 use wire::{ItemLine, NodeId, StepLine};
 use wire::{OpRecord, Receipt};
@@ -34,6 +37,27 @@
     receipt
 }
 
+/// The whole check of a change on the state as it is, and what it would come to; nothing is changed.
+pub fn dry_run(state: &State, base: Option<u64>, whole: bool, scope: &str, items: Vec<ItemLine>) -> ApiReply {
+    let draft = Draft { state, changes: Vec::new() };
+    let revision = draft.number(keys::LATEST_REVISION);
+    let mut reply = match draw_up(&draft, base, whole, scope, items) {
+        Ok(changed) => {
+            let keys = |gone: u8| {
+                let of_it = changed.iter().filter(move |item| (item.gone != 0) == (gone != 0));
+                of_it.map(|item| item.key.as_str().to_owned()).collect::<Vec<String>>()
+            };
+            ApiReply::new(200, json!({"outcome": "would-change", "set": keys(0), "remove": keys(1)}))
+        }
+        Err((status, body)) => {
+            let told: Value = serde_json::from_str(&body).unwrap_or_default();
+            ApiReply::new(status, json!({"outcome": "refused", "faults": told}))
+        }
+    };
+    reply.revision = Some(revision);
+    reply
+}
+
 type Refusal = (u16, String);
 
 fn draw_up(
--- a/crates/control/src/control_loop.rs
+++ b/crates/control/src/control_loop.rs
@@ -7,13 +7,14 @@
 use crate::service::ControlMsg;
 use bindings::Book;
 use chain::Disk;
+use doors::Shelf;
 use events::event;
 use kernel::{Inbox, Post, wait_for_signal};
 use links::{LinkEvent, LinkOrder};
 use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
 use tokio::sync::{oneshot, watch};
-use wire::{Message, View};
+use wire::{Message, TunedLine, View};
 
 const TICK: Duration = Duration::from_millis(10);
 const LEAVE: Duration = Duration::from_millis(800);
@@ -27,6 +28,8 @@
     pub calls: BTreeMap<u64, oneshot::Sender<ApiReply>>,
     pub next_call: u64,
     pub view: watch::Sender<String>,
+    pub shelf: watch::Sender<Shelf>,
+    pub tuned: (u64, Vec<TunedLine>),
     pub shown: Instant,
     pub seeds: Vec<String>,
 }
@@ -73,6 +76,11 @@
                 event!(disk_fault, "{fault}");
                 Some(CoreInput::DiskFault)
             }
+            ControlMsg::Tuned { fence, lines } => {
+                self.tuned = (fence, lines);
+                self.show_kinds();
+                None
+            }
             ControlMsg::Call { call, reply } => {
                 self.next_call += 1;
                 self.calls.insert(self.next_call, reply);
@@ -130,11 +138,25 @@
                     let pairs = keys::with_prefix(self.core.state(), prefix).map(|(k, v)| (&k[prefix.len()..], &v[..]));
                     let book = Box::new(Book::build(step, 0, pairs));
                     let _ = self.optimizer.send(OptimizerMsg::Book { book });
+                    self.show_kinds();
                 }
             }
         }
     }
 
+    /// The three kinds as this registry holds them, with what is tuned beside what was declared.
+    fn show_kinds(&mut self) {
+        let state = self.core.state();
+        let revision = keys::number(state, keys::ACTIVE_REVISION);
+        let prefix = keys::ACTIVE_PAIRS;
+        let pairs = keys::with_prefix(state, prefix).map(|(key, value)| (&key[prefix.len()..], &value[..]));
+        let items = doors::kinds(pairs, self.tuned.0, &self.tuned.1);
+        self.shelf.send_if_modified(|shelf| {
+            let put = items.iter().fold(false, |any, (key, value)| shelf.put(key, revision, value) || any);
+            shelf.keep_only(revision, |key| items.contains_key(key)) || put
+        });
+    }
+
     fn show(&mut self) {
         if self.shown.elapsed() >= VIEW_EVERY {
             self.shown = Instant::now();
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -20,7 +20,6 @@
 mod service;
 mod settings;
 mod status;
-mod tokens;
 
 pub use api_calls::{ApiCall, ApiReply};
 pub use apply::apply;
--- a/crates/control/src/operators.rs
+++ b/crates/control/src/operators.rs
@@ -3,6 +3,7 @@
 //! A read goes to the tail, in pieces, all of one step.
 
 use crate::api_calls::{ApiCall, ApiReply};
+use crate::apply_change;
 use crate::core::{Core, CoreOutput, Wait};
 use crate::keys;
 use bindings::Kind;
@@ -62,7 +63,11 @@
             return self.busy(ask, "this registry is not in the chain at present; ask another");
         }
         match call {
-            ApiCall::Change { op, base, whole, scope, items } => {
+            ApiCall::Change { base, whole, scope, items, dry: true, .. } => {
+                let reply = apply_change::dry_run(self.member.state(), base, whole, &scope, items);
+                self.reply(ask, reply);
+            }
+            ApiCall::Change { op, base, whole, scope, items, .. } => {
                 let command = Command::Change {
                     op: op.as_str().into(),
                     base: base.unwrap_or_default(),
--- a/crates/control/src/planner.rs
+++ b/crates/control/src/planner.rs
@@ -1,25 +1,45 @@
-//! The optimizer's host as a state machine: it keeps every sample, and answers an ask only while
-//! the view names this registry, with that view's number as the fence.
+//! The optimizer's host as a state machine: it keeps every sample, answers an ask only while the view
+//! names this registry, with that view's number as the fence, and tunes the weight sheets by what homes
+//! measured. What is tuned is sent to whoever measures and to the other registries, under the same
+//! fence; a host that was named later goes on from there.
 
 use bindings::{Book, Function};
-use scaler::{Optimizer, Sample};
+use scaler::{Measure, Optimizer, Sample, Tuned};
 use std::collections::BTreeMap;
 use std::time::Duration;
-use wire::{NodeId, PlanMsg, View};
+use wire::{MeasureLine, NodeId, PlanMsg, TunedLine, View};
+
+const TELL_EVERY: Duration = Duration::from_secs(5);
 
-#[derive(Default)]
 pub struct Planner {
     optimizer: Optimizer,
     functions: BTreeMap<String, Function>,
     view: View,
+    tunes: bool,
+    told: BTreeMap<NodeId, Duration>,
+    fence: u64,
+    in_force: Vec<TunedLine>,
 }
 
 pub struct Planned {
-    pub receipt: PlanMsg,
+    pub to: NodeId,
+    pub message: PlanMsg,
     pub fault: Option<String>,
 }
 
+impl Default for Planner {
+    fn default() -> Self {
+        Planner::new(true)
+    }
+}
+
 impl Planner {
+    pub fn new(tunes: bool) -> Planner {
+        let (optimizer, functions) = (Optimizer::default(), BTreeMap::new());
+        let (told, in_force) = (BTreeMap::new(), Vec::new());
+        Planner { optimizer, functions, view: View::default(), tunes, told, fence: 0, in_force }
+    }
+
     pub fn viewed(&mut self, view: View) {
         self.view = view;
     }
@@ -30,7 +50,12 @@
         self.optimizer.keep_only(|name| known.contains_key(name));
     }
 
-    pub fn step(&mut self, now: Duration, me: NodeId, message: PlanMsg, limit: Duration) -> Option<Planned> {
+    /// What is tuned at present, as far as this registry knows, and by which host's fence.
+    pub fn in_force(&self) -> (u64, &[TunedLine]) {
+        (self.fence, &self.in_force)
+    }
+
+    pub fn step(&mut self, now: Duration, me: NodeId, from: NodeId, message: PlanMsg, limit: Duration) -> Vec<Planned> {
         match message {
             PlanMsg::Samples { lines } => {
                 for line in lines.iter().filter(|line| self.functions.contains_key(line.function.as_str())) {
@@ -42,13 +67,13 @@
                     };
                     self.optimizer.sample(now, line.function.as_str(), sample);
                 }
-                None
+                Vec::new()
             }
             PlanMsg::Ask { ask, function, current, held, waiting } if self.view.optimizer == me => {
-                let function = self.functions.get(function.as_str())?;
+                let Some(function) = self.functions.get(function.as_str()) else { return Vec::new() };
                 let gauge = Sample { held: held.into(), waiting: waiting.into(), ..Sample::default() };
                 let planned = self.optimizer.plan(now, function, current, gauge, limit);
-                let receipt = PlanMsg::Receipt {
+                let message = PlanMsg::Receipt {
                     ask,
                     fence: self.view.number,
                     state: planned.fault.is_none() as u8,
@@ -56,9 +81,75 @@
                     desired: planned.desired.into(),
                 };
                 let fault = planned.fault.map(|fault| format!("{}: {fault}", function.name));
-                Some(Planned { receipt, fault })
+                vec![Planned { to: from, message, fault }]
+            }
+            PlanMsg::Measures { lines } if self.view.optimizer == me => self.measured(now, me, from, lines.as_slice()),
+            PlanMsg::Tuned { fence, lines } => {
+                self.adopt(fence, lines.into_vec());
+                Vec::new()
             }
-            _ => None,
+            _ => Vec::new(),
+        }
+    }
+
+    fn measured(&mut self, now: Duration, me: NodeId, from: NodeId, lines: &[MeasureLine]) -> Vec<Planned> {
+        for line in lines.iter().filter(|_| self.tunes) {
+            let Some(function) = self.functions.get(line.function.as_str()) else { continue };
+            let measure = Measure {
+                boot: Duration::from_micros(line.boot_micro),
+                boots: line.boots,
+                refused: line.refused,
+                turned: line.turned,
+                waiting: line.waiting_milli as f64 / 1000.0,
+                usage: line.usage_milli as f64 / 1000.0,
+            };
+            self.optimizer.tuner.take(function, measure);
         }
+        self.fence = self.view.number;
+        self.in_force = self.optimizer.tuner.tuned().map(|(name, tuned)| line_of(name, tuned)).collect();
+        let others = self.view.chain.iter().copied().filter(|id| *id != me);
+        let due: Vec<NodeId> =
+            others.chain([from]).filter(|to| self.told.get(to).is_none_or(|at| now >= *at + TELL_EVERY)).collect();
+        self.told.retain(|_, at| now < *at + TELL_EVERY * 20);
+        let message = PlanMsg::Tuned { fence: self.fence, lines: self.in_force.clone().into() };
+        due.into_iter()
+            .map(|to| {
+                self.told.insert(to, now);
+                Planned { to, message: message.clone(), fault: None }
+            })
+            .collect()
+    }
+
+    /// Another host's word, unless a later one has been heard.
+    fn adopt(&mut self, fence: u64, lines: Vec<TunedLine>) {
+        if fence < self.fence {
+            return;
+        }
+        self.fence = fence;
+        for line in &lines {
+            if let Some(function) = self.functions.get(line.function.as_str()) {
+                self.optimizer.tuner.adopt(function, tuned_of(line));
+            }
+        }
+        self.in_force = lines;
+    }
+}
+
+fn line_of(name: &str, tuned: &Tuned) -> TunedLine {
+    TunedLine {
+        function: name.into(),
+        startup_delay_steps: tuned.startup_delay_steps,
+        usage_micro: (tuned.target_usage * 1e6).round() as u64,
+        hard_milli: (tuned.sla_hard * 1e3).round() as u64,
+        why: tuned.why.as_str().into(),
+    }
+}
+
+fn tuned_of(line: &TunedLine) -> Tuned {
+    Tuned {
+        startup_delay_steps: line.startup_delay_steps,
+        target_usage: line.usage_micro as f64 / 1e6,
+        sla_hard: line.hard_milli as f64 / 1e3,
+        why: line.why.as_str().to_owned(),
     }
 }
--- a/crates/control/src/service.rs
+++ b/crates/control/src/service.rs
@@ -9,9 +9,8 @@
 use crate::operators::stored_document;
 use crate::optimizer::{self, Host, OptimizerMsg};
 use crate::settings::RegistryEnv;
-use crate::tokens::Tokens;
 use chain::{Disk, Member, Store, Timing};
-use doors::DoorLimits;
+use doors::{DoorLimits, Shelf, Tokens, Views};
 use events::event;
 use kernel::{Directory, Inbox, SendFault, adopt, behind, find, listen, local, thread};
 use links::{LinkEvent, LinkOrder, Me};
@@ -20,12 +19,13 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 use tokio::sync::{oneshot, watch};
-use wire::{Message, Seat};
+use wire::{Message, Seat, TunedLine};
 
 pub enum ControlMsg {
     Link(LinkEvent),
     Written(Result<u64, String>),
     Call { call: ApiCall, reply: oneshot::Sender<ApiReply> },
+    Tuned { fence: u64, lines: Vec<TunedLine> },
     Stop,
 }
 
@@ -67,7 +67,9 @@
     };
     thread("links", move || local(run_links(names, myself, peers, links_inbox)))?;
     let control = find::<ControlMsg>(&directory, "control");
-    let tokens = Tokens::new(&settings.tokens);
+    let tokens = Tokens::read(&settings.tokens, &settings.tokens_file)?;
+    let (shelf, shelved) = watch::channel(Shelf::new(incarnation));
+    let kinds = doors::views(Views { shelf: shelved, tokens: tokens.clone() });
     let (body, life) = (settings.body, Duration::from_secs(3600));
     let limits = DoorLimits {
         connections: 256,
@@ -77,10 +79,17 @@
         life,
         grace: Duration::from_secs(1),
     };
-    let pages = api::router(Api { control: control.clone(), tokens, view: shown }, body);
+    let pages = api::router(Api { control: control.clone(), tokens, view: shown }, body).merge(kinds);
     let api_thread =
         thread("api", move || local(async move { doors::serve(adopt(operators), pages, limits, stopping).await }))?;
-    let host = Host { me, solve: settings.solve, plans: settings.plans, links: find(&directory, "links") };
+    let host = Host {
+        me,
+        solve: settings.solve,
+        plans: settings.plans,
+        tuning: settings.tuning,
+        control: control.clone(),
+        links: find(&directory, "links"),
+    };
     thread("optimizer", move || optimizer::run(host, optimizer_inbox))?;
     let written = control.clone();
     let disk = Disk::start(store, move |result| {
@@ -98,6 +107,8 @@
         calls: BTreeMap::new(),
         next_call: 0,
         view,
+        shelf,
+        tuned: (0, Vec::new()),
         shown: Instant::now(),
         seeds: settings.seeds.clone(),
     };
--- a/crates/control/src/settings.rs
+++ b/crates/control/src/settings.rs
@@ -1,6 +1,6 @@
 //! The registry's settings.
 
-use crate::tokens::well_formed;
+use doors::well_formed;
 use env::{address, address_or_none, any, in_range, non_empty, seeds, word};
 use std::path::{Path, PathBuf};
 use std::time::Duration;
@@ -24,6 +24,8 @@
         body: usize = 4 * 1024 * 1024, in_range(1024, 5 * 1024 * 1024), "longest body of an operator's call in bytes";
         solve: Duration = Duration::from_millis(1000), in_range(Duration::from_millis(10), Duration::from_secs(10)), "limit on one solve of a headcount plan";
         plans: bool = true, any, "whether plans are made here when this registry is the optimizer's host; without, homes fall back";
+        tuning: bool = true, any, "whether weight sheets are tuned by what is measured when this registry is the optimizer's host";
+        tokens_file: PathBuf = PathBuf::new(), any, "file of more bearer tokens, one to a line, so that none need stand on a command line";
         show: bool = false, any, "print the configuration kept in the data folder and stop; nothing is served or changed";
         format: u16 = wire::FORMAT, in_range(wire::OLDEST, wire::FORMAT), "format in which frames are written; the one before while a fleet rolls from a version that knows no newer";
         log_level: String = "info".into(), |level: &String| one_of_levels(level), "error, warn, info, debug or trace";
--- /dev/null
+++ b/crates/doors/src/kinds.rs
@@ -0,0 +1,28 @@
+//! What the three kinds look like in a view: the resource as declared, and beside it what controllers
+//! made of it.
+
+use serde_json::{Value, json};
+use std::collections::BTreeMap;
+use wire::TunedLine;
+
+/// The declared pairs, by kind/tenant/name, and the sheets that are tuned, declared or not.
+pub fn kinds<'a>(
+    pairs: impl Iterator<Item = (&'a str, &'a [u8])>,
+    fence: u64,
+    tuned: &[TunedLine],
+) -> BTreeMap<String, Value> {
+    let declared = |raw: &[u8]| json!({"declared": serde_json::from_slice::<Value>(raw).unwrap_or_default()});
+    let mut items: BTreeMap<String, Value> = pairs.map(|(key, raw)| (key.to_owned(), declared(raw))).collect();
+    for line in tuned {
+        let item = items.entry(format!("weight-sheets/{}", line.function.as_str()));
+        let item = item.or_insert_with(|| json!({"declared": null}));
+        item["tuned"] = json!({
+            "startup_delay_steps": line.startup_delay_steps,
+            "target_usage": line.usage_micro as f64 / 1e6,
+            "sla_hard": line.hard_milli as f64 / 1e3,
+        });
+        item["why"] = line.why.as_str().into();
+        item["fence"] = fence.into();
+    }
+    items
+}
--- a/crates/doors/src/lib.rs
+++ b/crates/doors/src/lib.rs
@@ -1,98 +1,14 @@
-//! The doors: taking in HTTP/1.1 connections with a bound on how many, how large a head may be,
-//! how long one may take to arrive and how long a connection may live. On a planned stop every
-//! connection finishes what it has begun, with `Connection: close`, and is then shut.
-
-use axum::Router;
-use hyper::server::conn::http1;
-use hyper_util::rt::{TokioIo, TokioTimer};
-use hyper_util::service::TowerToHyperService;
-use std::rc::Rc;
-use std::time::Duration;
-use tokio::net::TcpListener;
-use tokio::sync::{Semaphore, watch};
-use tokio::task::{JoinSet, spawn_local};
-
-#[derive(Clone, Copy, Debug)]
-pub struct DoorLimits {
-    pub connections: usize,
-    pub head_bytes: usize,
-    pub headers: usize,
-    pub head_time: Duration,
-    pub life: Duration,
-    pub grace: Duration,
-}
-
-pub async fn serve(listener: TcpListener, router: Router, limits: DoorLimits, mut stop: watch::Receiver<bool>) {
-    let room = Rc::new(Semaphore::new(limits.connections));
-    let mut open = JoinSet::new();
-    loop {
-        let permit = tokio::select! {
-            permit = room.clone().acquire_many_owned_rc() => permit,
-            _ = stop.wait_for(|stopping| *stopping) => break,
-        };
-        let accepted = tokio::select! {
-            accepted = listener.accept() => accepted,
-            _ = stop.wait_for(|stopping| *stopping) => break,
-        };
-        let Ok((stream, _)) = accepted else {
-            tokio::time::sleep(Duration::from_millis(20)).await;
-            continue;
-        };
-        let _ = stream.set_nodelay(true);
-        let service = TowerToHyperService::new(router.clone());
-        let mut stopping = stop.clone();
-        while open.try_join_next().is_some() {}
-        open.spawn_local(async move {
-            let _permit = permit;
-            let connection = http1::Builder::new()
-                .timer(TokioTimer::new())
-                .header_read_timeout(limits.head_time)
-                .max_buf_size(limits.head_bytes)
-                .max_headers(limits.headers)
-                .serve_connection(TokioIo::new(stream), service);
-            tokio::pin!(connection);
-            tokio::select! {
-                _ = connection.as_mut() => return,
-                _ = stopping.wait_for(|stopping| *stopping) => {}
-                _ = tokio::time::sleep(limits.life) => {}
-            }
-            connection.as_mut().graceful_shutdown();
-            let _ = tokio::time::timeout(limits.grace, connection).await;
-        });
-    }
-    drop(listener);
-    while open.join_next().await.is_some() {}
-}
-
-struct Permit {
-    room: Rc<Semaphore>,
-}
-
-impl Drop for Permit {
-    fn drop(&mut self) {
-        self.room.add_permits(1);
-    }
-}
-
-trait AcquireRc {
-    async fn acquire_many_owned_rc(self) -> Permit;
-}
-
-impl AcquireRc for Rc<Semaphore> {
-    async fn acquire_many_owned_rc(self) -> Permit {
-        if let Ok(taken) = self.acquire().await {
-            taken.forget();
-        }
-        Permit { room: self }
-    }
-}
-
-/// Runs a door's loop on the thread's local set.
-pub fn open(
-    listener: TcpListener,
-    router: Router,
-    limits: DoorLimits,
-    stop: watch::Receiver<bool>,
-) -> tokio::task::JoinHandle<()> {
-    spawn_local(serve(listener, router, limits, stop))
-}
+//! The doors: HTTP/1.1 connections taken in within bounds, the bearer tokens that scope what is seen,
+//! and the pages every node has alike: its view of the three kinds, and a live watch of it.
+
+mod kinds;
+mod serve;
+mod shelf;
+mod tokens;
+mod views;
+
+pub use kinds::kinds;
+pub use serve::{DoorLimits, open, serve};
+pub use shelf::{Filter, Shelf, in_scope};
+pub use tokens::{Tokens, well_formed};
+pub use views::{Views, views};
--- a/crates/doors/src/tokens.rs
+++ b/crates/doors/src/tokens.rs
@@ -1,6 +1,7 @@
 //! Bearer tokens, each scoped to one tenant or, with `*`, to all. Compared in constant time.
 
 use sha2::{Digest, Sha256};
+use std::path::Path;
 use subtle::ConstantTimeEq;
 
 #[derive(Clone)]
@@ -27,6 +28,20 @@
         Tokens { list: split.map(|(tenant, secret)| (Sha256::digest(secret).into(), tenant.to_owned())).collect() }
     }
 
+    /// The tokens given as a setting and those of a file, one to a line; blank lines and those that
+    /// begin with `#` are passed over. A fault never tells a secret.
+    pub fn read(given: &[String], file: &Path) -> Result<Tokens, String> {
+        let mut all = given.to_vec();
+        if !file.as_os_str().is_empty() {
+            let text =
+                std::fs::read_to_string(file).map_err(|fault| format!("tokens file {}: {fault}", file.display()))?;
+            let lines = text.lines().map(str::trim).filter(|line| !line.is_empty() && !line.starts_with('#'));
+            all.extend(lines.map(str::to_owned));
+            well_formed(&all).map_err(|allowed| format!("tokens file {}: {allowed}", file.display()))?;
+        }
+        Ok(Tokens::new(&all))
+    }
+
     /// The scope a bearer has: a tenant's name, or the empty string for all of them.
     pub fn scope(&self, header: Option<&str>) -> Option<String> {
         let secret = header?.strip_prefix("Bearer ")?;
--- /dev/null
+++ b/crates/doors/src/views.rs
@@ -0,0 +1,128 @@
+//! Any node's view of the three kinds, and a live watch of it: the same pages on registries and
+//! routers, each reader within the scope of its token.
+
+use crate::shelf::{Filter, Shelf, in_scope};
+use crate::tokens::Tokens;
+use axum::Router;
+use axum::body::{Body, Bytes};
+use axum::extract::{Path, Query, State};
+use axum::http::{HeaderMap, StatusCode, header};
+use axum::response::{IntoResponse, Response};
+use axum::routing::get;
+use bindings::Kind;
+use http_body::Frame;
+use http_body_util::StreamBody;
+use serde_json::json;
+use std::collections::BTreeMap;
+use std::convert::Infallible;
+use std::time::Duration;
+use tokio::sync::watch;
+use tokio::time::sleep;
+
+/// Changes closer together than this come as one look.
+const PACE: Duration = Duration::from_millis(50);
+
+#[derive(Clone)]
+pub struct Views {
+    pub shelf: watch::Receiver<Shelf>,
+    pub tokens: Tokens,
+}
+
+pub fn views(views: Views) -> Router {
+    Router::new()
+        .route("/v1/view/{kind}", get(list))
+        .route("/v1/view/{kind}/{tenant}/{name}", get(one))
+        .route("/v1/watch/{kind}", get(watch_kind))
+        .route("/v1/watch/{kind}/{tenant}/{name}", get(watch_one))
+        .with_state(views)
+}
+
+fn refuse(status: StatusCode, told: &str) -> Response {
+    let body = json!({"outcome": "refused", "fault": told}).to_string();
+    (status, [(header::CONTENT_TYPE, "application/json")], body).into_response()
+}
+
+fn page(value: &serde_json::Value) -> Response {
+    ([(header::CONTENT_TYPE, "application/json")], value.to_string()).into_response()
+}
+
+impl Views {
+    /// The reader's scope, if its token, the kind and the resource allow it to look.
+    fn may(&self, headers: &HeaderMap, kind: &str, name: Option<&str>) -> Result<Filter, Box<Response>> {
+        let bearer = headers.get(header::AUTHORIZATION).and_then(|value| value.to_str().ok());
+        let Some(scope) = self.tokens.scope(bearer) else {
+            return Err(Box::new(refuse(StatusCode::UNAUTHORIZED, "a bearer token is needed")));
+        };
+        if Kind::from_word(kind).is_none() {
+            return Err(Box::new(refuse(StatusCode::NOT_FOUND, "no such kind")));
+        }
+        if name.is_some_and(|name| !in_scope(name, &scope)) {
+            return Err(Box::new(refuse(StatusCode::FORBIDDEN, "another tenant's resource")));
+        }
+        Ok(Filter { kind: kind.to_owned(), scope, name: name.map(str::to_owned) })
+    }
+
+    fn watch(&self, filter: Filter, mark: Option<String>) -> Response {
+        let mut shelf = self.shelf.clone();
+        shelf.mark_changed();
+        let lines = futures_lite::stream::unfold((shelf, filter, mark), |(mut shelf, filter, mark)| async move {
+            loop {
+                shelf.changed().await.ok()?;
+                let (lines, next) = shelf.borrow_and_update().changes(&filter, mark.as_deref());
+                if !lines.is_empty() {
+                    let frame = Frame::data(Bytes::from(lines));
+                    sleep(PACE).await;
+                    return Some((Ok::<_, Infallible>(frame), (shelf, filter, Some(next))));
+                }
+            }
+        });
+        let body = Body::new(StreamBody::new(lines));
+        ([(header::CONTENT_TYPE, "application/x-ndjson")], body).into_response()
+    }
+}
+
+async fn list(State(views): State<Views>, Path(kind): Path<String>, headers: HeaderMap) -> Response {
+    match views.may(&headers, &kind, None) {
+        Ok(filter) => page(&views.shelf.borrow().list(&kind, &filter.scope)),
+        Err(refusal) => *refusal,
+    }
+}
+
+type Named = Path<(String, String, String)>;
+
+async fn one(State(views): State<Views>, Path((kind, tenant, name)): Named, headers: HeaderMap) -> Response {
+    let name = format!("{tenant}/{name}");
+    if let Err(refusal) = views.may(&headers, &kind, Some(&name)) {
+        return *refusal;
+    }
+    match views.shelf.borrow().get(&format!("{kind}/{name}")) {
+        Some(value) => page(&value),
+        None => refuse(StatusCode::NOT_FOUND, "no such resource"),
+    }
+}
+
+type From = Query<BTreeMap<String, String>>;
+
+async fn watch_kind(
+    State(views): State<Views>,
+    Path(kind): Path<String>,
+    Query(mut query): From,
+    headers: HeaderMap,
+) -> Response {
+    match views.may(&headers, &kind, None) {
+        Ok(filter) => views.watch(filter, query.remove("from")),
+        Err(refusal) => *refusal,
+    }
+}
+
+async fn watch_one(
+    State(views): State<Views>,
+    Path((kind, tenant, name)): Named,
+    Query(mut query): From,
+    headers: HeaderMap,
+) -> Response {
+    match views.may(&headers, &kind, Some(&format!("{tenant}/{name}"))) {
+        Ok(filter) => views.watch(filter, query.remove("from")),
+        Err(refusal) => *refusal,
+    }
+}
--- a/crates/env/src/lib.rs
+++ b/crates/env/src/lib.rs
@@ -21,6 +21,11 @@
     pub allowed: String,
 }
 
+/// A value as it may be told: a secret never is.
+pub fn told(name: &str, value: String) -> String {
+    if name == "tokens" { "(not shown)".into() } else { value }
+}
+
 pub trait Settings: Sized {
     fn read(source: &Source) -> Result<Self, SettingFault>;
     fn help() -> Vec<(&'static str, String, &'static str)>;
@@ -49,7 +54,7 @@
                     let check = $check;
                     check(&value).map_err(|allowed| $crate::SettingFault {
                         name: stringify!($field).into(),
-                        value: $crate::FromWords::to_words(&value),
+                        value: $crate::told(stringify!($field), $crate::FromWords::to_words(&value)),
                         allowed,
                     })?;
                     value
@@ -73,6 +78,7 @@
     settings! {
         pub struct Sample {
             zone: String = "a".into(), word, "the zone";
+            tokens: Vec<String> = Vec::new(), |list: &Vec<String>| list.iter().all(|t| t.len() > 9).then_some(()).ok_or("longer ones".into()), "secrets";
             hold: Duration = Duration::from_millis(1500), in_range(Duration::from_millis(500), Duration::from_secs(10)), "the hold";
         }
     }
@@ -85,6 +91,9 @@
         let source = Source::new("hold = \"1ms\"", vec![]).unwrap();
         let fault = Sample::read(&source).unwrap_err();
         assert_eq!(fault.to_string(), "setting hold = 1ms: allowed is 500ms to 10s");
+        let source = Source::new("", vec![("tokens".into(), "sesame".into())]).unwrap();
+        let fault = Sample::read(&source).unwrap_err();
+        assert_eq!(fault.to_string(), "setting tokens = (not shown): longer ones");
         let source = Source::new("hodl = \"1s\"", vec![]).unwrap();
         assert!(Sample::read(&source).unwrap_err().to_string().starts_with("setting hodl = 1s: no such setting"));
     }
--- a/crates/fleet/src/drawing.rs
+++ b/crates/fleet/src/drawing.rs
@@ -61,7 +61,13 @@
         let seats: Vec<(String, String, String)> = (0..3).map(|_| (port(), port(), port())).collect();
         let seeds = seats.iter().map(|(peer, ..)| peer.clone()).collect::<Vec<_>>().join(",");
         let zone = |n: usize| deployment.zones[n % deployment.zones.len().max(1)].clone();
-        let tokens = format!("*={TOKEN},pixelkrov=tenant-token-of-pixelkrov");
+        let tokens = folder.join("tokens");
+        std::fs::write(
+            &tokens,
+            format!("# of a fleet on one machine\n*={TOKEN}\npixelkrov=tenant-token-of-pixelkrov\n"),
+        )
+        .map_err(|fault| format!("{}: {fault}", tokens.display()))?;
+        let tokens = tokens.display().to_string();
         let registries = seats.iter().enumerate().map(|(n, (peer, api, bind))| {
             let data = folder.join(format!("registry-{n}"));
             Node {
@@ -86,10 +92,12 @@
                     &seeds,
                     "--data",
                     &data.display().to_string(),
-                    "--tokens",
+                    "--tokens-file",
                     &tokens,
                     "--plans",
                     &order.plans.to_string(),
+                    "--tuning",
+                    &order.tuning.to_string(),
                 ]),
                 data: Some(data),
             }
@@ -117,6 +125,8 @@
                     &seeds,
                     "--platform",
                     &platform,
+                    "--tokens-file",
+                    &tokens,
                 ]),
                 peer,
                 bind,
--- a/crates/fleet/src/line.rs
+++ b/crates/fleet/src/line.rs
@@ -13,6 +13,7 @@
   --deployment DIR   folder with deployment.toml, configuration.json, services.json
   --folder DIR       where data, logs and records go [run]
   --programs DIR     where the programs are [beside this one]
+  --no-tuning        weight sheets stay as declared
   --no-plans         the fallback alone: registries make no plans
   --routers N        number of routers [the deployment's]
 prove:
@@ -44,6 +45,7 @@
     pub programs: PathBuf,
     pub routers: Option<usize>,
     pub plans: bool,
+    pub tuning: bool,
     pub seconds: u64,
     pub seed: u64,
     pub factor: f64,
@@ -63,6 +65,7 @@
         programs: beside,
         routers: None,
         plans: true,
+        tuning: true,
         seconds: 60,
         seed: 1,
         factor: 1.0,
@@ -87,6 +90,10 @@
                 what = word.to_string_lossy().into_owned();
                 continue;
             }
+            Long("no-tuning") => {
+                order.tuning = false;
+                continue;
+            }
             Long("no-plans") => {
                 order.plans = false;
                 continue;
--- a/crates/fleet/src/main.rs
+++ b/crates/fleet/src/main.rs
@@ -10,6 +10,7 @@
 mod prove;
 mod relay;
 mod smoke;
+mod smoke_views;
 mod timeline;
 mod turns;
 
--- a/crates/fleet/src/processes.rs
+++ b/crates/fleet/src/processes.rs
@@ -96,10 +96,11 @@
             return Ok(());
         }
         let mut command = self.command(node, start)?;
+        let arguments = known_arguments(&command, &node.arguments);
         let oldest = ["--format".to_owned(), wire::OLDEST.to_string()];
         let more = if start == Start::Other { oldest.as_slice() } else { &[] };
         let child = command
-            .args(&node.arguments)
+            .args(arguments)
             .args(more)
             .stdin(Stdio::null())
             .stdout(Stdio::null())
@@ -163,3 +164,22 @@
         self.running.clear();
     }
 }
+
+/// Programs of an earlier revision do not know every flag; those are left out, and tokens are given in
+/// the way they know.
+fn known_arguments(command: &Command, arguments: &[String]) -> Vec<String> {
+    let shell = command.get_program() == "sh";
+    let help = Command::new(command.get_program()).arg("--help").stdin(Stdio::null()).output();
+    let help = help.map(|output| String::from_utf8_lossy(&output.stdout).into_owned()).unwrap_or_default();
+    let knows =
+        |flag: &str| shell || help.is_empty() || [" ", "\n"].iter().any(|end| help.contains(&format!("{flag}{end}")));
+    let mut known = Vec::new();
+    for pair in arguments.chunks(2) {
+        if knows(&pair[0]) {
+            known.extend_from_slice(pair);
+        } else if pair[0] == "--tokens-file" && knows("--tokens") {
+            known.extend(["--tokens".to_owned(), format!("*={TOKEN}")]);
+        }
+    }
+    known
+}
--- a/crates/fleet/src/smoke.rs
+++ b/crates/fleet/src/smoke.rs
@@ -5,6 +5,7 @@
 use crate::line::Order;
 use crate::processes::{Fleet, Node, TOKEN};
 use crate::prove::{bring_up, until};
+use crate::smoke_views::{declarations, views};
 use heron::{Answer, Call, ask};
 use hyper::Method;
 use serde_json::{Value, json};
@@ -12,16 +13,16 @@
 use std::time::{Duration, Instant};
 use tokio::time::sleep;
 
-const TENANT: &str = "tenant-token-of-pixelkrov";
+pub const TENANT: &str = "tenant-token-of-pixelkrov";
 const PATIENCE: Duration = Duration::from_secs(40);
 
-struct Smoke {
+pub struct Smoke {
     passed: usize,
     faults: Vec<String>,
 }
 
 impl Smoke {
-    fn see(&mut self, what: &str, good: bool, told: impl std::fmt::Display) {
+    pub fn see(&mut self, what: &str, good: bool, told: impl std::fmt::Display) {
         if good {
             self.passed += 1;
             println!("ok: {what}");
@@ -31,7 +32,7 @@
         }
     }
 
-    async fn status(&mut self, what: &str, call: Call, wanted: u16) -> Option<Answer> {
+    pub async fn status(&mut self, what: &str, call: Call, wanted: u16) -> Option<Answer> {
         match ask(&call).await {
             Ok(answer) => {
                 let told = format!("{} {}", answer.status, String::from_utf8_lossy(&answer.body));
@@ -52,6 +53,9 @@
     bring_up(deployment, fleet).await?;
     callers(fleet, &mut smoke).await;
     operators(fleet, &mut smoke).await;
+    views(fleet, &mut smoke).await;
+    let whole = std::fs::read_to_string(&deployment.configuration).map_err(|fault| fault.to_string())?;
+    declarations(order, fleet, &mut smoke, &whole).await?;
     losses(fleet, &mut smoke).await?;
     println!("{} passed, {} failed", smoke.passed, smoke.faults.len());
     Ok(smoke.faults.is_empty())
--- a/crates/heron/src/client.rs
+++ b/crates/heron/src/client.rs
@@ -67,9 +67,10 @@
     tokio::time::timeout(call.limit, work).await.map_err(|_| format!("{}: no answer in time", call.address))?
 }
 
-/// Prints each line of a live watch until the other side ends it.
-pub async fn watch(call: &Call) -> Result<(), String> {
+/// Prints each line of a live watch until the other side ends it; false if it was refused.
+pub async fn watch(call: &Call) -> Result<bool, String> {
     let answer = http().request(request(call)?).await.map_err(|fault| format!("{}: {fault}", call.address))?;
+    let good = answer.status().is_success();
     let mut body = answer.into_body();
     let mut out = std::io::stdout();
     while let Some(frame) = body.frame().await {
@@ -78,5 +79,5 @@
             out.write_all(data).and_then(|()| out.flush()).map_err(|fault| fault.to_string())?;
         }
     }
-    Ok(())
+    Ok(good)
 }
--- /dev/null
+++ b/crates/heron/src/folder.rs
@@ -0,0 +1,175 @@
+//! Declarations kept as files, such as under version control: one file, or a folder of them at any
+//! depth, each a JSON object of kinds. Together they are the whole configuration; two that declare the
+//! same resource, or one that is no such object, are refused with the files' names.
+
+use derive_more::{Display, Error};
+use serde_json::{Map, Value};
+use std::collections::BTreeMap;
+use std::path::{Path, PathBuf};
+
+const DEPTH: usize = 8;
+const KINDS: [&str; 3] = ["function-bindings", "weight-sheets", "headcount-plans"];
+
+#[derive(Debug, Display, Error)]
+pub enum FolderFault {
+    #[display("{}: {fault}", path.display())]
+    Unread { path: PathBuf, fault: std::io::Error },
+    #[display("{}: {fault}", path.display())]
+    NotJson { path: PathBuf, fault: serde_json::Error },
+    #[display("{}: {told}", path.display())]
+    Shape { path: PathBuf, told: String },
+    #[display("{key} is declared in {} and in {}", first.display(), second.display())]
+    Twice { key: String, first: PathBuf, second: PathBuf },
+    #[display("{}: no .json files", path.display())]
+    Empty { path: PathBuf },
+}
+
+/// The declared resources, by kind/tenant/name.
+pub type Declared = BTreeMap<String, Value>;
+
+pub fn read(path: &Path) -> Result<Declared, FolderFault> {
+    let mut files = Vec::new();
+    if path.is_dir() {
+        find(path, 0, &mut files)?;
+        files.sort();
+    } else {
+        files.push(path.to_owned());
+    }
+    if files.is_empty() {
+        return Err(FolderFault::Empty { path: path.to_owned() });
+    }
+    let mut declared = Declared::new();
+    let mut from: BTreeMap<String, PathBuf> = BTreeMap::new();
+    for file in files {
+        for (key, value) in read_one(&file)? {
+            if let Some(first) = from.insert(key.clone(), file.clone()) {
+                return Err(FolderFault::Twice { key, first, second: file });
+            }
+            declared.insert(key, value);
+        }
+    }
+    Ok(declared)
+}
+
+fn find(folder: &Path, depth: usize, files: &mut Vec<PathBuf>) -> Result<(), FolderFault> {
+    let unread = |fault| FolderFault::Unread { path: folder.to_owned(), fault };
+    for entry in std::fs::read_dir(folder).map_err(unread)? {
+        let path = entry.map_err(unread)?.path();
+        let hidden = path.file_name().is_some_and(|name| name.to_string_lossy().starts_with('.'));
+        if path.is_dir() && depth < DEPTH && !hidden {
+            find(&path, depth + 1, files)?;
+        } else if path.extension().is_some_and(|end| end == "json") && !hidden {
+            files.push(path);
+        }
+    }
+    Ok(())
+}
+
+fn read_one(path: &Path) -> Result<Declared, FolderFault> {
+    let raw = std::fs::read(path).map_err(|fault| FolderFault::Unread { path: path.to_owned(), fault })?;
+    let whole: Value =
+        serde_json::from_slice(&raw).map_err(|fault| FolderFault::NotJson { path: path.to_owned(), fault })?;
+    let shape = |told: String| FolderFault::Shape { path: path.to_owned(), told };
+    let kinds = whole.as_object().ok_or_else(|| shape("allowed is an object of kinds".into()))?;
+    let mut declared = Declared::new();
+    for (kind, list) in kinds.iter().filter(|(kind, _)| *kind != "revision") {
+        let list = list.as_object().filter(|_| KINDS.contains(&kind.as_str()));
+        let list = list.ok_or_else(|| shape(format!("{kind}: kinds are {}, each an object", KINDS.join(", "))))?;
+        declared.extend(list.iter().map(|(name, value)| (format!("{kind}/{name}"), value.clone())));
+    }
+    Ok(declared)
+}
+
+/// The whole document that the API takes.
+pub fn document(declared: &Declared) -> Value {
+    let mut whole: Map<String, Value> =
+        KINDS.iter().map(|kind| ((*kind).to_owned(), Value::Object(Map::new()))).collect();
+    for (key, value) in declared {
+        let Some((kind, name)) = key.split_once('/') else { continue };
+        if let Some(Value::Object(list)) = whole.get_mut(kind) {
+            list.insert(name.to_owned(), value.clone());
+        }
+    }
+    Value::Object(whole)
+}
+
+/// The resources of such a document.
+pub fn resources(whole: &Value) -> Declared {
+    let lists = KINDS.iter().filter_map(|kind| Some((*kind, whole.get(*kind)?.as_object()?)));
+    lists.flat_map(|(kind, list)| list.iter().map(move |(name, v)| (format!("{kind}/{name}"), v.clone()))).collect()
+}
+
+/// One line for each resource that would be added, removed or changed, and each field of it.
+pub fn differences(now: &Declared, wanted: &Declared) -> Vec<String> {
+    let mut lines = Vec::new();
+    let keys: std::collections::BTreeSet<&String> = now.keys().chain(wanted.keys()).collect();
+    for key in keys {
+        match (now.get(key), wanted.get(key)) {
+            (None, Some(value)) => lines.push(format!("+ {key} {value}")),
+            (Some(_), None) => lines.push(format!("- {key}")),
+            (Some(old), Some(new)) if old != new => {
+                let empty = Map::new();
+                let (a, b) = (old.as_object().unwrap_or(&empty), new.as_object().unwrap_or(&empty));
+                let fields: std::collections::BTreeSet<&String> = a.keys().chain(b.keys()).collect();
+                for field in fields.into_iter().filter(|field| a.get(*field) != b.get(*field)) {
+                    let told = |value: Option<&Value>| value.map_or("default".to_owned(), Value::to_string);
+                    lines.push(format!("~ {key} {field}: {} -> {}", told(a.get(field)), told(b.get(field))));
+                }
+            }
+            _ => {}
+        }
+    }
+    lines
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use serde_json::json;
+
+    fn folder(name: &str, files: &[(&str, &str)]) -> PathBuf {
+        let folder = std::env::temp_dir().join(format!("heron-folder-{name}-{}", std::process::id()));
+        let _ = std::fs::remove_dir_all(&folder);
+        std::fs::create_dir_all(folder.join("more")).unwrap();
+        files.iter().for_each(|(file, text)| std::fs::write(folder.join(file), text).unwrap());
+        folder
+    }
+
+    #[test]
+    fn files_make_one_configuration_and_the_wrong_ones_are_named() {
+        let one = r#"{"headcount-plans": {"t/f": {"min": 1}}}"#;
+        let two = r#"{"headcount-plans": {"t/g": {"min": 2}}, "weight-sheets": {"t/f": {}}}"#;
+        let good = folder("good", &[("a.json", one), ("more/b.json", two), ("notes.txt", "no JSON")]);
+        let declared = read(&good).unwrap();
+        assert_eq!(declared.len(), 3);
+        assert_eq!(resources(&document(&declared)), declared);
+        let twice = folder("twice", &[("a.json", one), ("more/b.json", one)]);
+        let told = read(&twice).unwrap_err().to_string();
+        assert!(told.contains("t/f is declared in") && told.contains("a.json") && told.contains("b.json"), "{told}");
+        let broken = folder("broken", &[("a.json", one), ("more/b.json", "{\"headcount")]);
+        assert!(read(&broken).unwrap_err().to_string().contains("b.json"));
+        let odd = folder("odd", &[("a.json", r#"{"plans": {}}"#)]);
+        assert!(read(&odd).unwrap_err().to_string().contains("kinds are"));
+        assert!(matches!(read(&folder("none", &[])), Err(FolderFault::Empty { .. })));
+        [good, twice, broken, odd].iter().for_each(|folder| _ = std::fs::remove_dir_all(folder));
+    }
+
+    #[test]
+    fn differences_are_told_by_resource_and_field() {
+        let now =
+            [("headcount-plans/t/f".to_owned(), json!({"min": 1, "max": 2})), ("weight-sheets/t/f".into(), json!({}))];
+        let wanted = [
+            ("headcount-plans/t/f".to_owned(), json!({"min": 1, "fixed": 3})),
+            ("weight-sheets/t/g".into(), json!({})),
+        ];
+        let lines = differences(&now.clone().into(), &wanted.into());
+        let expected = [
+            "~ headcount-plans/t/f fixed: default -> 3",
+            "~ headcount-plans/t/f max: 2 -> default",
+            "- weight-sheets/t/f",
+            "+ weight-sheets/t/g {}",
+        ];
+        assert_eq!(lines, expected);
+        assert!(differences(&now.clone().into(), &now.into()).is_empty());
+    }
+}
--- a/crates/heron/src/lib.rs
+++ b/crates/heron/src/lib.rs
@@ -1,5 +1,7 @@
 //! The operators' client as a library: one call to a registry's or router's HTTP API.
 
 mod client;
+mod folder;
 
 pub use client::{Answer, Call, ask, watch};
+pub use folder::{Declared, FolderFault, differences, document, read, resources};
--- a/crates/heron/src/main.rs
+++ b/crates/heron/src/main.rs
@@ -1,28 +1,34 @@
 //! `heron`: the operators' client.
 
-use heron::{Call, ask, watch};
+use heron::{Call, Declared, ask, differences, document, read, resources, watch};
 use hyper::Method;
 use lexopt::prelude::*;
 use serde_json::Value;
 use std::io::Write;
+use std::path::Path;
 use std::process::ExitCode;
 use std::time::Duration;
 
 const HELP: &str = "heron: operators' client
 
-Usage: heron [--api ADDRESS] [--token TOKEN] [--if-match REVISION|*] [--operation ID] COMMAND
+Usage: heron [--api ADDRESS] [--token TOKEN | --token-file FILE] [--if-match REVISION|*]
+             [--operation ID] [--dry-run] COMMAND
 
   get [KIND[/TENANT/NAME]]   the configuration, or a part of it
-  apply FILE                 replace the whole configuration
+  apply FILE|FOLDER          replace the whole configuration by a file, or by a folder of files
+  diff FILE|FOLDER           what apply would change; exit code 0 nothing, 1 something
   patch FILE                 a named patch: {\"name\", \"set\": {..}, \"remove\": [..]}
   set KIND/TENANT/NAME FILE  one resource
   remove KIND/TENANT/NAME    one resource
   operation ID               what became of a change
   status                     one node's view (a registry's API or a router's operations port)
-  watch                      one node's view, live
+  view KIND[/TENANT/NAME]    a kind as one node holds it: declared, tuned, played
+  watch KIND[/TENANT/NAME]   the same, live, one line a change; --from MARK goes on from there
+  watch                      one node's whole view, live
   metrics                    one node's metrics
 
---api and --token may stand in HERON_API and HERON_TOKEN. Without --if-match, apply, patch, set and
+--api and --token may stand in HERON_API and HERON_TOKEN. --dry-run has the server check a change
+whole and say what it would come to. Without --if-match, apply, patch, set and
 remove read the revision first and change that one. Exit codes: 0 done, 1 refused, 2 wrong use,
 3 outcome not known (ask again with the same --operation), 4 not reached.";
 
@@ -31,6 +37,8 @@
     token: String,
     if_match: Option<String>,
     operation: Option<String>,
+    dry_run: bool,
+    from: Option<String>,
     words: Vec<String>,
 }
 
@@ -41,6 +49,8 @@
         token: variable("HERON_TOKEN"),
         if_match: None,
         operation: None,
+        dry_run: false,
+        from: None,
         words: Vec::new(),
     };
     let mut line = lexopt::Parser::from_env();
@@ -55,12 +65,18 @@
                 return Ok(None);
             }
             Value(word) => found.words.push(word.string().map_err(|fault| fault.to_string())?),
+            Long("dry-run") => found.dry_run = true,
             Long(name) => {
                 let name = name.to_owned();
                 let value = line.value().and_then(|v| v.string()).map_err(|fault| fault.to_string())?;
                 match name.as_str() {
                     "api" => found.api = value,
                     "token" => found.token = value,
+                    "token-file" => {
+                        let text = std::fs::read_to_string(&value).map_err(|fault| format!("{value}: {fault}"))?;
+                        found.token = text.trim().to_owned();
+                    }
+                    "from" => found.from = Some(value),
                     "if-match" => found.if_match = Some(value),
                     "operation" => found.operation = Some(value),
                     _ => return Err(format!("no flag --{name}; see --help")),
@@ -121,9 +137,24 @@
         ["status"] => show(call(Method::GET, "/v1/status".into(), Vec::new())).await,
         ["metrics"] => show(call(Method::GET, "/metrics".into(), Vec::new())).await,
         ["watch"] => {
-            watch(&call(Method::GET, "/v1/watch".into(), Vec::new())).await.map(|()| 0).map_err(|told| (4, told))
+            let call = call(Method::GET, "/v1/watch".into(), Vec::new());
+            watch(&call).await.map_err(|told| (4, told)).map(|good| if good { 0 } else { 1 })
+        }
+        ["apply", path] => {
+            let declared = read(Path::new(path)).map_err(|fault| (2, fault.to_string()))?;
+            let body = document(&declared).to_string().into_bytes();
+            change(&line, call(Method::PUT, "/v1/configuration".into(), body)).await
+        }
+        ["diff", path] => {
+            let wanted = read(Path::new(path)).map_err(|fault| (2, fault.to_string()))?;
+            diff(call(Method::GET, "/v1/configuration".into(), Vec::new()), &wanted).await
+        }
+        ["view", part] => show(call(Method::GET, format!("/v1/view/{part}"), Vec::new())).await,
+        ["watch", part] => {
+            let from = line.from.as_ref().map(|mark| format!("?from={mark}")).unwrap_or_default();
+            let call = call(Method::GET, format!("/v1/watch/{part}{from}"), Vec::new());
+            watch(&call).await.map_err(|told| (4, told)).map(|good| if good { 0 } else { 1 })
         }
-        ["apply", path] => change(&line, call(Method::PUT, "/v1/configuration".into(), file(path)?)).await,
         ["patch", path] => change(&line, call(Method::PATCH, "/v1/configuration".into(), file(path)?)).await,
         ["set", name, path] => change(&line, call(Method::PUT, format!("/v1/{name}"), file(path)?)).await,
         ["remove", name] => change(&line, call(Method::DELETE, format!("/v1/{name}"), Vec::new())).await,
@@ -132,6 +163,9 @@
 }
 
 async fn change(line: &Line, mut call: Call) -> Ended {
+    if line.dry_run {
+        call.path.push_str("?dry-run=true");
+    }
     call.operation = line.operation.clone();
     call.if_match = match &line.if_match {
         Some(tag) => Some(tag.clone()),
@@ -144,6 +178,19 @@
     show(call).await
 }
 
+/// What applying the files would change, one line each.
+async fn diff(call: Call, wanted: &Declared) -> Ended {
+    let answer = ask(&call).await.map_err(|told| (4, told))?;
+    let now: Value = serde_json::from_slice(&answer.body).unwrap_or_default();
+    if answer.status != 200 {
+        return Err((4, format!("the configuration cannot be read: {} {now}", answer.status)));
+    }
+    let lines = differences(&resources(&now), wanted);
+    let page: String = lines.iter().map(|line| format!("{line}\n")).collect();
+    std::io::stdout().write_all(page.as_bytes()).map_err(|fault| (4, format!("cannot print: {fault}")))?;
+    Ok(u8::from(!lines.is_empty()))
+}
+
 async fn show(call: Call) -> Ended {
     let answer = ask(&call).await.map_err(|told| (4, told))?;
     let page = match serde_json::from_slice::<Value>(&answer.body) {
--- a/crates/scaler/src/lib.rs
+++ b/crates/scaler/src/lib.rs
@@ -9,6 +9,7 @@
 mod optimizer;
 mod plan;
 mod player;
+mod tuner;
 mod window;
 
 pub use demand::{Level, capacity, demand};
@@ -16,4 +17,5 @@
 pub use optimizer::{Optimizer, Planned};
 pub use plan::{Plan, PlanFault, PlanTask, plan};
 pub use player::{Player, PlayerTiming, Situation, Verdict, fallback};
+pub use tuner::{Measure, Tuned, Tuner};
 pub use window::{Sample, Window};
--- a/crates/scaler/src/optimizer.rs
+++ b/crates/scaler/src/optimizer.rs
@@ -4,6 +4,7 @@
 use crate::demand::{Level, capacity, coverage};
 use crate::plan::{PlanTask, plan};
 use crate::player::fallback;
+use crate::tuner::Tuner;
 use crate::window::{STEP, Sample, Window};
 use bindings::Function;
 use std::collections::BTreeMap;
@@ -20,6 +21,7 @@
 
 #[derive(Default)]
 pub struct Optimizer {
+    pub tuner: Tuner,
     windows: BTreeMap<String, Window>,
     fits_left: f64,
     refilled: Duration,
@@ -33,6 +35,7 @@
     /// Forgets functions that are bound no longer.
     pub fn keep_only(&mut self, known: impl Fn(&str) -> bool) {
         self.windows.retain(|name, _| known(name));
+        self.tuner.keep_only(known);
     }
 
     pub fn plan(
@@ -43,10 +46,11 @@
         gauge: Sample,
         limit: Duration,
     ) -> Planned {
+        let sheet = self.tuner.in_force(function);
         let gained = now.saturating_sub(self.refilled).as_secs_f64() * FITS_PER_SECOND;
         self.fits_left = (self.fits_left + gained).min(FITS_PER_SECOND);
         self.refilled = now;
-        let sheet = &function.sheet;
+        let sheet = &sheet;
         let delay = sheet.startup_delay_steps as usize;
         let steps = delay + HORIZON;
         let window = self.windows.entry(function.name.clone()).or_default();
--- a/crates/scaler/src/player.rs
+++ b/crates/scaler/src/player.rs
@@ -68,6 +68,11 @@
         counts.get(place as usize).copied()
     }
 
+    /// The number that named the host of the latest plan.
+    pub fn fence(&self) -> u64 {
+        self.fence
+    }
+
     pub fn plan(&self) -> &[u32] {
         self.plan.as_ref().map_or(&[], |(counts, ..)| counts.as_slice())
     }
--- a/crates/sim/src/registry_node.rs
+++ b/crates/sim/src/registry_node.rs
@@ -122,8 +122,8 @@
     fn optimize(&mut self, n: usize, from: NodeId, message: PlanMsg) {
         let now = self.registry_now(n);
         let node = &mut self.registries[n];
-        if let Some(planned) = node.planner.step(now, node.id, message, SOLVE) {
-            self.send(Place::Registry(n), from, Message::Plan(planned.receipt));
+        for planned in node.planner.step(now, node.id, from, message, SOLVE) {
+            self.send(Place::Registry(n), planned.to, Message::Plan(planned.message));
         }
     }
 
--- a/crates/sim/src/router_turns.rs
+++ b/crates/sim/src/router_turns.rs
@@ -56,6 +56,9 @@
                             }
                             HomeOutput::Platform(order) => self.platform_order(n, order),
                             HomeOutput::PlanAsk { message } => self.ask_registries(n, message),
+                            HomeOutput::Measures { lines } => {
+                                self.ask_registries(n, PlanMsg::Measures { lines: lines.into() });
+                            }
                             HomeOutput::Samples { lines } => {
                                 self.ask_registries(n, PlanMsg::Samples { lines: lines.into() });
                             }
--- a/crates/traffic/src/desk.rs
+++ b/crates/traffic/src/desk.rs
@@ -35,6 +35,18 @@
     pub refused_until: Duration,
     pub holds_back: Duration,
     pub desired: u32,
+    pub seen: Seen,
+    pub tuned_usage: Option<f64>,
+}
+
+/// What is measured between two samples, for the tuning of weight sheets.
+#[derive(Clone, Copy, Default)]
+pub struct Seen {
+    pub boot: Duration,
+    pub boots: u32,
+    pub refused: u32,
+    pub turned: u32,
+    pub usage_sum: f64,
 }
 
 impl Desk {
@@ -62,9 +74,18 @@
             refused_until: Duration::ZERO,
             holds_back: Duration::ZERO,
             desired: 0,
+            seen: Seen::default(),
+            tuned_usage: None,
         }
     }
 
+    /// Tasks an instance is planned for, by the usage in force.
+    pub fn capacity(&self) -> f64 {
+        let sheet = &self.function.sheet;
+        let usage = self.tuned_usage.unwrap_or(sheet.target_usage);
+        scaler::capacity(self.function.instance_limit, &bindings::WeightSheet { target_usage: usage, ..sheet.clone() })
+    }
+
     /// The least time in which a task can be expected to be answered once it is sent.
     pub fn least_time(&self) -> Duration {
         self.mean_time.mul_f64(1.5).clamp(Duration::from_millis(30), Duration::from_millis(1000))
--- a/crates/traffic/src/handover.rs
+++ b/crates/traffic/src/handover.rs
@@ -57,6 +57,7 @@
                 _ => {}
             }
         }
+        self.apply_tuned();
         self.drop_moved_deferred();
     }
 
--- a/crates/traffic/src/home.rs
+++ b/crates/traffic/src/home.rs
@@ -10,7 +10,7 @@
 use std::collections::BTreeMap;
 use std::rc::Rc;
 use std::time::Duration;
-use wire::{CarryMsg, HomeTable, NodeId, Outcome};
+use wire::{CarryMsg, HomeTable, NodeId, Outcome, TunedLine};
 
 pub struct Home {
     pub(crate) me: NodeId,
@@ -36,6 +36,7 @@
     pub(crate) scaled: Duration,
     pub(crate) sampled: Duration,
     pub(crate) gave_way: Duration,
+    pub(crate) tuned: (u64, Vec<TunedLine>),
     pub(crate) beaten: Duration,
     pub(crate) kept_at: Duration,
     pub(crate) kept: BTreeMap<String, Kept>,
@@ -76,6 +77,7 @@
             scaled: Duration::ZERO,
             sampled: Duration::ZERO,
             gave_way: Duration::ZERO,
+            tuned: (0, Vec::new()),
             beaten: Duration::ZERO,
             kept_at: Duration::ZERO,
             kept: BTreeMap::new(),
@@ -180,6 +182,9 @@
         if task.caller {
             if outcome == Outcome::NotRun {
                 self.refusals += 1;
+                if let Some(desk) = self.desks.get_mut(&task.function) {
+                    desk.seen.refused += 1;
+                }
             }
             let (to, id) = (task.id.from, task.id.task);
             task.caller = false;
--- a/crates/traffic/src/home_types.rs
+++ b/crates/traffic/src/home_types.rs
@@ -6,7 +6,7 @@
 use platform::{PlatformOrder, PlatformReport};
 use std::rc::Rc;
 use std::time::Duration;
-use wire::{CarryMsg, HoldMsg, NodeId, PlanMsg, SampleLine};
+use wire::{CarryMsg, HoldMsg, MeasureLine, NodeId, PlanMsg, SampleLine};
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct TaskId {
@@ -36,6 +36,7 @@
     Platform(PlatformOrder),
     PlanAsk { message: PlanMsg },
     Samples { lines: Vec<SampleLine> },
+    Measures { lines: Vec<MeasureLine> },
 }
 
 #[derive(Clone, Debug)]
--- a/crates/traffic/src/lib.rs
+++ b/crates/traffic/src/lib.rs
@@ -32,7 +32,9 @@
 mod scale;
 mod service;
 mod settings;
+mod shelving;
 mod status;
+mod tuned;
 
 pub use budget::{Budget, Window};
 pub use dispatch::{DispatchOrder, Verdict, send_to_instance};
--- a/crates/traffic/src/passes.rs
+++ b/crates/traffic/src/passes.rs
@@ -104,6 +104,7 @@
                 Verdict::Whole { turned_away: true, .. } => {
                     event!(turned_away, "{instance_id}");
                     desk.turned_away(now, &instance_id);
+                    desk.seen.turned += 1;
                 }
                 Verdict::Whole { .. } => {
                     desk.took(now.saturating_sub(begun));
--- a/crates/traffic/src/plane.rs
+++ b/crates/traffic/src/plane.rs
@@ -7,6 +7,7 @@
 use crate::home::Home;
 use crate::home_types::HomeInput;
 use crate::pass_cell::PassCell;
+use crate::shelving::Shelving;
 use bindings::Book;
 use holds::Roster;
 use kernel::{Inbox, Post};
@@ -45,6 +46,7 @@
     pub dispatcher: Post<DispatchOrder>,
     pub platform: Post<PlatformOrder>,
     pub view: watch::Sender<String>,
+    pub shelving: Shelving,
     pub step: u64,
     pub tail: Option<NodeId>,
     pub registries: Vec<NodeId>,
@@ -100,6 +102,7 @@
                 status["outcomes"] = serde_json::json!(self.counts);
                 status["inbox"] = inbox.depth().into();
                 self.view.send_replace(status.to_string());
+                self.shelving.show(&self.home);
             }
         }
     }
@@ -144,6 +147,7 @@
             TrafficMsg::Book(book) => {
                 self.step = book.step;
                 let book = Rc::new(*book);
+                self.shelving.book(book.clone());
                 self.turn(Turn::Home(HomeInput::Book { book: book.clone() }));
                 self.turn(Turn::Front(FrontInput::Book { book }));
             }
--- a/crates/traffic/src/plane_out.rs
+++ b/crates/traffic/src/plane_out.rs
@@ -74,6 +74,9 @@
                 }
             }
             HomeOutput::PlanAsk { message } => self.to_registries(Message::Plan(message)),
+            HomeOutput::Measures { lines } => {
+                self.to_registries(Message::Plan(PlanMsg::Measures { lines: lines.into() }));
+            }
             HomeOutput::Samples { lines } => {
                 self.to_registries(Message::Plan(PlanMsg::Samples { lines: lines.into() }));
             }
--- a/crates/traffic/src/platform_side.rs
+++ b/crates/traffic/src/platform_side.rs
@@ -19,9 +19,16 @@
         match report {
             PlatformReport::Started { id, receipt } => self.started(&id, receipt),
             PlatformReport::Probed { id, probe } => {
-                if let Some(instance) = self.instance(&id) {
+                let now = self.now;
+                for desk in self.desks.values_mut() {
+                    let Some(instance) = desk.instances.get_mut(&id) else { continue };
                     match probe {
-                        Probe::Ready => instance.take(InstanceEvent::Ready),
+                        Probe::Ready => {
+                            if instance.phase() == Phase::Starting {
+                                desk.seen.booted(now.saturating_sub(instance.ordered));
+                            }
+                            instance.take(InstanceEvent::Ready);
+                        }
                         Probe::Silent => instance.take(InstanceEvent::Lost),
                     }
                 }
@@ -38,10 +45,6 @@
         }
     }
 
-    fn instance(&mut self, id: &str) -> Option<&mut Instance> {
-        self.desks.values_mut().find_map(|desk| desk.instances.get_mut(id))
-    }
-
     fn started(&mut self, id: &str, receipt: StartReceipt) {
         let now = self.now;
         for desk in self.desks.values_mut() {
--- a/crates/traffic/src/scale.rs
+++ b/crates/traffic/src/scale.rs
@@ -7,7 +7,7 @@
 use crate::instance::{Instance, InstanceEvent, Phase};
 use events::event;
 use platform::PlatformOrder;
-use scaler::{Situation, capacity};
+use scaler::Situation;
 use std::time::Duration;
 use wire::{PlanMsg, SampleLine};
 
@@ -64,7 +64,7 @@
                 starting,
                 held,
                 in_flight: desk.in_flight,
-                capacity: capacity(desk.function.instance_limit, &desk.function.sheet),
+                capacity: desk.capacity(),
                 min: desk.function.min,
                 max: desk.function.max,
                 fixed: desk.function.fixed,
@@ -181,6 +181,8 @@
         for desk in self.desks.values_mut() {
             let held = desk.held.len() as f64;
             desk.looks += 1;
+            let slots = f64::from(desk.count(Phase::Ready) * desk.function.instance_limit);
+            desk.seen.usage_sum += f64::from(desk.in_flight) / slots.max(1.0);
             if desk.count(Phase::Ready) == 0 {
                 desk.held_sum += held;
             } else {
@@ -193,6 +195,7 @@
         let lasted = now.saturating_sub(self.sampled).as_secs_f64();
         self.sampled = now;
         let mut lines = Vec::new();
+        let mut measures = Vec::new();
         for (name, desk) in &mut self.desks {
             if desk.leaving.is_some() {
                 continue;
@@ -205,13 +208,18 @@
                 waiting_milli: (desk.waiting_sum * 1000.0 / looks) as u64,
                 held_milli: (desk.held_sum * 1000.0 / looks) as u64,
             });
+            measures.extend(desk.measure(name, looks));
             (desk.arrivals, desk.answered, desk.looks) = (0, 0, 0);
             (desk.answer_time, desk.waiting_sum, desk.held_sum) = (Duration::ZERO, 0.0, 0.0);
         }
         self.outs.push(HomeOutput::Samples { lines });
+        self.outs.push(HomeOutput::Measures { lines: measures });
     }
 
     pub(crate) fn plan_receipt(&mut self, message: PlanMsg) {
+        if let PlanMsg::Tuned { fence, lines } = message {
+            return self.take_tuned(fence, lines.into_vec());
+        }
         let PlanMsg::Receipt { ask, fence, step_ms, desired, .. } = message else { return };
         let Some(name) = self.plan_asks.remove(&ask) else { return };
         let now = self.now;
--- a/crates/traffic/src/service.rs
+++ b/crates/traffic/src/service.rs
@@ -12,7 +12,8 @@
 use crate::pass_cell::PassCell;
 use crate::plane::{Plane, TrafficMsg};
 use crate::settings::RouterEnv;
-use doors::DoorLimits;
+use crate::shelving::Shelving;
+use doors::{DoorLimits, Shelf, Tokens};
 use events::event;
 use holds::{Follower, FollowerTiming, Standing, mix};
 use kernel::{Directory, adopt, behind, find, listen, local, thread, wait_for_signal};
@@ -47,6 +48,8 @@
     let platform_inbox = directory.announce::<PlatformOrder>("platform", 4096);
     let (view, shown) = watch::channel(String::from("{}"));
     let (control_view, control_shown) = watch::channel(String::from("{}"));
+    let tokens = Tokens::read(&settings.tokens, &settings.tokens_file)?;
+    let (shelf, shelved) = watch::channel(Shelf::new(incarnation));
     let (stop, stopping) = watch::channel(false);
     let pass = PassCell::default();
 
@@ -92,6 +95,7 @@
             dispatcher: find(&names, "dispatcher"),
             platform: find(&names, "platform"),
             view,
+            shelving: Shelving::new(shelf),
             step: 0,
             tail: None,
             registries: Vec::new(),
@@ -116,9 +120,10 @@
     let doors_thread =
         thread("doors", move || local(async move { doors::serve(adopt(callers), pages, limits, doors_stop).await }))?;
     let ops_limits = DoorLimits { connections: 64, life: Duration::from_secs(86_400), ..limits };
+    let kinds = doors::views(doors::Views { shelf: shelved, tokens });
     let (views, ops_stop) = (Views { traffic: shown, control: control_shown }, stopping);
     thread("operations", move || {
-        local(async move { doors::serve(adopt(ops), ops_router(views), ops_limits, ops_stop).await })
+        local(async move { doors::serve(adopt(ops), ops_router(views).merge(kinds), ops_limits, ops_stop).await })
     })?;
 
     let timing = FollowerTiming { hold: settings.hold, ..FollowerTiming::default() };
--- a/crates/traffic/src/settings.rs
+++ b/crates/traffic/src/settings.rs
@@ -1,6 +1,8 @@
 //! The router's settings.
 
+use doors::well_formed;
 use env::{address, address_or_none, any, in_range, seeds, word};
+use std::path::PathBuf;
 use std::time::Duration;
 
 env::settings! {
@@ -22,6 +24,8 @@
         body_time: Duration = Duration::from_secs(4), in_range(Duration::from_millis(100), Duration::from_secs(60)), "how long a request's body may take";
         life: Duration = Duration::from_secs(600), in_range(Duration::from_secs(1), Duration::from_secs(86_400)), "how long a connection may be kept open";
         grace: Duration = Duration::from_secs(8), in_range(Duration::from_secs(1), Duration::from_secs(120)), "how long a planned stop may take to finish what it has begun";
+        tokens: Vec<String> = Vec::new(), well_formed, "bearer tokens for the views of kinds, tenant=SECRET or *=SECRET, parted by commas";
+        tokens_file: PathBuf = PathBuf::new(), any, "file of more bearer tokens, one to a line, so that none need stand on a command line";
         list_every: Duration = Duration::from_millis(1000), in_range(Duration::from_millis(100), Duration::from_secs(30)), "how often the platform's list is read";
         starts_per_second: f64 = 64.0, in_range(0.1, 10_000.0), "starts a second that all routers share, below what the platform takes";
         format: u16 = wire::FORMAT, in_range(wire::OLDEST, wire::FORMAT), "format in which frames are written; the one before while a fleet rolls from a version that knows no newer";
--- /dev/null
+++ b/crates/traffic/src/shelving.rs
@@ -0,0 +1,80 @@
+//! This router's view of the three kinds: what is declared, as its book has it; the sheets in force, as
+//! the optimizer's host told; and, for the functions homed here, the plan as it is played.
+
+use crate::home::Home;
+use crate::status::Played;
+use bindings::Book;
+use doors::Shelf;
+use serde_json::{Value, json};
+use std::collections::BTreeMap;
+use std::rc::Rc;
+use tokio::sync::watch;
+
+pub struct Shelving {
+    pub shelf: watch::Sender<Shelf>,
+    book: Option<Rc<Book>>,
+    items: BTreeMap<String, Value>,
+    told: (u64, u64, usize),
+    plans: BTreeMap<String, Played>,
+    news: bool,
+}
+
+impl Shelving {
+    pub fn new(shelf: watch::Sender<Shelf>) -> Shelving {
+        let (items, plans) = (BTreeMap::new(), BTreeMap::new());
+        Shelving { shelf, book: None, items, told: (0, 0, 0), plans, news: false }
+    }
+
+    pub fn book(&mut self, book: Rc<Book>) {
+        self.book = Some(book);
+        self.news = true;
+    }
+
+    /// Brings the shelf in line with the book and the home; what is as it was costs nothing.
+    pub fn show(&mut self, home: &Home) {
+        let Some(book) = self.book.clone() else { return };
+        let (fence, lines) = home.tuned();
+        let sum = lines.iter().map(|line| line.usage_micro ^ line.hard_milli).fold(0, u64::wrapping_add);
+        let told = (*fence, sum, lines.len());
+        if self.news || told != self.told {
+            (self.news, self.told) = (false, told);
+            self.items = doors::kinds(book.declared(), *fence, lines);
+            self.plans.clear();
+        }
+        let mut changed: Vec<(String, Value)> = Vec::new();
+        let whole = self.plans.is_empty();
+        let mut seen = BTreeMap::new();
+        for (name, played) in home.plans() {
+            if self.plans.get(name) != Some(&played) {
+                let key = format!("headcount-plans/{name}");
+                let mut value = self.items.get(&key).cloned().unwrap_or_else(|| json!({"declared": null}));
+                value["plan"] = played.to_json();
+                changed.push((key, value));
+            }
+            seen.insert(name.clone(), played);
+        }
+        let gone: Vec<String> = self.plans.keys().filter(|name| !seen.contains_key(*name)).cloned().collect();
+        if !whole && changed.is_empty() && gone.is_empty() {
+            return;
+        }
+        self.plans = seen;
+        let (items, plans) = (&self.items, &self.plans);
+        let kept = |key: &str| {
+            items.contains_key(key) || key.strip_prefix("headcount-plans/").is_some_and(|name| plans.contains_key(name))
+        };
+        self.shelf.send_if_modified(|shelf| {
+            let mut any = shelf.keep_only(book.revision, kept);
+            let declared = items.iter().filter(|(key, _)| {
+                whole && key.strip_prefix("headcount-plans/").is_none_or(|name| !plans.contains_key(name))
+            });
+            let moved = gone.iter().filter_map(|name| items.get_key_value(&format!("headcount-plans/{name}")));
+            for (key, value) in declared.chain(moved).map(|(k, v)| (k.as_str(), v)) {
+                any |= shelf.put(key, book.revision, value);
+            }
+            for (key, value) in &changed {
+                any |= shelf.put(key, book.revision, value);
+            }
+            any
+        });
+    }
+}
--- a/crates/traffic/src/status.rs
+++ b/crates/traffic/src/status.rs
@@ -4,7 +4,43 @@
 use crate::instance::Phase;
 use serde_json::{Value, json};
 
+/// A headcount plan as its home plays it.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Played {
+    pub desired: Vec<u32>,
+    pub played: Option<u32>,
+    pub wanted: u32,
+    pub ready: u32,
+    pub starting: u32,
+    pub fence: u64,
+}
+
+impl Played {
+    pub fn to_json(&self) -> Value {
+        json!({
+            "desired": self.desired, "played": self.played, "wanted": self.wanted, "fence": self.fence,
+            "actual": {"ready": self.ready, "starting": self.starting},
+        })
+    }
+}
+
 impl Home {
+    /// The plans of the functions homed here.
+    pub fn plans(&self) -> impl Iterator<Item = (&String, Played)> {
+        let now = self.now;
+        self.desks.iter().filter(|(_, desk)| desk.leaving.is_none()).map(move |(name, desk)| {
+            let played = Played {
+                desired: desk.player.plan().to_vec(),
+                played: desk.player.played(now),
+                wanted: desk.desired,
+                ready: desk.count(Phase::Ready),
+                starting: desk.count(Phase::Starting),
+                fence: desk.player.fence(),
+            };
+            (name, played)
+        })
+    }
+
     pub fn status(&mut self) -> Value {
         let now = self.now;
         let mut functions = serde_json::Map::new();
--- /dev/null
+++ b/crates/traffic/src/tuned.rs
@@ -0,0 +1,51 @@
+//! The home's part in tuning: what it measured of each function goes to the registries with every
+//! sample, and what the host has in force comes back, fenced by the number that named the host.
+
+use crate::desk::{Desk, Seen};
+use crate::home::Home;
+use wire::{MeasureLine, TunedLine};
+
+impl Desk {
+    /// What was measured since the sample before; nothing of a function that stood still.
+    pub(crate) fn measure(&mut self, name: &str, looks: f64) -> Option<MeasureLine> {
+        let seen = std::mem::take(&mut self.seen);
+        let stood_still = self.arrivals == 0 && seen.boots == 0 && seen.refused == 0;
+        (!stood_still).then(|| MeasureLine {
+            function: name.into(),
+            boot_micro: (seen.boot / seen.boots.max(1)).as_micros() as u64,
+            boots: seen.boots,
+            refused: seen.refused,
+            turned: seen.turned,
+            waiting_milli: (self.waiting_sum * 1000.0 / looks) as u64,
+            usage_milli: (seen.usage_sum * 1000.0 / looks) as u64,
+        })
+    }
+}
+
+impl Seen {
+    pub(crate) fn booted(&mut self, took: std::time::Duration) {
+        self.boots += 1;
+        self.boot += took;
+    }
+}
+
+impl Home {
+    pub(crate) fn take_tuned(&mut self, fence: u64, lines: Vec<TunedLine>) {
+        if fence < self.tuned.0 {
+            return;
+        }
+        self.tuned = (fence, lines);
+        self.apply_tuned();
+    }
+
+    pub(crate) fn apply_tuned(&mut self) {
+        for desk in self.desks.values_mut() {
+            let line = self.tuned.1.iter().find(|line| line.function.as_str() == desk.function.name);
+            desk.tuned_usage = line.map(|line| line.usage_micro as f64 / 1e6);
+        }
+    }
+
+    pub fn tuned(&self) -> &(u64, Vec<TunedLine>) {
+        &self.tuned
+    }
+}
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -19,7 +19,7 @@
 pub use hold::{HoldMsg, ItemLine, StepLine};
 pub use ledger::{ClaimRecord, ClaimState, Command, DeferredRecord, OpRecord, Receipt};
 pub use parts::{Blob, List, Text, from_bytes, to_bytes};
-pub use plan::{PlanMsg, SampleLine};
+pub use plan::{MeasureLine, PlanMsg, SampleLine, TunedLine};
 pub use spoken::spoken;
 
 pub type NodeId = u64;
--- a/crates/wire/src/plan.rs
+++ b/crates/wire/src/plan.rs
@@ -13,6 +13,28 @@
     pub held_milli: u64,
 }
 
+/// What a home saw of a function beside its sample: boots, refusals, turn-aways, usage.
+#[derive(Clone, Debug, Default, PartialEq, Eq, DekuRead, DekuWrite)]
+pub struct MeasureLine {
+    pub function: Text,
+    pub boot_micro: u64,
+    pub boots: u32,
+    pub refused: u32,
+    pub turned: u32,
+    pub waiting_milli: u64,
+    pub usage_milli: u64,
+}
+
+/// The part of a weight sheet that is tuned, as it is in force, and why.
+#[derive(Clone, Debug, Default, PartialEq, Eq, DekuRead, DekuWrite)]
+pub struct TunedLine {
+    pub function: Text,
+    pub startup_delay_steps: u32,
+    pub usage_micro: u64,
+    pub hard_milli: u64,
+    pub why: Text,
+}
+
 #[derive(Clone, Debug, PartialEq, Eq, DekuRead, DekuWrite)]
 #[deku(id_type = "u8")]
 pub enum PlanMsg {
@@ -22,4 +44,9 @@
     Ask { ask: u64, function: Text, current: u32, held: u32, waiting: u32 },
     #[deku(id = "3")]
     Receipt { ask: u64, fence: u64, state: u8, step_ms: u32, desired: List<u32> },
+    #[deku(id = "4")]
+    Measures { lines: List<MeasureLine> },
+    /// All that is tuned at present, fenced like a plan.
+    #[deku(id = "5")]
+    Tuned { fence: u64, lines: List<TunedLine> },
 }
--- a/crates/wire/src/spoken.rs
+++ b/crates/wire/src/spoken.rs
@@ -3,7 +3,7 @@
 //! brought beats between routers, whole home tables and the entries a registry missed. Who understands only the format before hears
 //! the older word, or nothing where it had none.
 
-use crate::{CarryMsg, ChainMsg, HoldMsg, Message};
+use crate::{CarryMsg, ChainMsg, HoldMsg, Message, PlanMsg};
 
 pub fn spoken(message: Message, format: u16) -> Option<Message> {
     if format >= 2 {
@@ -13,6 +13,7 @@
         Message::Hold(HoldMsg::Seats { seats }) => Some(Message::Hold(HoldMsg::NotTail { tail: 0, view: 0, seats })),
         Message::Hold(HoldMsg::Leaving) => Some(Message::Hold(HoldMsg::Leave { successor: 0 })),
         Message::Chain(ChainMsg::SuffixAsk { .. }) => Some(Message::Chain(ChainMsg::CopyAsk { copy: 0, piece: 0 })),
+        Message::Plan(PlanMsg::Measures { .. } | PlanMsg::Tuned { .. }) => None,
         Message::Carry(CarryMsg::Beat) => None,
         Message::Carry(CarryMsg::Table { table }) if table.kept != 0 => None,
         Message::Carry(CarryMsg::Table { table }) => Some(Message::Carry(CarryMsg::Handover {
