Never dispatch a claim that is being given back; begin duties anew in a new view

Change: what goes back leaves the desk's list, and only a held task is ever dispatched. With a new view, duties are begun anew, and operators' changes are entered again under their operation ids. The simulator cuts pairs of registries, and sees a router that is still a member 6 s after it went down while the core stood.

Ruled out: shortening the wait for all calls (an operator's change may need it).

--- a/crates/control/src/core.rs
+++ b/crates/control/src/core.rs
@@ -69,7 +69,7 @@
 pub enum Wait {
     Duty,
     Router { to: NodeId, ask: u64 },
-    Change { ask: u64, op: String },
+    Change { ask: u64, op: String, body: Vec<u8> },
 }
 
 pub struct Core {
@@ -127,6 +127,10 @@
         self.member.committed_state()
     }
 
+    pub fn has_member(&self, id: NodeId) -> bool {
+        keys::incarnations(self.state()).contains_key(&id)
+    }
+
     pub fn me(&self) -> NodeId {
         self.member.seat().id
     }
@@ -165,18 +169,40 @@
     }
 
     pub(crate) fn chain(&mut self, input: Input) {
+        let mut reviewed = false;
         for output in self.member.step(self.now, input) {
             match output {
                 Output::Send { to, message } => self.outs.push(CoreOutput::Registry { to, message }),
                 Output::SendSeeds { message } => self.outs.push(CoreOutput::Seeds { message }),
                 Output::Write { ticket, batch } => self.outs.push(CoreOutput::Write { ticket, batch }),
-                Output::Viewed { view } => self.outs.push(CoreOutput::Viewed { view }),
+                Output::Viewed { view } => {
+                    self.outs.push(CoreOutput::Viewed { view });
+                    reviewed = true;
+                }
                 Output::Done { op, entered, receipt } => self.done(op, entered, receipt),
                 Output::Confirmed { round } => self.confirmed(round),
                 Output::Installed { missed } => self.outs.push(CoreOutput::Installed { missed }),
                 Output::Committed { .. } => {}
             }
         }
+        if reviewed {
+            self.enter_again();
+        }
+    }
+
+    /// What was on its way to the head of the view before may be lost with it. Duties are begun anew, and
+    /// a change is entered again: under its operation id it takes effect once.
+    fn enter_again(&mut self) {
+        self.waits.retain(|_, (wait, _)| !matches!(wait, Wait::Duty));
+        let again = self.waits.extract_if(.., |_, (wait, _)| matches!(wait, Wait::Change { .. }));
+        for (_, (wait, due)) in again.collect::<Vec<_>>() {
+            let Wait::Change { body, .. } = &wait else { continue };
+            let body = body.clone();
+            self.next_op += 1;
+            let number = self.next_op;
+            self.waits.insert(number, (wait, due));
+            self.chain(Input::Enter { op: OpNo { origin: self.me(), number }, body });
+        }
     }
 
     pub(crate) fn enter(&mut self, wait: Wait, command: &Command) {
@@ -198,7 +224,7 @@
                 let message = HoldMsg::EnterReceipt { ask, state: entered as u8, body: receipt.into() };
                 self.outs.push(CoreOutput::Router { to, message });
             }
-            Wait::Change { ask, op } => self.change_done(ask, op, entered, &receipt),
+            Wait::Change { ask, op, .. } => self.change_done(ask, op, entered, &receipt),
         }
     }
 
@@ -211,7 +237,7 @@
                     let message = HoldMsg::EnterReceipt { ask, state: 2, body: Vec::new().into() };
                     self.outs.push(CoreOutput::Router { to, message });
                 }
-                Some((Wait::Change { ask, op }, _)) => self.unknown(ask, &op),
+                Some((Wait::Change { ask, op, .. }, _)) => self.unknown(ask, &op),
                 _ => {}
             }
         }
--- a/crates/control/src/operators.rs
+++ b/crates/control/src/operators.rs
@@ -76,7 +76,8 @@
                     scope: scope.into(),
                     items: items.into(),
                 };
-                self.enter(Wait::Change { ask, op }, &command);
+                let body = wire::to_bytes(&command);
+                self.enter_raw(Wait::Change { ask, op, body: body.clone() }, body);
             }
             ApiCall::Configuration { scope } => {
                 let due = self.now + self.timing.call;
--- a/crates/sim/src/chances.rs
+++ b/crates/sim/src/chances.rs
@@ -56,6 +56,7 @@
     CutCore,
     CutSome,
     CutInside,
+    CutPair,
     CutZone,
     SlowLinks,
     LoseAnswers,
@@ -85,11 +86,19 @@
         use Kind::*;
         match self {
             Sort::Calm => &[],
-            Sort::Core => {
-                &[KillRegistry, KillRegistry, KillCore, FreezeRegistry, StallDisk, FillDisk, LoseDisk, CutInside]
-            }
+            Sort::Core => &[
+                KillRegistry,
+                KillRegistry,
+                KillCore,
+                FreezeRegistry,
+                StallDisk,
+                FillDisk,
+                LoseDisk,
+                CutInside,
+                CutPair,
+            ],
             Sort::Routers => &[KillRouter, KillRouter, KillZone, FreezeRouter, LoseAnswers, Garble, Worker],
-            Sort::Network => &[CutOne, CutCore, CutSome, CutInside, CutZone, SlowLinks],
+            Sort::Network => &[CutOne, CutCore, CutSome, CutInside, CutPair, CutZone, SlowLinks],
             Sort::Planned => &[LeaveRouter, StopRegistry],
             Sort::Crowd => &[Crowd],
             Sort::Overload => &[Overload, Overload, Crowd, KillRouter, FreezeRouter, LeaveRouter],
@@ -116,6 +125,7 @@
                 CutCore,
                 CutSome,
                 CutInside,
+                CutPair,
                 CutZone,
                 SlowLinks,
                 LoseAnswers,
--- a/crates/sim/src/failing.rs
+++ b/crates/sim/src/failing.rs
@@ -104,6 +104,10 @@
                 others = registries.clone();
                 vec![registries[one]]
             }
+            Kind::CutPair => {
+                others = vec![registries[(one + 1) % 3]];
+                vec![registries[one]]
+            }
             Kind::CutZone => {
                 let routers = self.zone_of(one).into_iter().map(Place::Router);
                 [Place::Registry(one)].into_iter().chain(routers).collect()
--- a/crates/sim/src/faults.rs
+++ b/crates/sim/src/faults.rs
@@ -96,7 +96,9 @@
             }
             Kind::FreezeRouter => return self.freeze(Place::Router(router)),
             Kind::FreezeHerd => return self.freeze_herd(),
-            Kind::CutOne | Kind::CutCore | Kind::CutSome | Kind::CutInside | Kind::CutZone => return self.cut(kind),
+            Kind::CutOne | Kind::CutCore | Kind::CutSome | Kind::CutInside | Kind::CutPair | Kind::CutZone => {
+                return self.cut(kind);
+            }
             Kind::SlowLinks => self.slow_links(back),
             Kind::LoseAnswers => {
                 self.yard.lose = 0.1;
--- a/crates/sim/src/lib.rs
+++ b/crates/sim/src/lib.rs
@@ -13,6 +13,7 @@
 mod router_node;
 mod router_turns;
 mod rules;
+mod standing;
 mod world;
 mod yard;
 
--- a/crates/sim/src/router_node.rs
+++ b/crates/sim/src/router_node.rs
@@ -26,6 +26,7 @@
     pub base: Duration,
     pub frozen_until: Duration,
     pub drift: f64,
+    pub down_since: Duration,
     pub leaving_since: Option<Duration>,
     pub machines: Option<Machines>,
 }
@@ -64,6 +65,7 @@
             base: Duration::ZERO,
             frozen_until: Duration::ZERO,
             drift: 1.0,
+            down_since: Duration::ZERO,
             leaving_since: None,
             machines: None,
         });
@@ -108,6 +110,7 @@
             return;
         }
         self.routers[n].life = 0;
+        self.routers[n].down_since = self.now;
         let id = self.routers[n].id;
         self.say(|| format!("router {n} is killed"));
         self.callers_lost(n);
--- /dev/null
+++ b/crates/sim/src/standing.rs
@@ -0,0 +1,32 @@
+//! A rule on the core's duties: while two registries at least have stood undisturbed for a while, a
+//! router that has long been down is no member any longer, and its homes have moved.
+
+use crate::world::{Place, World};
+use std::time::Duration;
+
+const STOOD: Duration = Duration::from_secs(5);
+const DOWN: Duration = Duration::from_secs(6);
+
+impl World {
+    pub fn check_members(&mut self) {
+        let now = self.now;
+        let net = &self.net;
+        let held_up = |n: usize| {
+            let node = &self.registries[n];
+            node.frozen_until > now || node.stalled_until > now || node.full
+        };
+        let up = self.registries.iter().map(|node| node.life).collect::<Vec<u64>>();
+        let disturbed = !net.cuts.is_empty() || !net.slow.is_empty() || (0..3).any(held_up) || up != self.stood.1;
+        if disturbed {
+            self.stood = (now, up);
+            return;
+        }
+        let tail = self.registries.iter().find_map(|node| node.core.as_ref().filter(|c| c.member().is_current_tail()));
+        let (Some(tail), true) = (tail, now > self.stood.0 + STOOD) else { return };
+        let down = |n: &usize| !self.routers[*n].alive() && now > self.routers[*n].down_since + DOWN;
+        let late = (0..self.routers.len()).filter(down).find(|n| tail.has_member(self.identity(Place::Router(*n)).0));
+        if let Some(n) = late {
+            self.rules.tell(now, format!("router {n} is a member though it has been down for long"));
+        }
+    }
+}
--- a/crates/sim/src/world.rs
+++ b/crates/sim/src/world.rs
@@ -57,6 +57,7 @@
     pub rules: Rules,
     pub steps: u64,
     pub judged: usize,
+    pub stood: (Duration, Vec<u64>),
     pub brought_back: [u64; 2],
     pub trace: bool,
 }
@@ -88,6 +89,7 @@
             rules: Rules::default(),
             steps: 0,
             judged: 0,
+            stood: (Duration::ZERO, Vec::new()),
             brought_back: [0; 2],
             trace: false,
             plan,
@@ -141,7 +143,10 @@
             Event::Written { registry, life, ticket } => self.written(registry, life, ticket),
             Event::Platform { router, life, report, listed_at } => self.reported(router, life, report, listed_at),
             Event::InstanceDone { number } => self.instance_done(number),
-            Event::Listing => self.listing(),
+            Event::Listing => {
+                self.listing();
+                self.check_members();
+            }
             Event::Link { router, id, up } => self.link(router, id, up),
             Event::Caller => self.caller(),
             Event::CallerRetry { task } => self.caller_retry(task),
--- a/crates/traffic/src/giving_up.rs
+++ b/crates/traffic/src/giving_up.rs
@@ -62,6 +62,9 @@
     /// Gives a task that was never dispatched back to its front, which finds its home anew.
     pub(crate) fn send_back(&mut self, number: u64) {
         let Some(task) = self.tasks.get_mut(&number) else { return };
+        if let Some(desk) = self.desks.get_mut(&task.function) {
+            desk.held.retain(|held| *held != number);
+        }
         if task.class == Class::Once && task.claim != 0 {
             task.place = Place::Releasing;
             return self.release(number);
--- a/crates/traffic/src/passes.rs
+++ b/crates/traffic/src/passes.rs
@@ -30,7 +30,8 @@
                 continue;
             }
             for number in desk.held.iter().copied().collect::<Vec<u64>>() {
-                let ready = self.tasks.get(&number).is_some_and(|task| now >= task.not_before);
+                let may_go = |task: &crate::home_types::HomeTask| task.place == Place::Held && now >= task.not_before;
+                let ready = self.tasks.get(&number).is_some_and(may_go);
                 let Some(desk) = self.desks.get_mut(&name) else { break };
                 if !ready {
                     continue;
--- a/crates/traffic/tests/keeping.rs
+++ b/crates/traffic/tests/keeping.rs
@@ -110,3 +110,26 @@
     assert_eq!(outcomes, [Outcome::Unknown, Outcome::NotRun], "only what was carried may have run");
     assert!(reply(&told).is_some());
 }
+
+/// A home of a run-once function whose claim is granted, with nothing yet to run it on.
+#[test]
+fn a_claim_that_is_being_given_back_is_never_dispatched() {
+    let binding: &[u8] = br#"{"route":"/t/f","function":"f","class":"once"}"#;
+    let once = std::rc::Rc::new(bindings::Book::build(1, 1, [("function-bindings/t/f", binding)].into_iter()));
+    let mut home = Home::new(ME, 1, HomeTiming::default());
+    home.step(ms(0), true, HomeInput::Book { book: once });
+    home.step(ms(0), true, HomeInput::Roster { roster: roster(1, &[ME]) });
+    home.step(ms(0), true, HomeInput::Core { near: true });
+    let outputs = home.step(ms(1), true, HomeInput::Carry { from: OTHER, message: task(7) });
+    let ask = outputs.iter().find_map(|output| match output {
+        HomeOutput::Enter { ask, .. } => Some(*ask),
+        _ => None,
+    });
+    let granted = wire::Receipt::Claim { state: wire::ClaimState::Granted, answer: Vec::new().into() };
+    let body = wire::to_bytes(&granted).into();
+    let message = wire::HoldMsg::EnterReceipt { ask: ask.expect("a claim"), state: 1, body };
+    home.step(ms(2), true, HomeInput::Ledger { message });
+    home.step(ms(3), false, HomeInput::Lapsed);
+    let outputs = home.step(ms(4), true, HomeInput::Carry { from: OTHER, message: table(1, 0, "i1") });
+    assert!(!dispatched(&outputs), "its key is being released");
+}
