Give faults of registries, routers, heron and swarm types of their own

Cause: strings stood for faults where programs are put together; a caller could not tell one from another, and swarm's exit code for a bad archive was decided by reading twice.

Change: StartFault, TokensFault, two RunFaults, CallFault, WorkFault and the disk thread's StoreFault, all by derive_more. The runner and the stand-in still tell strings.

--- a/crates/chain/src/disk.rs
+++ b/crates/chain/src/disk.rs
@@ -1,7 +1,7 @@
 //! A thread of its own for the disk, so that a stalled sync never holds up a heartbeat. It takes
 //! batches in order and reports each ticket when its batch is synced, or one fault and then no more.
 
-use crate::store::Store;
+use crate::store::{Store, StoreFault};
 use crate::types::Batch;
 use std::sync::mpsc;
 
@@ -10,13 +10,13 @@
 }
 
 impl Disk {
-    pub fn start(mut store: Store, report: impl Fn(Result<u64, String>) + Send + 'static) -> std::io::Result<Disk> {
+    pub fn start(mut store: Store, report: impl Fn(Result<u64, StoreFault>) + Send + 'static) -> std::io::Result<Disk> {
         let (batches, inbox) = mpsc::sync_channel::<(u64, Batch)>(4);
         std::thread::Builder::new().name("disk".into()).spawn(move || {
             while let Ok((ticket, batch)) = inbox.recv() {
                 match store.write(&batch) {
                     Ok(()) => report(Ok(ticket)),
-                    Err(fault) => return report(Err(fault.to_string())),
+                    Err(fault) => return report(Err(fault)),
                 }
             }
         })?;
--- a/crates/control/src/service.rs
+++ b/crates/control/src/service.rs
@@ -6,10 +6,11 @@
 use crate::apply::apply;
 use crate::control_loop::Control;
 use crate::core::{Core, CoreTiming};
+use crate::faults::RunFault;
 use crate::operators::stored_document;
 use crate::optimizer::{self, Host, OptimizerMsg};
 use crate::settings::RegistryEnv;
-use chain::{Disk, Member, Store, Timing};
+use chain::{Disk, Member, Store, StoreFault, Timing};
 use doors::{DoorLimits, Shelf, Tokens, Views};
 use events::event;
 use kernel::{Directory, Inbox, SendFault, adopt, behind, find, listen, local, thread};
@@ -23,26 +24,25 @@
 
 pub enum ControlMsg {
     Link(LinkEvent),
-    Written(Result<u64, String>),
+    Written(Result<u64, StoreFault>),
     Call { call: ApiCall, reply: oneshot::Sender<ApiReply> },
     Tuned { fence: u64, lines: Vec<TunedLine> },
     Stop,
 }
 
-pub fn run(settings: RegistryEnv) -> Result<(), String> {
+pub fn run(settings: RegistryEnv) -> Result<(), RunFault> {
     let incarnation = rand::random::<u64>() >> 8;
     let file = settings.data.join("registry.redb");
     if settings.show && !file.exists() {
-        return Err(format!("{}: there is no data file", file.display()));
+        return Err(RunFault::NoFile { path: file });
     }
-    std::fs::create_dir_all(&settings.data)
-        .map_err(|fault| format!("data folder {}: {fault}", settings.data.display()))?;
+    std::fs::create_dir_all(&settings.data).map_err(|fault| RunFault::Folder { path: settings.data.clone(), fault })?;
     let newcomer = Seat { id: rand::random::<u64>() | 1, address: settings.address.as_str().into() };
     let (store, stored) = Store::open(&file, &settings.cluster, newcomer)
-        .map_err(|fault| format!("{}: {fault}; it is left as it is", file.display()))?;
+        .map_err(|fault| RunFault::Store { path: file.clone(), fault })?;
     if settings.show {
         let page = format!("{:#}\n", stored_document(&stored.state));
-        return std::io::stdout().write_all(page.as_bytes()).map_err(|fault| format!("cannot print: {fault}"));
+        return std::io::stdout().write_all(page.as_bytes()).map_err(RunFault::Print);
     }
     let peers = listen(behind(&settings.bind, &settings.address))?;
     let operators = listen(&settings.api)?;
@@ -95,7 +95,7 @@
     let disk = Disk::start(store, move |result| {
         written.send_blocking(ControlMsg::Written(result));
     })
-    .map_err(|fault| fault.to_string())?;
+    .map_err(RunFault::Disk)?;
     let member = Member::new(seat, stored, Timing::default(), apply, Duration::ZERO);
     let timing = CoreTiming { call: settings.call, ..CoreTiming::for_hold(settings.hold) };
     let core = Core::new(member, timing, incarnation << 20);
--- a/crates/doors/src/lib.rs
+++ b/crates/doors/src/lib.rs
@@ -10,5 +10,5 @@
 pub use kinds::kinds;
 pub use serve::{DoorLimits, open, serve};
 pub use shelf::{Filter, Shelf, in_scope};
-pub use tokens::{Tokens, well_formed};
+pub use tokens::{Tokens, TokensFault, well_formed};
 pub use views::{Views, views};
--- a/crates/doors/src/tokens.rs
+++ b/crates/doors/src/tokens.rs
@@ -1,9 +1,19 @@
 //! Bearer tokens, each scoped to one tenant or, with `*`, to all. Compared in constant time.
 
+use derive_more::{Display, Error};
 use sha2::{Digest, Sha256};
-use std::path::Path;
+use std::io;
+use std::path::{Path, PathBuf};
 use subtle::ConstantTimeEq;
 
+#[derive(Debug, Display, Error)]
+pub enum TokensFault {
+    #[display("tokens file {}: {fault}", path.display())]
+    Unread { path: PathBuf, fault: io::Error },
+    #[display("tokens file {}: {allowed}", path.display())]
+    Malformed { path: PathBuf, allowed: String },
+}
+
 #[derive(Clone)]
 pub struct Tokens {
     list: Vec<([u8; 32], String)>,
@@ -30,14 +40,14 @@
 
     /// The tokens given as a setting and those of a file, one to a line; blank lines and those that
     /// begin with `#` are passed over. A fault never tells a secret.
-    pub fn read(given: &[String], file: &Path) -> Result<Tokens, String> {
+    pub fn read(given: &[String], file: &Path) -> Result<Tokens, TokensFault> {
         let mut all = given.to_vec();
         if !file.as_os_str().is_empty() {
             let text =
-                std::fs::read_to_string(file).map_err(|fault| format!("tokens file {}: {fault}", file.display()))?;
+                std::fs::read_to_string(file).map_err(|fault| TokensFault::Unread { path: file.to_owned(), fault })?;
             let lines = text.lines().map(str::trim).filter(|line| !line.is_empty() && !line.starts_with('#'));
             all.extend(lines.map(str::to_owned));
-            well_formed(&all).map_err(|allowed| format!("tokens file {}: {allowed}", file.display()))?;
+            well_formed(&all).map_err(|allowed| TokensFault::Malformed { path: file.to_owned(), allowed })?;
         }
         Ok(Tokens::new(&all))
     }
--- a/crates/fleet/src/faults.rs
+++ b/crates/fleet/src/faults.rs
@@ -154,7 +154,7 @@
             limit: Duration::from_secs(5),
             ..Call::default()
         };
-        ask(&call).await.map(drop)
+        ask(&call).await.map(drop).map_err(|fault| fault.to_string())
     }
 
     /// A named change, on whatever is the latest, at any registry that answers.
--- a/crates/fleet/src/prove.rs
+++ b/crates/fleet/src/prove.rs
@@ -52,7 +52,7 @@
     .await?;
     let body = std::fs::read(&deployment.configuration).map_err(|fault| fault.to_string())?;
     let apply = Call { if_match: Some("*".into()), body, ..call(Method::PUT, "/v1/configuration") };
-    let applied = ask(&apply).await?;
+    let applied = ask(&apply).await.map_err(|fault| fault.to_string())?;
     if applied.status != 200 {
         return Err(format!("configuration refused: {}", String::from_utf8_lossy(&applied.body)));
     }
@@ -148,7 +148,8 @@
     let kept = final_fault(fleet).await?;
     let counts =
         Call { address: fleet.yard.peer.clone(), path: "/v1/counts".into(), limit: PATIENCE, ..Call::default() };
-    println!("platform: {}", String::from_utf8_lossy(&ask(&counts).await?.body));
+    let counted = ask(&counts).await.map_err(|fault| fault.to_string())?;
+    println!("platform: {}", String::from_utf8_lossy(&counted.body));
     sleep(Duration::from_millis(300)).await;
     let mut check = Command::new(fleet.programs.join("swarm"));
     check.arg("check").arg("--tasks").arg(&tasks).arg("--runs").arg(fleet.folder.join("runs.jsonl"));
--- a/crates/heron/src/lib.rs
+++ b/crates/heron/src/lib.rs
@@ -3,5 +3,5 @@
 mod client;
 mod folder;
 
-pub use client::{Answer, Call, ask, watch};
+pub use client::{Answer, Call, CallFault, ask, watch};
 pub use folder::{Declared, FolderFault, differences, document, read, resources};
--- a/crates/heron/src/main.rs
+++ b/crates/heron/src/main.rs
@@ -138,7 +138,7 @@
         ["metrics"] => show(call(Method::GET, "/metrics".into(), Vec::new())).await,
         ["watch"] => {
             let call = call(Method::GET, "/v1/watch".into(), Vec::new());
-            watch(&call).await.map_err(|told| (4, told)).map(|good| if good { 0 } else { 1 })
+            watch(&call).await.map_err(|fault| (4, fault.to_string())).map(|good| if good { 0 } else { 1 })
         }
         ["apply", path] => {
             let declared = read(Path::new(path)).map_err(|fault| (2, fault.to_string()))?;
@@ -153,7 +153,7 @@
         ["watch", part] => {
             let from = line.from.as_ref().map(|mark| format!("?from={mark}")).unwrap_or_default();
             let call = call(Method::GET, format!("/v1/watch/{part}{from}"), Vec::new());
-            watch(&call).await.map_err(|told| (4, told)).map(|good| if good { 0 } else { 1 })
+            watch(&call).await.map_err(|fault| (4, fault.to_string())).map(|good| if good { 0 } else { 1 })
         }
         ["patch", path] => change(&line, call(Method::PATCH, "/v1/configuration".into(), file(path)?)).await,
         ["set", name, path] => change(&line, call(Method::PUT, format!("/v1/{name}"), file(path)?)).await,
@@ -171,7 +171,7 @@
         Some(tag) => Some(tag.clone()),
         None => {
             let read = Call { method: Method::GET, path: "/v1/configuration".into(), body: Vec::new(), ..call.clone() };
-            let known = ask(&read).await.map_err(|told| (4, told))?;
+            let known = ask(&read).await.map_err(|fault| (4, fault.to_string()))?;
             Some(known.revision.map_or("0".into(), |revision| revision.to_string()))
         }
     };
@@ -180,7 +180,7 @@
 
 /// What applying the files would change, one line each.
 async fn diff(call: Call, wanted: &Declared) -> Ended {
-    let answer = ask(&call).await.map_err(|told| (4, told))?;
+    let answer = ask(&call).await.map_err(|fault| (4, fault.to_string()))?;
     let now: Value = serde_json::from_slice(&answer.body).unwrap_or_default();
     if answer.status != 200 {
         return Err((4, format!("the configuration cannot be read: {} {now}", answer.status)));
@@ -192,7 +192,7 @@
 }
 
 async fn show(call: Call) -> Ended {
-    let answer = ask(&call).await.map_err(|told| (4, told))?;
+    let answer = ask(&call).await.map_err(|fault| (4, fault.to_string()))?;
     let page = match serde_json::from_slice::<Value>(&answer.body) {
         Ok(value) => format!("{value:#}\n"),
         Err(_) => format!("{}\n", String::from_utf8_lossy(&answer.body)),
--- a/crates/kernel/src/lib.rs
+++ b/crates/kernel/src/lib.rs
@@ -7,4 +7,4 @@
 
 pub use directory::Directory;
 pub use inbox::{Inbox, Post, SendFault, inbox};
-pub use program::{adopt, behind, find, listen, local, thread, wait_for_signal};
+pub use program::{StartFault, adopt, behind, find, listen, local, thread, wait_for_signal};
--- a/crates/router/src/main.rs
+++ b/crates/router/src/main.rs
@@ -9,6 +9,6 @@
     env::program("router", ABOUT, env!("CARGO_PKG_VERSION"), |settings: RouterEnv| {
         events::setup(&settings.log_level, &settings.log_file)
             .map_err(|fault| (2, format!("setting log_file = {}: {fault}", settings.log_file)))?;
-        traffic::run(settings).map_err(|fault| (1, fault))
+        traffic::run(settings).map_err(|fault| (1, fault.to_string()))
     })
 }
--- a/crates/swarm/src/check.rs
+++ b/crates/swarm/src/check.rs
@@ -1,5 +1,6 @@
 //! The checker's reading of both records.
 
+use crate::faults::{WorkFault, at};
 use crate::fresh::{Change, freshness};
 use crate::rules::{Run, broken};
 use crate::spans::{self, Span};
@@ -8,12 +9,13 @@
 use std::io::{BufRead, BufReader};
 use std::path::{Path, PathBuf};
 
-fn read<T: DeserializeOwned>(path: &Path) -> Result<Vec<T>, String> {
-    let file = std::fs::File::open(path).map_err(|fault| format!("{}: {fault}", path.display()))?;
+fn read<T: DeserializeOwned>(path: &Path) -> Result<Vec<T>, WorkFault> {
+    let file = std::fs::File::open(path).map_err(at(path))?;
     let mut list = Vec::new();
     for line in BufReader::new(file).lines() {
-        let line = line.map_err(|fault| fault.to_string())?;
-        list.push(serde_json::from_str(&line).map_err(|fault| format!("{}: {fault}: {line}", path.display()))?);
+        let line = line.map_err(at(path))?;
+        let read = serde_json::from_str(&line);
+        list.push(read.map_err(|fault| WorkFault::Line { path: path.to_owned(), fault, line })?);
     }
     Ok(list)
 }
@@ -28,7 +30,7 @@
     pub refusals: Option<usize>,
 }
 
-pub fn run(order: &CheckOrder) -> Result<bool, String> {
+pub fn run(order: &CheckOrder) -> Result<bool, WorkFault> {
     let attempts: Vec<Attempt> = read(&order.tasks)?;
     let lines: Vec<Run> = read(&order.runs)?;
     let mut broken = broken(&attempts, &lines, order.refusals);
--- /dev/null
+++ b/crates/swarm/src/faults.rs
@@ -0,0 +1,27 @@
+//! What may keep the load generator or the checker from its work.
+
+use crate::replay::ReplayFault;
+use derive_more::{Display, Error, From};
+use std::io;
+use std::path::{Path, PathBuf};
+
+#[derive(Debug, Display, Error, From)]
+pub enum WorkFault {
+    #[display("{}: {fault}", path.display())]
+    File { path: PathBuf, fault: io::Error },
+    #[display("{}: {fault}: {line}", path.display())]
+    Line { path: PathBuf, fault: serde_json::Error, line: String },
+    #[display("no runtime: {_0}")]
+    Runtime(io::Error),
+    #[display("more than {_0} tasks are open at once; the load ends here")]
+    #[from(ignore)]
+    TooMany(#[error(not(source))] usize),
+    #[display("the load broke off: {_0}")]
+    Broken(tokio::task::JoinError),
+    #[from]
+    Replay(ReplayFault),
+}
+
+pub fn at(path: &Path) -> impl Fn(io::Error) -> WorkFault {
+    move |fault| WorkFault::File { path: path.to_owned(), fault }
+}
--- a/crates/swarm/src/main.rs
+++ b/crates/swarm/src/main.rs
@@ -4,6 +4,7 @@
 
 mod attempt;
 mod check;
+mod faults;
 mod fresh;
 mod line;
 mod load;
@@ -26,13 +27,7 @@
             ExitCode::SUCCESS
         }
         Ok(line::Order::Load(order)) => end(load::run(order)),
-        Ok(line::Order::Replay(order)) => match replay::read(&order.har) {
-            Ok(_) => end(replay::run(&order)),
-            Err(told) => {
-                eprintln!("swarm: {told}");
-                ExitCode::from(2)
-            }
-        },
+        Ok(line::Order::Replay(order)) => end(replay::run(&order)),
         Ok(line::Order::Check(order)) => end(check::run(&order)),
         Err(told) => {
             eprintln!("swarm: {told}");
@@ -41,13 +36,13 @@
     }
 }
 
-fn end(result: Result<bool, String>) -> ExitCode {
+fn end(result: Result<bool, faults::WorkFault>) -> ExitCode {
     match result {
         Ok(true) => ExitCode::SUCCESS,
         Ok(false) => ExitCode::from(1),
-        Err(told) => {
-            eprintln!("swarm: {told}");
-            ExitCode::FAILURE
+        Err(fault) => {
+            eprintln!("swarm: {fault}");
+            ExitCode::from(if matches!(fault, faults::WorkFault::Replay(_)) { 2 } else { 1 })
         }
     }
 }
--- a/crates/swarm/src/mix.rs
+++ b/crates/swarm/src/mix.rs
@@ -1,9 +1,11 @@
 //! The mix: which binding the next task goes to and when, from the services' rates and crowds.
 
+use crate::faults::{WorkFault, at};
 use crate::load::Crowd;
 use rand::RngExt;
 use rand_chacha::ChaCha8Rng;
 use serde::Deserialize;
+use serde::de::DeserializeOwned;
 use std::collections::BTreeMap;
 use std::path::Path;
 
@@ -33,11 +35,15 @@
     rate: f64,
 }
 
-pub fn load(configuration: &Path, services: &Path, factor: f64) -> Result<Vec<Route>, String> {
-    let read = |path: &Path| std::fs::read(path).map_err(|fault| format!("{}: {fault}", path.display()));
-    let whole: Whole = serde_json::from_slice(&read(configuration)?).map_err(|fault| fault.to_string())?;
-    let shapes: BTreeMap<String, Shape> =
-        serde_json::from_slice(&read(services)?).map_err(|fault| fault.to_string())?;
+fn read<T: DeserializeOwned>(path: &Path) -> Result<T, WorkFault> {
+    let raw = std::fs::read(path).map_err(at(path))?;
+    let wrong = |fault| WorkFault::Line { path: path.to_owned(), fault, line: String::new() };
+    serde_json::from_slice(&raw).map_err(wrong)
+}
+
+pub fn load(configuration: &Path, services: &Path, factor: f64) -> Result<Vec<Route>, WorkFault> {
+    let whole: Whole = read(configuration)?;
+    let shapes: BTreeMap<String, Shape> = read(services)?;
     let mut routes = Vec::new();
     for (name, binding) in whole.bindings {
         let tenant = name.split('/').next().unwrap_or_default();
--- a/crates/swarm/src/replay.rs
+++ b/crates/swarm/src/replay.rs
@@ -3,6 +3,7 @@
 //! taken from stay behind.
 
 use crate::attempt::{Ask, Http, attempt, client};
+use crate::faults::{WorkFault, at};
 use crate::tally::{self, Attempt};
 use derive_more::{Display, Error};
 use serde_json::Value;
@@ -82,12 +83,12 @@
     Ok(list.into_iter().map(|(at, taken)| Taken { after: since(at), ..taken }).collect())
 }
 
-pub fn run(order: &ReplayOrder) -> Result<bool, String> {
-    let list = read(&order.har).map_err(|fault| fault.to_string())?;
-    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().map_err(|f| f.to_string())?;
+pub fn run(order: &ReplayOrder) -> Result<bool, WorkFault> {
+    let list = read(&order.har)?;
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().map_err(WorkFault::Runtime)?;
     let attempts = LocalSet::new().block_on(&runtime, drive(order, list));
     let lines: String = attempts.iter().filter_map(|a| serde_json::to_string(a).ok()).map(|line| line + "\n").collect();
-    std::fs::write(&order.out, lines).map_err(|fault| format!("{}: {fault}", order.out.display()))?;
+    std::fs::write(&order.out, lines).map_err(at(&order.out))?;
     println!("{}", tally::summary(&attempts));
     Ok(true)
 }
--- a/crates/traffic/src/lib.rs
+++ b/crates/traffic/src/lib.rs
@@ -8,6 +8,7 @@
 mod desk;
 mod dispatch;
 mod door;
+mod faults;
 mod front;
 mod front_passes;
 mod front_types;
@@ -38,6 +39,7 @@
 
 pub use budget::{Budget, Window};
 pub use dispatch::{DispatchOrder, Verdict, send_to_instance};
+pub use faults::RunFault;
 pub use front::Front;
 pub use front_types::{Call, FrontInput, FrontLimits, FrontOutput, Reply};
 pub use home::Home;
--- a/crates/traffic/src/service.rs
+++ b/crates/traffic/src/service.rs
@@ -4,6 +4,7 @@
 use crate::control_loop::{Control, ControlMsg};
 use crate::dispatch::{self, DispatchOrder};
 use crate::door::{self, Door};
+use crate::faults::RunFault;
 use crate::front::Front;
 use crate::front_types::FrontLimits;
 use crate::home::Home;
@@ -26,7 +27,7 @@
 use tokio::task::spawn_local;
 use wire::{HoldMsg, Message, NodeId};
 
-pub fn run(settings: RouterEnv) -> Result<(), String> {
+pub fn run(settings: RouterEnv) -> Result<(), RunFault> {
     let begun = Instant::now();
     let incarnation = rand::random::<u64>() >> 8;
     let me: NodeId = mix(&[b"router", settings.cluster.as_bytes(), settings.address.as_bytes()]) | 1;
