Let a home that had lapsed begin anew: careful, and waiting for the table

Change: a home that learns its hold had lapsed is careful again with turn-aways and second tries, and waits for the table of the home between, which carries the counts.

Ruled out: dropping the desks (what still runs on them would be forgotten).

--- a/crates/sim/tests/seeds.rs
+++ b/crates/sim/tests/seeds.rs
@@ -17,6 +17,7 @@
 #[test_case(Sort::Overload, &[7, 21]; "turn-aways across a crash and in a burst")]
 #[test_case(Sort::Mixed, &[13]; "a table with an instance long told leaving")]
 #[test_case(Sort::Storm, &[4]; "a backlog read back after two crashes")]
+#[test_case(Sort::Mixed, &[1117]; "a home back from a freeze forgot the home between")]
 #[test_case(Sort::Mixed, &[4]; "a claim given back was dispatched")]
 #[test_case(Sort::Planned, &[22]; "a router asked to leave before it had joined")]
 #[test_case(Sort::Wake, &[10, 19]; "memory given way too slowly to those with nothing")]
--- a/crates/traffic/src/budget.rs
+++ b/crates/traffic/src/budget.rs
@@ -66,6 +66,11 @@
         (self.requests.count(now), self.seconds.count(now))
     }
 
+    /// Another home may have been here meanwhile.
+    pub fn be_careful(&mut self, now: Duration) {
+        self.careful_until = now + LENGTH;
+    }
+
     pub fn take_over(&mut self, now: Duration, requests: u32, seconds: u32) {
         self.careful_until = now;
         (0..requests.min(20_000)).for_each(|_| self.requests.add(now));
--- a/crates/traffic/src/keeping.rs
+++ b/crates/traffic/src/keeping.rs
@@ -161,7 +161,14 @@
 
     /// This router's hold had lapsed: other homes have taken over. What was never dispatched goes back
     /// to its front, which has moved on if it could, so that nothing old is sent after a new beginning.
+    /// Should this be home again, it is as one that comes anew: it waits for the table of the home between.
     pub(crate) fn lapsed(&mut self) {
+        let now = self.now;
+        for desk in self.desks.values_mut() {
+            desk.risk.be_careful(now);
+            desk.budget.be_careful(now);
+            (desk.adopting, desk.begun) = (Some((now, false)), None);
+        }
         let undone: Vec<u64> = self
             .tasks
             .iter()
--- a/crates/traffic/src/risk.rs
+++ b/crates/traffic/src/risk.rs
@@ -27,6 +27,11 @@
         Risk { turned: Window::new(LENGTH), sent: BTreeMap::new(), usual: USUAL, careful_until: now + LENGTH + LONGEST }
     }
 
+    /// Another home may have been here meanwhile.
+    pub fn be_careful(&mut self, now: Duration) {
+        self.careful_until = now + LENGTH + LONGEST;
+    }
+
     /// The home before told how many were turned away lately.
     pub fn take_over(&mut self, now: Duration, turned: u32) {
         self.careful_until = now;
--- a/crates/traffic/tests/keeping.rs
+++ b/crates/traffic/tests/keeping.rs
@@ -133,3 +133,21 @@
     let outputs = home.step(ms(4), true, HomeInput::Carry { from: OTHER, message: table(1, 0, "i1") });
     assert!(!dispatched(&outputs), "its key is being released");
 }
+
+#[test]
+fn a_home_that_had_lapsed_waits_for_the_table_of_the_home_between() {
+    let mut home = after_the_crash(Some(table(1, 1, "i1")));
+    home.step(ms(3000), false, HomeInput::Lapsed);
+    assert!(!dispatched(&home.step(ms(3001), true, HomeInput::Carry { from: OTHER, message: task(7) })));
+    let CarryMsg::Table { table: mut between } = table(2, 0, "i2") else { panic!("a table") };
+    between.turned = 9;
+    let handed = CarryMsg::Table { table: between.clone() };
+    assert!(
+        !dispatched(&home.step(ms(3002), true, HomeInput::Carry { from: OTHER, message: handed })),
+        "nine were turned away"
+    );
+    assert!(
+        dispatched(&home.step(ms(8100), true, HomeInput::Tick))
+            || dispatched(&home.step(ms(8200), true, HomeInput::Carry { from: OTHER, message: task(9) }))
+    );
+}
