--- a/crates/control/src/core.rs
+++ b/crates/control/src/core.rs
@@ -9,12 +9,9 @@
 use holds::Sessions;
 use std::collections::{BTreeMap, VecDeque};
 use std::time::Duration;
-use wire::Command;
-use wire::{ChainMsg, HoldMsg, NodeId, OpNo, View};
+use wire::{ChainMsg, HoldMsg, NodeId, View};
 
 const PUSH_EVERY: Duration = Duration::from_millis(40);
-/// A duty may be entered twice without harm; one that was lost on the way holds up the others no longer.
-const DUTY: Duration = Duration::from_millis(1500);
 
 #[derive(Clone, Debug)]
 pub struct CoreTiming {
@@ -192,45 +189,6 @@
         }
     }
 
-    /// What was on its way to the head of the view before may be lost with it. Duties are begun anew, and
-    /// a change is entered again: under its operation id it takes effect once.
-    fn enter_again(&mut self) {
-        self.waits.retain(|_, (wait, _)| !matches!(wait, Wait::Duty));
-        let again = self.waits.extract_if(.., |_, (wait, _)| matches!(wait, Wait::Change { .. }));
-        for (_, (wait, due)) in again.collect::<Vec<_>>() {
-            let Wait::Change { body, .. } = &wait else { continue };
-            let body = body.clone();
-            self.next_op += 1;
-            let number = self.next_op;
-            self.waits.insert(number, (wait, due));
-            self.chain(Input::Enter { op: OpNo { origin: self.me(), number }, body });
-        }
-    }
-
-    pub(crate) fn enter(&mut self, wait: Wait, command: &Command) {
-        self.enter_raw(wait, wire::to_bytes(command));
-    }
-
-    pub(crate) fn enter_raw(&mut self, wait: Wait, body: Vec<u8>) {
-        self.next_op += 1;
-        let number = self.next_op;
-        let due = self.now + if matches!(wait, Wait::Duty) { DUTY } else { self.timing.call };
-        self.waits.insert(number, (wait, due));
-        self.chain(Input::Enter { op: OpNo { origin: self.me(), number }, body });
-    }
-
-    fn done(&mut self, op: OpNo, entered: bool, receipt: Vec<u8>) {
-        let Some((wait, _)) = self.waits.remove(&op.number) else { return };
-        match wait {
-            Wait::Duty => {}
-            Wait::Router { to, ask } => {
-                let message = HoldMsg::EnterReceipt { ask, state: entered as u8, body: receipt.into() };
-                self.outs.push(CoreOutput::Router { to, message });
-            }
-            Wait::Change { ask, op, .. } => self.change_done(ask, op, entered, &receipt),
-        }
-    }
-
     fn tick(&mut self) {
         let now = self.now;
         let late: Vec<u64> = self.waits.iter().filter(|(_, (_, due))| now > *due).map(|(op, _)| *op).collect();
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -12,6 +12,7 @@
 mod control_loop;
 mod core;
 mod duties;
+mod entering;
 mod faults;
 mod keys;
 mod operators;
