Drop a door opener and a wrapper that nothing needed

`doors::open` had no caller, and the simulator's `operator_reply` only passed its words on. No change of behaviour.

Seen: clippy over the workspace and the tests of doors pass; of the simulator only the build was checked.

--- a/crates/doors/src/serve.rs
+++ b/crates/doors/src/serve.rs
@@ -10,7 +10,7 @@
 use std::time::Duration;
 use tokio::net::TcpListener;
 use tokio::sync::{Semaphore, watch};
-use tokio::task::{JoinSet, spawn_local};
+use tokio::task::JoinSet;
 
 #[derive(Clone, Copy, Debug)]
 pub struct DoorLimits {
@@ -86,13 +86,3 @@
         Permit { room: self }
     }
 }
-
-/// Runs a door's loop on the thread's local set.
-pub fn open(
-    listener: TcpListener,
-    router: Router,
-    limits: DoorLimits,
-    stop: watch::Receiver<bool>,
-) -> tokio::task::JoinHandle<()> {
-    spawn_local(serve(listener, router, limits, stop))
-}
--- a/crates/sim/src/registry_node.rs
+++ b/crates/sim/src/registry_node.rs
@@ -3,7 +3,7 @@
 use crate::world::{Event, Place, TICK, World};
 use bindings::Book;
 use chain::{Batch, Member, Stored, Timing, apply_batch};
-use control::{ApiReply, Core, CoreInput, CoreOutput, CoreTiming, Planner};
+use control::{Core, CoreInput, CoreOutput, CoreTiming, Planner};
 use rand::RngExt;
 use std::time::Duration;
 use wire::{Message, NodeId, PlanMsg, Seat};
@@ -163,7 +163,7 @@
                 self.registries[n].pending = Some((ticket, batch));
                 self.after(wait, Event::Written { registry: n, life, ticket });
             }
-            CoreOutput::Reply { ask, reply } => self.operator_reply(n, ask, reply),
+            CoreOutput::Reply { ask, reply } => self.operator_answer(n, ask, reply),
             CoreOutput::Viewed { view } => {
                 self.say(|| {
                     let chain: Vec<String> = view.chain.iter().map(|id| format!("{:04x}", id >> 48)).collect();
@@ -184,8 +184,4 @@
             }
         }
     }
-
-    pub fn operator_reply(&mut self, n: usize, ask: u64, reply: ApiReply) {
-        self.operator_answer(n, ask, reply);
-    }
 }
