--- a/crates/sim/src/world.rs
+++ b/crates/sim/src/world.rs
@@ -28,7 +28,7 @@
     Tick { at: Place, life: u64 },
     Frame { to: Place, life: u64, from: NodeId, incarnation: u64, message: Message },
     Written { registry: usize, life: u64, ticket: u64 },
-    Platform { router: usize, life: u64, report: platform::PlatformReport, listed_at: Duration },
+    Platform { router: usize, life: u64, report: supply::SupplyReport, listed_at: Duration },
     InstanceDone { number: u64 },
     Listing,
     Link { router: usize, id: NodeId, up: bool },
--- a/crates/sim/src/yard.rs
+++ b/crates/sim/src/yard.rs
@@ -3,10 +3,10 @@
 
 use crate::router_node::Turn;
 use crate::world::{Event, World};
-use platform::{InstanceLine, Listing, PlatformOrder, PlatformReport, Probe, StartReceipt};
 use rand::RngExt;
 use std::collections::{BTreeMap, VecDeque};
 use std::time::{Duration, Instant};
+use supply::{InstanceLine, Listing, Probe, StartReceipt, SupplyOrder, SupplyReport};
 use traffic::{DispatchOrder, HomeInput, Verdict};
 use wire::{AnswerHead, RequestHead};
 
@@ -70,51 +70,51 @@
 }
 
 impl World {
-    pub fn platform_order(&mut self, n: usize, order: PlatformOrder) {
+    pub fn platform_order(&mut self, n: usize, order: SupplyOrder) {
         let lost = self.yard.unanswered > 0.0 && self.dice.random_bool(self.yard.unanswered);
         let wait = Duration::from_millis(self.dice.random_range(2..40));
         let life = self.routers[n].life;
         let taken = self.yard.takes_order(self.now);
         let report = match order {
-            PlatformOrder::Start { id, .. } if !taken => PlatformReport::Started { id, receipt: StartReceipt::Limited },
-            PlatformOrder::Stop { id } if !taken => PlatformReport::Stopped { id, taken: false },
-            PlatformOrder::Start { id, .. } if self.yard.instances.len() >= self.plan.instances => {
-                PlatformReport::Started { id, receipt: StartReceipt::NoMemory }
+            SupplyOrder::Start { id, .. } if !taken => SupplyReport::Started { id, receipt: StartReceipt::Limited },
+            SupplyOrder::Stop { id } if !taken => SupplyReport::Stopped { id, taken: false },
+            SupplyOrder::Start { id, .. } if self.yard.instances.len() >= self.plan.instances => {
+                SupplyReport::Started { id, receipt: StartReceipt::NoMemory }
             }
-            PlatformOrder::Start { id, service, .. } => {
+            SupplyOrder::Start { id, service, .. } => {
                 self.yard.starts += 1;
                 let boot = Duration::from_millis(self.dice.random_range(800..1500));
                 let ready_at = self.now + boot;
                 let instance = SimInstance { service, ready_at, busy: 0, leaving: false };
                 self.yard.instances.insert(id.clone(), instance);
                 if lost {
-                    let report = PlatformReport::Started { id, receipt: StartReceipt::Unanswered };
+                    let report = SupplyReport::Started { id, receipt: StartReceipt::Unanswered };
                     return self
                         .after(wait * 50, Event::Platform { router: n, life, report, listed_at: Duration::ZERO });
                 }
-                let probed = PlatformReport::Probed { id: id.clone(), probe: Probe::Ready };
+                let probed = SupplyReport::Probed { id: id.clone(), probe: Probe::Ready };
                 self.at(
                     ready_at + wait,
                     Event::Platform { router: n, life, report: probed, listed_at: Duration::ZERO },
                 );
-                PlatformReport::Started { id: id.clone(), receipt: StartReceipt::Accepted { address: id } }
+                SupplyReport::Started { id: id.clone(), receipt: StartReceipt::Accepted { address: id } }
             }
-            PlatformOrder::Stop { id } => {
+            SupplyOrder::Stop { id } => {
                 self.yard.instances.remove(&id);
-                PlatformReport::Stopped { id, taken: !lost }
+                SupplyReport::Stopped { id, taken: !lost }
             }
         };
         self.after(wait, Event::Platform { router: n, life, report, listed_at: Duration::ZERO });
     }
 
-    pub fn reported(&mut self, n: usize, life: u64, report: PlatformReport, listed_at: Duration) {
+    pub fn reported(&mut self, n: usize, life: u64, report: SupplyReport, listed_at: Duration) {
         if self.routers[n].life != life {
             return;
         }
         if let Some(until) = self.frozen_until(crate::world::Place::Router(n)) {
             return self.at(until, Event::Platform { router: n, life, report, listed_at });
         }
-        if let PlatformReport::Listed { listing, .. } = &report {
+        if let SupplyReport::Listed { listing, .. } = &report {
             for line in listing.instances.iter().filter(|line| line.state == "leaving") {
                 self.yard.told_gone.entry((n, line.id.clone())).or_insert(self.now);
             }
@@ -143,7 +143,7 @@
         for n in 0..self.routers.len() {
             if self.routers[n].alive() {
                 let (life, listed_at) = (self.routers[n].life, self.router_now(n));
-                let report = PlatformReport::Listed { listing: shown.clone(), asked: Instant::now() };
+                let report = SupplyReport::Listed { listing: shown.clone(), asked: Instant::now() };
                 let wait = Duration::from_millis(self.dice.random_range(1..30));
                 self.after(wait, Event::Platform { router: n, life, report, listed_at });
             }
--- a/crates/platform/src/watcher.rs
+++ b/crates/supply/src/watcher.rs
@@ -16,7 +16,7 @@
 const PROBE_FOR: Duration = Duration::from_secs(12);
 
 #[derive(Clone, Debug)]
-pub enum PlatformOrder {
+pub enum SupplyOrder {
     Start { id: String, service: String, memory_mb: u32 },
     Stop { id: String },
 }
@@ -28,7 +28,7 @@
 }
 
 #[derive(Clone, Debug)]
-pub enum PlatformReport {
+pub enum SupplyReport {
     Started { id: String, receipt: StartReceipt },
     Probed { id: String, probe: Probe },
     Stopped { id: String, taken: bool },
@@ -36,9 +36,9 @@
     ListFault,
 }
 
-pub type Report = Rc<dyn Fn(PlatformReport)>;
+pub type Report = Rc<dyn Fn(SupplyReport)>;
 
-pub async fn run(client: Client, mut orders: Inbox<PlatformOrder>, report: Report, list_every: Duration) {
+pub async fn run(client: Client, mut orders: Inbox<SupplyOrder>, report: Report, list_every: Duration) {
     spawn_local(list(client.clone(), report.clone(), list_every));
     let room = Rc::new(Semaphore::new(CALLS));
     while let Some(order) = orders.next().await {
@@ -46,16 +46,16 @@
         spawn_local(async move {
             let Ok(_permit) = room.acquire().await else { return };
             match order {
-                PlatformOrder::Start { id, service, memory_mb } => {
+                SupplyOrder::Start { id, service, memory_mb } => {
                     let receipt = client.start(&id, &service, memory_mb).await;
                     if let StartReceipt::Accepted { address } = &receipt {
                         spawn_local(probe(id.clone(), address.clone(), report.clone()));
                     }
-                    report(PlatformReport::Started { id, receipt });
+                    report(SupplyReport::Started { id, receipt });
                 }
-                PlatformOrder::Stop { id } => {
+                SupplyOrder::Stop { id } => {
                     let taken = client.stop(&id).await;
-                    report(PlatformReport::Stopped { id, taken });
+                    report(SupplyReport::Stopped { id, taken });
                 }
             }
         });
@@ -66,8 +66,8 @@
     loop {
         let asked = Instant::now();
         match client.list().await {
-            Some(listing) => report(PlatformReport::Listed { listing, asked }),
-            None => report(PlatformReport::ListFault),
+            Some(listing) => report(SupplyReport::Listed { listing, asked }),
+            None => report(SupplyReport::ListFault),
         }
         sleep(every).await;
     }
@@ -77,9 +77,9 @@
     let begun = Instant::now();
     while begun.elapsed() < PROBE_FOR {
         if let Ok(Ok(_stream)) = timeout(PROBE_TRY, TcpStream::connect(&address)).await {
-            return report(PlatformReport::Probed { id, probe: Probe::Ready });
+            return report(SupplyReport::Probed { id, probe: Probe::Ready });
         }
         sleep(PROBE_EVERY).await;
     }
-    report(PlatformReport::Probed { id, probe: Probe::Silent });
+    report(SupplyReport::Probed { id, probe: Probe::Silent });
 }
--- a/crates/traffic/src/home_types.rs
+++ b/crates/traffic/src/home_types.rs
@@ -3,9 +3,9 @@
 use crate::dispatch::{DispatchOrder, Verdict};
 use bindings::{Book, Class};
 use holds::Roster;
-use platform::{PlatformOrder, PlatformReport};
 use std::rc::Rc;
 use std::time::Duration;
+use supply::{SupplyOrder, SupplyReport};
 use wire::{CarryMsg, HoldMsg, MeasureLine, NodeId, PlanMsg, SampleLine};
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -18,7 +18,7 @@
     Carry { from: NodeId, message: CarryMsg },
     Dispatched { number: u64, verdict: Verdict },
     Ledger { message: HoldMsg },
-    Platform { report: PlatformReport, listed_at: Duration },
+    Platform { report: SupplyReport, listed_at: Duration },
     Plan { message: PlanMsg },
     Book { book: Rc<Book> },
     Roster { roster: Rc<Roster> },
@@ -33,7 +33,7 @@
     Enter { ask: u64, body: Vec<u8> },
     Read { ask: u64, prefix: String },
     Dispatch(DispatchOrder),
-    Platform(PlatformOrder),
+    Platform(SupplyOrder),
     PlanAsk { message: PlanMsg },
     Samples { lines: Vec<SampleLine> },
     Measures { lines: Vec<MeasureLine> },
--- a/crates/traffic/src/lib.rs
+++ b/crates/traffic/src/lib.rs
@@ -28,13 +28,13 @@
 mod passes;
 mod plane;
 mod plane_out;
-mod platform_side;
 mod risk;
 mod scale;
 mod service;
 mod settings;
 mod shelving;
 mod status;
+mod supply_side;
 mod tuned;
 
 pub use budget::{Budget, Window};
--- a/crates/traffic/src/plane.rs
+++ b/crates/traffic/src/plane.rs
@@ -12,10 +12,10 @@
 use holds::Roster;
 use kernel::{Inbox, Post};
 use links::{LinkEvent, LinkOrder};
-use platform::{PlatformOrder, PlatformReport};
 use std::collections::BTreeMap;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
+use supply::{SupplyOrder, SupplyReport};
 use tokio::sync::{oneshot, watch};
 use wire::{CarryMsg, DeferredRecord, HoldMsg, Message, NodeId, StoredAnswer};
 
@@ -28,7 +28,7 @@
     Status { id: String, reply: oneshot::Sender<Reply> },
     Link(LinkEvent),
     Dispatched { number: u64, verdict: Verdict },
-    Platform(PlatformReport),
+    Platform(SupplyReport),
     Book(Box<Book>),
     Roster(Box<Roster>),
     Core { tail: Option<NodeId>, near: bool, registries: Vec<NodeId> },
@@ -44,7 +44,7 @@
     pub home: Home,
     pub links: Post<LinkOrder>,
     pub dispatcher: Post<DispatchOrder>,
-    pub platform: Post<PlatformOrder>,
+    pub platform: Post<SupplyOrder>,
     pub view: watch::Sender<String>,
     pub shelving: Shelving,
     pub step: u64,
@@ -139,7 +139,7 @@
             }
             TrafficMsg::Platform(report) => {
                 let listed_at = match &report {
-                    PlatformReport::Listed { asked, .. } => asked.saturating_duration_since(self.begun),
+                    SupplyReport::Listed { asked, .. } => asked.saturating_duration_since(self.begun),
                     _ => Duration::ZERO,
                 };
                 self.turn(Turn::Home(HomeInput::Platform { report, listed_at }));
--- a/crates/traffic/src/scale.rs
+++ b/crates/traffic/src/scale.rs
@@ -6,9 +6,9 @@
 use crate::home_types::HomeOutput;
 use crate::instance::{Instance, InstanceEvent, Phase};
 use events::event;
-use platform::PlatformOrder;
 use scaler::Situation;
 use std::time::Duration;
+use supply::SupplyOrder;
 use wire::{PlanMsg, SampleLine};
 
 const EVERY: Duration = Duration::from_millis(100);
@@ -140,7 +140,7 @@
         desk.instances.insert(id.clone(), Instance::new(self.now, ""));
         let service = name.to_owned();
         let memory_mb = desk.function.memory_mb;
-        self.outs.push(HomeOutput::Platform(PlatformOrder::Start { id, service, memory_mb }));
+        self.outs.push(HomeOutput::Platform(SupplyOrder::Start { id, service, memory_mb }));
     }
 
     /// Takes the least busy out of use, those still starting first where nobody waits for them.
@@ -170,7 +170,7 @@
                     instance.stopping = Some(now);
                     self.stopped.insert(id.clone(), now);
                     event!(stop_ordered, "{id}");
-                    self.outs.push(HomeOutput::Platform(PlatformOrder::Stop { id: id.clone() }));
+                    self.outs.push(HomeOutput::Platform(SupplyOrder::Stop { id: id.clone() }));
                 }
             }
         }
--- a/crates/traffic/src/service.rs
+++ b/crates/traffic/src/service.rs
@@ -19,10 +19,10 @@
 use holds::{Follower, FollowerTiming, Standing, mix};
 use kernel::{Directory, adopt, behind, find, listen, local, thread, wait_for_signal};
 use links::{LinkEvent, LinkOrder, Me};
-use platform::{Client, PlatformOrder};
 use std::collections::{BTreeMap, BTreeSet};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
+use supply::{Client, SupplyOrder};
 use tokio::sync::watch;
 use tokio::task::spawn_local;
 use wire::{HoldMsg, Message, NodeId};
@@ -46,7 +46,7 @@
     let traffic_inbox = directory.announce::<TrafficMsg>("traffic", 16_384);
     let links_inbox = directory.announce::<LinkOrder>("links", 65_536);
     let dispatch_inbox = directory.announce::<DispatchOrder>("dispatcher", 8192);
-    let platform_inbox = directory.announce::<PlatformOrder>("platform", 4096);
+    let platform_inbox = directory.announce::<SupplyOrder>("platform", 4096);
     let (view, shown) = watch::channel(String::from("{}"));
     let (control_view, control_shown) = watch::channel(String::from("{}"));
     let tokens = Tokens::read(&settings.tokens, &settings.tokens_file)?;
@@ -77,11 +77,11 @@
     let (names, address, every) = (directory.clone(), settings.platform.clone(), settings.list_every);
     thread("platform", move || {
         let traffic = find::<TrafficMsg>(&names, "traffic");
-        let report: Rc<dyn Fn(platform::PlatformReport)> = Rc::new(move |report| {
+        let report: Rc<dyn Fn(supply::SupplyReport)> = Rc::new(move |report| {
             let traffic = traffic.clone();
             spawn_local(async move { traffic.send_waiting(TrafficMsg::Platform(report)).await });
         });
-        local(async move { platform::run(Client::new(&address), platform_inbox, report, every).await });
+        local(async move { supply::run(Client::new(&address), platform_inbox, report, every).await });
     })?;
     let (names, cell, starts) = (directory.clone(), pass.clone(), settings.starts_per_second);
     thread("traffic", move || {
--- a/crates/traffic/src/platform_side.rs
+++ b/crates/traffic/src/supply_side.rs
@@ -6,19 +6,19 @@
 use crate::home_types::HomeOutput;
 use crate::instance::{Instance, InstanceEvent, Phase};
 use events::event;
-use platform::{InstanceLine, Listing, PlatformOrder, PlatformReport, Probe, StartReceipt};
 use std::collections::BTreeMap;
 use std::time::Duration;
+use supply::{InstanceLine, Listing, Probe, StartReceipt, SupplyOrder, SupplyReport};
 
 const NO_MEMORY_PAUSE: Duration = Duration::from_millis(1000);
 const LIMITED_PAUSE: Duration = Duration::from_millis(250);
 const UNBOUND_LASTS: Duration = Duration::from_secs(15);
 
 impl Home {
-    pub(crate) fn platform(&mut self, report: PlatformReport, listed_at: Duration) {
+    pub(crate) fn platform(&mut self, report: SupplyReport, listed_at: Duration) {
         match report {
-            PlatformReport::Started { id, receipt } => self.started(&id, receipt),
-            PlatformReport::Probed { id, probe } => {
+            SupplyReport::Started { id, receipt } => self.started(&id, receipt),
+            SupplyReport::Probed { id, probe } => {
                 let now = self.now;
                 for desk in self.desks.values_mut() {
                     let Some(instance) = desk.instances.get_mut(&id) else { continue };
@@ -33,15 +33,15 @@
                     }
                 }
             }
-            PlatformReport::Stopped { id, taken } => {
+            SupplyReport::Stopped { id, taken } => {
                 if taken {
                     for desk in self.desks.values_mut() {
                         desk.instances.retain(|known, instance| *known != id || instance.busy > 0);
                     }
                 }
             }
-            PlatformReport::Listed { listing, .. } => self.listed(listing, listed_at),
-            PlatformReport::ListFault => event!(platform_refused, "list"),
+            SupplyReport::Listed { listing, .. } => self.listed(listing, listed_at),
+            SupplyReport::ListFault => event!(platform_refused, "list"),
         }
     }
 
@@ -67,7 +67,7 @@
             return;
         }
         if matches!(receipt, StartReceipt::Accepted { .. }) {
-            self.outs.push(HomeOutput::Platform(PlatformOrder::Stop { id: id.to_owned() }));
+            self.outs.push(HomeOutput::Platform(SupplyOrder::Stop { id: id.to_owned() }));
         }
     }
 
@@ -140,7 +140,7 @@
             if now > since + UNBOUND_LASTS && !self.stopped.contains_key(&id) {
                 self.stopped.insert(id.clone(), now);
                 event!(stop_ordered, "{id}, of a function bound no longer");
-                self.outs.push(HomeOutput::Platform(PlatformOrder::Stop { id }));
+                self.outs.push(HomeOutput::Platform(SupplyOrder::Stop { id }));
             }
         }
     }
--- a/crates/traffic/tests/front.rs
+++ b/crates/traffic/tests/front.rs
@@ -74,7 +74,7 @@
 
 #[test]
 fn a_task_that_cannot_be_served_in_time_is_refused_at_once_not_near_its_deadline() {
-    use platform::{PlatformReport, Probe, StartReceipt};
+    use supply::{Probe, StartReceipt, SupplyReport};
     use traffic::Verdict;
     let mut home = Home::new(OTHER, 1, HomeTiming::default());
     home.step(ms(0), true, HomeInput::Book { book: book() });
@@ -90,8 +90,8 @@
         let report = |report| HomeInput::Platform { report, listed_at: ms(at) };
         if let Some(id) = instance.take() {
             let receipt = StartReceipt::Accepted { address: "10.9.9.9:1".into() };
-            inputs.push(report(PlatformReport::Started { id: String::clone(&id), receipt }));
-            inputs.push(report(PlatformReport::Probed { id, probe: Probe::Ready }));
+            inputs.push(report(SupplyReport::Started { id: String::clone(&id), receipt }));
+            inputs.push(report(SupplyReport::Probed { id, probe: Probe::Ready }));
         }
         let done = running.iter().position(|(_, due)| at >= *due).map(|place| running.remove(place));
         if let Some((number, _)) = done {
@@ -101,7 +101,7 @@
         for output in inputs.into_iter().flat_map(|input| home.step(ms(at), true, input)).collect::<Vec<_>>() {
             match output {
                 HomeOutput::Dispatch(order) => running.push((order.number, at + 500)),
-                HomeOutput::Platform(platform::PlatformOrder::Start { id, .. }) => instance = Some(id),
+                HomeOutput::Platform(supply::SupplyOrder::Start { id, .. }) => instance = Some(id),
                 HomeOutput::Carry {
                     message: CarryMsg::Carried { outcome: Outcome::NotRun, retry_after, .. }, ..
                 } => {
