Let a scaler's step and its fits a second be chosen, fifteen seconds as before

Cause: the users' deployments live for minutes and their instances start in a second; at a step of fifteen seconds a plan follows nothing there.

Change: windows, the optimizer and the tuner are told their step. The defaults are what they were.

--- a/crates/env/src/line.rs
+++ b/crates/env/src/line.rs
@@ -10,8 +10,14 @@
     Say { words: String, code: u8 },
 }
 
-fn open<S: Settings>(program: &str, about: &str, version: &str) -> Opening<S> {
-    match parse::<S>(program, about, version, lexopt::Parser::from_env()) {
+fn open<S: Settings>(
+    program: &str,
+    about: &str,
+    version: &str,
+    given: Vec<(String, String)>,
+    line: lexopt::Parser,
+) -> Opening<S> {
+    match parse::<S>(program, about, version, given, line) {
         Ok(opening) => opening,
         Err(words) => Opening::Say { words: format!("{program}: {words}"), code: 2 },
     }
@@ -25,7 +31,20 @@
     version: &str,
     work: impl FnOnce(S) -> Result<(), (u8, String)>,
 ) -> ExitCode {
-    match open::<S>(name, about, version) {
+    program_given(name, about, version, Vec::new(), lexopt::Parser::from_env(), work)
+}
+
+/// The same with some settings given beforehand, as by whoever starts the program in words of its own;
+/// the settings file and the flags go before them.
+pub fn program_given<S: Settings>(
+    name: &str,
+    about: &str,
+    version: &str,
+    given: Vec<(String, String)>,
+    line: lexopt::Parser,
+    work: impl FnOnce(S) -> Result<(), (u8, String)>,
+) -> ExitCode {
+    match open::<S>(name, about, version, given, line) {
         Opening::Run(settings) => match work(settings) {
             Ok(()) => ExitCode::SUCCESS,
             Err((code, fault)) => {
@@ -48,6 +67,7 @@
     program: &str,
     about: &str,
     version: &str,
+    given: Vec<(String, String)>,
     mut line: lexopt::Parser,
 ) -> Result<Opening<S>, String> {
     let names: Vec<&str> = S::help().iter().map(|(name, ..)| *name).collect();
@@ -77,8 +97,10 @@
             other => return Err(other.unexpected().to_string()),
         }
     }
-    let settings =
-        Source::new(&file, flags).and_then(|source| S::read(&source)).map_err(|f: SettingFault| f.to_string())?;
+    let settings = Source::new(&file, flags)
+        .map(|source| source.below(given))
+        .and_then(|source| S::read(&source))
+        .map_err(|f: SettingFault| f.to_string())?;
     if check {
         let lines: Vec<String> = settings.shown().iter().map(|(name, value)| shown(name, value)).collect();
         return Ok(Opening::Say { words: format!("settings are in order\n{}", lines.join("\n")), code: 0 });
--- a/crates/env/src/parse.rs
+++ b/crates/env/src/parse.rs
@@ -119,6 +119,14 @@
         Ok(Source { words })
     }
 
+    /// Adds what is not said already.
+    pub fn below(mut self, given: Vec<(String, String)>) -> Source {
+        for (name, value) in given {
+            self.words.entry(name).or_insert(value);
+        }
+        self
+    }
+
     pub fn find(&self, name: &str) -> Option<String> {
         self.words.get(name).cloned()
     }
--- a/crates/scaler/src/optimizer.rs
+++ b/crates/scaler/src/optimizer.rs
@@ -19,17 +19,30 @@
     pub fault: Option<String>,
 }
 
-#[derive(Default)]
 pub struct Optimizer {
     pub tuner: Tuner,
+    step: Duration,
+    fits_per_second: f64,
     windows: BTreeMap<String, Window>,
     fits_left: f64,
     refilled: Duration,
 }
 
+impl Default for Optimizer {
+    fn default() -> Self {
+        Optimizer::new(STEP, FITS_PER_SECOND)
+    }
+}
+
 impl Optimizer {
+    pub fn new(step: Duration, fits_per_second: f64) -> Optimizer {
+        let (windows, tuner) = (BTreeMap::new(), Tuner::new(step));
+        Optimizer { tuner, step, fits_per_second, windows, fits_left: 0.0, refilled: Duration::ZERO }
+    }
+
     pub fn sample(&mut self, now: Duration, function: &str, sample: Sample) {
-        self.windows.entry(function.to_owned()).or_default().take(now, sample);
+        let step = self.step;
+        self.windows.entry(function.to_owned()).or_insert_with(|| Window::new(step)).take(now, sample);
     }
 
     /// Forgets functions that are bound no longer.
@@ -47,13 +60,14 @@
         limit: Duration,
     ) -> Planned {
         let sheet = self.tuner.in_force(function);
-        let gained = now.saturating_sub(self.refilled).as_secs_f64() * FITS_PER_SECOND;
-        self.fits_left = (self.fits_left + gained).min(FITS_PER_SECOND);
+        let gained = now.saturating_sub(self.refilled).as_secs_f64() * self.fits_per_second;
+        self.fits_left = (self.fits_left + gained).min(self.fits_per_second.max(1.0));
         self.refilled = now;
         let sheet = &sheet;
         let delay = sheet.startup_delay_steps as usize;
         let steps = delay + HORIZON;
-        let window = self.windows.entry(function.name.clone()).or_default();
+        let step = self.step;
+        let window = self.windows.entry(function.name.clone()).or_insert_with(|| Window::new(step));
         let left = &mut self.fits_left;
         let mut may_fit = || {
             let may = *left >= 1.0;
@@ -76,11 +90,11 @@
             limit,
         };
         match plan(&task) {
-            Ok(found) => Planned { desired: found.counts[delay..].to_vec(), step: STEP, fault: None },
+            Ok(found) => Planned { desired: found.counts[delay..].to_vec(), step, fault: None },
             Err(fault) => {
                 let present = demand.iter().any(|d| *d > 0.0);
                 let count = fallback(current, present, function.min, function.max);
-                Planned { desired: vec![count], step: STEP, fault: Some(fault.to_string()) }
+                Planned { desired: vec![count], step, fault: Some(fault.to_string()) }
             }
         }
     }
--- a/crates/scaler/src/tuner.rs
+++ b/crates/scaler/src/tuner.rs
@@ -47,8 +47,8 @@
     calm: u32,
 }
 
-#[derive(Default)]
 pub struct Tuner {
+    step: Duration,
     tracks: BTreeMap<String, Track>,
 }
 
@@ -63,8 +63,8 @@
         Track { tuned, declared: sheet.clone(), boot: Duration::ZERO, agreeing: 0, rest: 0, calm: 0 }
     }
 
-    fn take(&mut self, measure: Measure) {
-        self.follow_boots(measure);
+    fn take(&mut self, measure: Measure, step: Duration) {
+        self.follow_boots(measure, step);
         let short = measure.refused > 0 || measure.turned > 0 || measure.waiting > WAITING;
         self.calm = if short { 0 } else { self.calm + 1 };
         self.rest = self.rest.saturating_sub(1);
@@ -100,10 +100,10 @@
         }
     }
 
-    fn follow_boots(&mut self, measure: Measure) {
+    fn follow_boots(&mut self, measure: Measure, step: Duration) {
         let Some(bounds) = self.declared.delay_bounds().filter(|_| measure.boots > 0) else { return };
         self.boot = if self.boot.is_zero() { measure.boot } else { (self.boot * 3 + measure.boot) / 4 };
-        let seen = (self.boot.as_secs_f64() / STEP.as_secs_f64()).ceil().max(1.0);
+        let seen = (self.boot.as_secs_f64() / step.as_secs_f64()).ceil().max(1.0);
         let wanted = bounds.keep(seen) as u32;
         let steps = self.tuned.startup_delay_steps;
         self.agreeing = if wanted == steps { 0 } else { self.agreeing + 1 };
@@ -115,13 +115,24 @@
     }
 }
 
+impl Default for Tuner {
+    fn default() -> Self {
+        Tuner::new(STEP)
+    }
+}
+
 impl Tuner {
+    /// `step` is the time between two measures of a function.
+    pub fn new(step: Duration) -> Tuner {
+        Tuner { step, tracks: BTreeMap::new() }
+    }
+
     pub fn take(&mut self, function: &Function, measure: Measure) {
         let track = self.tracks.entry(function.name.clone()).or_insert_with(|| Track::new(&function.sheet));
         if track.declared != function.sheet {
             *track = Track::new(&function.sheet);
         }
-        track.take(measure);
+        track.take(measure, self.step);
     }
 
     /// Goes on from what an earlier host had in force.
--- a/crates/scaler/src/window.rs
+++ b/crates/scaler/src/window.rs
@@ -1,10 +1,11 @@
-//! One function's window: up to 240 minutes of samples at a fifteen-second step, and the fit kept
+//! One function's window: 960 samples, which are 240 minutes at the usual fifteen-second step, and the fit kept
 //! from it for five minutes, as long as the newest ten observations stay within half of its mean.
 
 use crate::forecast::{Forecast, Model, persistence};
 use std::collections::VecDeque;
 use std::time::Duration;
 
+/// The step where none is set.
 pub const STEP: Duration = Duration::from_secs(15);
 pub const LENGTH: usize = 240 * 60 / 15;
 const FIT_LASTS: Duration = Duration::from_secs(300);
@@ -18,8 +19,8 @@
     pub held: f64,
 }
 
-#[derive(Default)]
 pub struct Window {
+    step: Duration,
     samples: VecDeque<Sample>,
     first: u32,
     fitted: Option<(Model, Duration, f64)>,
@@ -27,11 +28,21 @@
     newest: Option<Duration>,
 }
 
+impl Default for Window {
+    fn default() -> Self {
+        Window::new(STEP)
+    }
+}
+
 impl Window {
+    pub fn new(step: Duration) -> Window {
+        Window { step, samples: VecDeque::new(), first: 0, fitted: None, failed: None, newest: None }
+    }
+
     /// Takes a sample; steps that brought none are filled with the sample before.
     pub fn take(&mut self, now: Duration, sample: Sample) {
         if let Some(newest) = self.newest {
-            let missed = (now.saturating_sub(newest).as_secs_f64() / STEP.as_secs_f64()).round() as usize;
+            let missed = (now.saturating_sub(newest).as_secs_f64() / self.step.as_secs_f64()).round() as usize;
             let before = self.samples.back().copied().unwrap_or_default();
             for _ in 1..missed.min(LENGTH) {
                 self.push(before);
@@ -68,22 +79,22 @@
             Some((_, at, fitted_mean)) => {
                 now > *at + FIT_LASTS || (mean - fitted_mean).abs() > 0.5 * fitted_mean.abs().max(0.1)
             }
-            None => self.failed.is_none_or(|at| now > at + STEP),
+            None => self.failed.is_none_or(|at| now > at + self.step),
         }
     }
 
     /// Forecasts the rate; fits only where `may_fit` lets it, else uses the fit there is.
     pub fn forecast(&mut self, now: Duration, steps: usize, may_fit: &mut dyn FnMut() -> bool) -> Forecast {
         let rates: Vec<f64> = self.samples.iter().map(|sample| sample.rate).collect();
-        let from = STEP * self.first;
+        let (step, from) = (self.step, self.step * self.first);
         if self.needs_fit(now, &rates) && may_fit() {
             let recent = &rates[rates.len().saturating_sub(RECENT)..];
             let mean = recent.iter().sum::<f64>() / recent.len().max(1) as f64;
-            self.fitted = Model::fit(&rates, from, STEP).map(|model| (model, now, mean));
+            self.fitted = Model::fit(&rates, from, step).map(|model| (model, now, mean));
             self.failed = self.fitted.is_none().then_some(now);
         }
         match &self.fitted {
-            Some((model, ..)) => model.forecast(&rates, from, STEP, steps),
+            Some((model, ..)) => model.forecast(&rates, from, step, steps),
             None => persistence(&rates, steps),
         }
     }
