--- a/crates/env/src/lib.rs
+++ b/crates/env/src/lib.rs
@@ -7,7 +7,7 @@
 mod rules;
 
 pub use lexopt;
-pub use line::{program, program_given};
+pub use line::{Reread, program, program_given};
 pub use parse::{FromWords, Source};
 pub use rules::{address, address_or_none, addresses, any, in_range, non_empty, seeds, word};
 
--- a/crates/env/src/line.rs
+++ b/crates/env/src/line.rs
@@ -3,6 +3,7 @@
 
 use crate::{SettingFault, Settings, Source};
 use lexopt::prelude::*;
+use std::ffi::OsString;
 use std::process::ExitCode;
 
 enum Opening<S> {
@@ -10,56 +11,58 @@
     Say { words: String, code: u8 },
 }
 
-fn open<S: Settings>(
-    program: &str,
-    about: &str,
-    version: &str,
-    given: Vec<(String, String)>,
-    line: lexopt::Parser,
-) -> Opening<S> {
-    match parse::<S>(program, about, version, given, line) {
-        Ok(opening) => opening,
-        Err(words) => Opening::Say { words: format!("{program}: {words}"), code: 2 },
-    }
-}
+/// Reads the settings anew, as whoever started the program would give them now.
+pub type Reread<S> = Box<dyn Fn() -> Result<S, String>>;
 
 /// A daemon's whole main: reads its settings, says what is to be said, else works until it ends.
 /// The work's fault comes with its exit code.
-pub fn program<S: Settings>(
-    name: &str,
-    about: &str,
-    version: &str,
-    work: impl FnOnce(S) -> Result<(), (u8, String)>,
+pub fn program<S: Settings + 'static>(
+    name: &'static str,
+    about: &'static str,
+    version: &'static str,
+    work: impl FnOnce(S, Reread<S>) -> Result<(), (u8, String)>,
 ) -> ExitCode {
-    program_given(name, about, version, Vec::new(), lexopt::Parser::from_env(), work)
+    let line: Vec<OsString> = std::env::args_os().skip(1).collect();
+    program_given(name, about, version, || Ok(Vec::new()), line, work)
 }
 
 /// The same with some settings given beforehand, as by whoever starts the program in words of its own;
 /// the settings file and the flags go before them.
-pub fn program_given<S: Settings>(
-    name: &str,
-    about: &str,
-    version: &str,
-    given: Vec<(String, String)>,
-    line: lexopt::Parser,
-    work: impl FnOnce(S) -> Result<(), (u8, String)>,
+pub fn program_given<S: Settings + 'static>(
+    name: &'static str,
+    about: &'static str,
+    version: &'static str,
+    given: impl Fn() -> Result<Vec<(String, String)>, String> + 'static,
+    line: Vec<OsString>,
+    work: impl FnOnce(S, Reread<S>) -> Result<(), (u8, String)>,
 ) -> ExitCode {
-    match open::<S>(name, about, version, given, line) {
-        Opening::Run(settings) => match work(settings) {
-            Ok(()) => ExitCode::SUCCESS,
-            Err((code, fault)) => {
-                eprintln!("{name}: {fault}");
-                ExitCode::from(code)
+    let read = move || parse::<S>(name, about, version, given()?, lexopt::Parser::from_args(line.clone()));
+    match read() {
+        Ok(Opening::Run(settings)) => {
+            let again = move || match read()? {
+                Opening::Run(settings) => Ok(settings),
+                Opening::Say { words, .. } => Err(words),
+            };
+            match work(settings, Box::new(again)) {
+                Ok(()) => ExitCode::SUCCESS,
+                Err((code, fault)) => {
+                    eprintln!("{name}: {fault}");
+                    ExitCode::from(code)
+                }
             }
-        },
-        Opening::Say { words, code: 0 } => {
+        }
+        Ok(Opening::Say { words, code: 0 }) => {
             println!("{words}");
             ExitCode::SUCCESS
         }
-        Opening::Say { words, code } => {
+        Ok(Opening::Say { words, code }) => {
             eprintln!("{words}");
             ExitCode::from(code)
         }
+        Err(fault) => {
+            eprintln!("{name}: {fault}");
+            ExitCode::from(2)
+        }
     }
 }
 
--- a/crates/registry/src/main.rs
+++ b/crates/registry/src/main.rs
@@ -6,7 +6,7 @@
 const ABOUT: &str = "keeps heronlink's shared state: configuration, holds, the run-once ledger, stored tasks";
 
 fn main() -> ExitCode {
-    env::program("registry", ABOUT, env!("CARGO_PKG_VERSION"), |settings: RegistryEnv| {
+    env::program("registry", ABOUT, env!("CARGO_PKG_VERSION"), |settings: RegistryEnv, _| {
         events::setup(&settings.log_level, &settings.log_file)
             .map_err(|fault| (2, format!("setting log_file = {}: {fault}", settings.log_file)))?;
         control::run(settings).map_err(|fault| (1, fault.to_string()))
--- a/crates/router/src/main.rs
+++ b/crates/router/src/main.rs
@@ -6,7 +6,7 @@
 const ABOUT: &str = "meets callers, carries tasks to their homes and runs instances to match the plan";
 
 fn main() -> ExitCode {
-    env::program("router", ABOUT, env!("CARGO_PKG_VERSION"), |settings: RouterEnv| {
+    env::program("router", ABOUT, env!("CARGO_PKG_VERSION"), |settings: RouterEnv, _| {
         events::setup(&settings.log_level, &settings.log_file)
             .map_err(|fault| (2, format!("setting log_file = {}: {fault}", settings.log_file)))?;
         traffic::run(settings).map_err(|fault| (1, fault.to_string()))
