Declare functions, hosts, shares, caller bounds and revisions

Bindings gain a host, routes that end with a slash, shares by weight, aims, attempts, ranks and notes; functions and caller bounds are kinds of their own. A change may declare its revision, and a refusal no longer stands in the way of the same change asked again. Entries of format 2 keep their meaning; the new entry is written from format 3 on. Class single is carried like ordinary for now.

--- a/crates/bindings/src/book.rs
+++ b/crates/bindings/src/book.rs
@@ -1,8 +1,14 @@
 //! A configuration as a router reads it: routes to bindings, functions with their limits, sheet
 //! and bounds. It is built anew for each revision and shared from then on.
 
-use crate::resources::{Class, FunctionBinding, HeadcountPlan, Kind, WeightSheet};
+use crate::declarations::{CallerBounds, FunctionDeclaration};
+use crate::resources::{Class, FunctionBinding, HeadcountPlan, Kind, WeightSheet, rank};
+use crate::routes::Routes;
+use serde::de::DeserializeOwned;
 use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+const BOOT: Duration = Duration::from_secs(1);
 
 #[derive(Clone, Debug)]
 pub struct Function {
@@ -16,82 +22,105 @@
     pub fixed: Option<u32>,
     pub player_weight: f64,
     pub sheet: WeightSheet,
+    /// How long an instance takes to start, on average.
+    pub boot: Duration,
+    /// The shortest aim of its bindings.
+    pub aim: Option<Duration>,
+    /// The highest rank of its bindings, 0 before all others.
+    pub rank: u32,
+    /// The most connections that one instance takes from all routers together.
+    pub connections: u32,
+    /// The most instances that a task of any of its bindings may be sent to.
+    pub attempts: u32,
 }
 
 #[derive(Clone, Debug, Default)]
 pub struct Book {
     pub revision: u64,
     pub step: u64,
-    routes: BTreeMap<String, String>,
-    bindings: BTreeMap<String, FunctionBinding>,
+    routes: Routes,
+    bindings: Vec<(String, FunctionBinding)>,
     functions: BTreeMap<String, Function>,
+    bounds: Option<CallerBounds>,
     deferred: BTreeSet<String>,
     raw: BTreeMap<String, Vec<u8>>,
 }
 
+#[derive(Default)]
+struct Read {
+    sheets: BTreeMap<String, WeightSheet>,
+    plans: BTreeMap<String, HeadcountPlan>,
+    declarations: BTreeMap<String, FunctionDeclaration>,
+}
+
+fn put<T: DeserializeOwned>(list: &mut BTreeMap<String, T>, name: &str, value: &[u8]) {
+    if let Ok(read) = serde_json::from_slice(value) {
+        list.insert(name.to_owned(), read);
+    }
+}
+
 impl Book {
     pub fn build<'a>(step: u64, revision: u64, pairs: impl Iterator<Item = (&'a str, &'a [u8])>) -> Book {
         let mut book = Book { revision, step, ..Book::default() };
-        let mut sheets: BTreeMap<String, WeightSheet> = BTreeMap::new();
-        let mut plans: BTreeMap<String, HeadcountPlan> = BTreeMap::new();
+        let mut read = Read::default();
+        let mut bindings: BTreeMap<String, FunctionBinding> = BTreeMap::new();
         for (key, value) in pairs {
             let Some((kind, name)) = key.split_once('/') else { continue };
             book.raw.insert(key.to_owned(), value.to_vec());
             match Kind::from_word(kind) {
-                Some(Kind::FunctionBinding) => {
-                    if let Ok(binding) = serde_json::from_slice::<FunctionBinding>(value) {
-                        book.routes.insert(binding.route.clone(), name.to_owned());
-                        book.bindings.insert(name.to_owned(), binding);
+                Some(Kind::FunctionBinding) => put(&mut bindings, name, value),
+                Some(Kind::WeightSheet) => put(&mut read.sheets, name, value),
+                Some(Kind::HeadcountPlan) => put(&mut read.plans, name, value),
+                Some(Kind::Function) => put(&mut read.declarations, name, value),
+                Some(Kind::Bounds) => {
+                    if let Ok(bounds) = serde_json::from_slice::<CallerBounds>(value) {
+                        book.bounds = Some(book.bounds.take().unwrap_or_default().least(&bounds));
                     }
                 }
-                Some(Kind::WeightSheet) => {
-                    drop(serde_json::from_slice(value).map(|s| sheets.insert(name.to_owned(), s)))
-                }
-                Some(Kind::HeadcountPlan) => {
-                    drop(serde_json::from_slice(value).map(|p| plans.insert(name.to_owned(), p)))
-                }
                 None => {}
             }
         }
-        for (name, binding) in &book.bindings {
+        for (name, declaration) in &read.declarations {
+            let function = read.function(name, Some(declaration), None);
+            book.functions.insert(name.clone(), function);
+        }
+        for (place, (name, binding)) in bindings.into_iter().enumerate() {
+            book.routes.put(&binding.host, &binding.route, place);
             let tenant = name.split('/').next().unwrap_or_default().to_owned();
-            let function_name = format!("{tenant}/{}", binding.function);
-            if binding.class == Class::Deferred {
-                book.deferred.insert(function_name.clone());
+            for (service, _) in binding.functions() {
+                book.bind(&read, format!("{tenant}/{service}"), &binding);
             }
-            let plan = plans.get(&function_name).cloned().unwrap_or_default();
-            let max = plan.max.unwrap_or(binding.max).min(binding.max);
-            let function = Function {
-                name: function_name.clone(),
-                tenant,
-                service: binding.function.clone(),
-                instance_limit: binding.instance_limit,
-                memory_mb: binding.memory_mb,
-                min: plan.min.unwrap_or(binding.min).min(max),
-                max,
-                fixed: plan.fixed,
-                player_weight: binding.player_weight,
-                sheet: sheets.get(&function_name).cloned().unwrap_or_default(),
-            };
-            let known = book.functions.entry(function_name).or_insert_with(|| function.clone());
-            known.player_weight = known.player_weight.max(function.player_weight);
+            book.bindings.push((name, binding));
+        }
+        for function in book.functions.values_mut().filter(|function| read.declarations.contains_key(&function.name)) {
+            function.keep_warm(&read);
         }
         book
     }
 
-    /// The longest bound route that is the path itself or a whole leading part of it.
-    pub fn find_route(&self, path: &str) -> Option<(&str, &FunctionBinding)> {
-        let mut rest = path;
-        loop {
-            if let Some(name) = self.routes.get(rest) {
-                return Some((name, self.bindings.get(name)?));
-            }
-            rest = &rest[..rest.rfind('/')?];
+    fn bind(&mut self, read: &Read, name: String, binding: &FunctionBinding) {
+        if binding.class == Class::Deferred {
+            self.deferred.insert(name.clone());
         }
+        let known =
+            self.functions.entry(name).or_insert_with_key(|name| read.function(name, None, Some(binding)));
+        let aim = binding.aim_ms.map(|aim| Duration::from_millis(aim.into()));
+        let first = known.attempts == 0;
+        known.player_weight = if first { binding.player_weight } else { known.player_weight.max(binding.player_weight) };
+        known.aim = known.aim.into_iter().chain(aim).min();
+        known.rank = if first { binding.rank } else { known.rank.min(binding.rank) };
+        known.attempts = known.attempts.max(binding.attempts);
+    }
+
+    /// The longest route of the host, or else of no host in particular, that the path belongs to.
+    pub fn find_route(&self, host: &str, path: &str) -> Option<(&str, &FunctionBinding)> {
+        let (name, binding) = self.bindings.get(self.routes.find(host, path)?)?;
+        Some((name, binding))
     }
 
     pub fn binding(&self, name: &str) -> Option<&FunctionBinding> {
-        self.bindings.get(name)
+        let place = self.bindings.binary_search_by(|(known, _)| known.as_str().cmp(name)).ok()?;
+        self.bindings.get(place).map(|(_, binding)| binding)
     }
     pub fn function(&self, name: &str) -> Option<&Function> {
         self.functions.get(name)
@@ -102,11 +131,65 @@
     pub fn takes_deferred(&self, function: &str) -> bool {
         self.deferred.contains(function)
     }
+    /// The least bounds on callers, if any tenant declares some.
+    pub fn bounds(&self) -> Option<&CallerBounds> {
+        self.bounds.as_ref()
+    }
     /// The resources as they were declared, by kind/tenant/name.
     pub fn declared(&self) -> impl Iterator<Item = (&str, &[u8])> {
         self.raw.iter().map(|(key, value)| (key.as_str(), value.as_slice()))
     }
     pub fn routes(&self) -> usize {
-        self.routes.len()
+        self.routes.count()
+    }
+}
+
+impl Read {
+    /// A function as it is declared itself, or else as the first binding that sends to it says.
+    fn function(
+        &self,
+        name: &str,
+        declared: Option<&FunctionDeclaration>,
+        binding: Option<&FunctionBinding>,
+    ) -> Function {
+        let (tenant, service) = name.split_once('/').unwrap_or_default();
+        let from_binding = |binding: &FunctionBinding| FunctionDeclaration {
+            memory_mb: binding.memory_mb,
+            instance_limit: binding.instance_limit,
+            min: binding.min,
+            max: binding.max,
+            ..FunctionDeclaration::default()
+        };
+        let shape = declared.cloned().or_else(|| binding.map(from_binding)).unwrap_or_default();
+        let plan = self.plans.get(name).cloned().unwrap_or_default();
+        let max = plan.max.unwrap_or(shape.max).min(shape.max);
+        Function {
+            name: name.to_owned(),
+            tenant: tenant.to_owned(),
+            service: service.to_owned(),
+            instance_limit: shape.instance_limit,
+            memory_mb: shape.memory_mb,
+            min: plan.min.unwrap_or(shape.min).min(max),
+            max,
+            fixed: plan.fixed,
+            player_weight: 1.0,
+            sheet: self.sheets.get(name).cloned().unwrap_or_default(),
+            boot: shape.boot_ms.map_or(BOOT, |boot| Duration::from_millis(boot.into())),
+            aim: None,
+            rank: rank(),
+            connections: shape.connections.unwrap_or(u32::MAX),
+            attempts: 0,
+        }
+    }
+}
+
+impl Function {
+    /// A declared function that a cold start could never serve within its aim keeps one instance at
+    /// least, unless an operator's plan says otherwise.
+    fn keep_warm(&mut self, read: &Read) {
+        let planned = read.plans.get(&self.name).is_some_and(|plan| plan.min.is_some());
+        if !planned && self.aim.is_some_and(|aim| aim < self.boot) {
+            self.min = self.min.max(1).min(self.max);
+        }
     }
 }
--- a/crates/control/src/api.rs
+++ b/crates/control/src/api.rs
@@ -3,7 +3,7 @@
 
 use crate::api_calls::{ApiCall, ApiReply};
 use crate::api_views::{metrics, ready, status, watch_view};
-use crate::service::ControlMsg;
+use crate::dialect::Operators;
 use axum::Router;
 use axum::body::Bytes;
 use axum::extract::{DefaultBodyLimit, Path, State};
@@ -12,16 +12,13 @@
 use axum::routing::{get, put};
 use bindings::Kind;
 use doors::Tokens;
-use kernel::Post;
 use serde_json::{Map, Value, json};
-use tokio::sync::{oneshot, watch};
 use wire::ItemLine;
 
 #[derive(Clone)]
 pub struct Api {
-    pub control: Post<ControlMsg>,
+    pub operators: Operators,
     pub tokens: Tokens,
-    pub view: watch::Receiver<String>,
 }
 
 pub fn router(api: Api, body: usize) -> Router {
@@ -68,19 +65,6 @@
         self.tokens.scope(headers.get(header::AUTHORIZATION).and_then(|value| value.to_str().ok()))
     }
 
-    pub(crate) async fn ask(&self, call: ApiCall) -> ApiReply {
-        let (reply, told) = oneshot::channel();
-        let busy = || {
-            let mut reply = ApiReply::new(503, json!({"outcome": "not-run", "fault": "too busy"}));
-            reply.retry_after = Some(1);
-            reply
-        };
-        if self.control.send(ControlMsg::Call { call, reply }).is_err() {
-            return busy();
-        }
-        told.await.unwrap_or_else(|_| ApiReply::new(504, json!({"outcome": "unknown", "fault": "stopping"})))
-    }
-
     async fn change(&self, headers: &HeaderMap, uri: &Uri, whole: bool, items: Vec<ItemLine>) -> Response {
         let dry = uri.query().is_some_and(|query| query.split('&').any(|part| part == "dry-run=true"));
         let Some(scope) = self.scope(headers) else { return refuse(401, "a bearer token is needed") };
@@ -97,7 +81,13 @@
         if env::word(&op).is_err() {
             return refuse(400, "Operation-Id is 1 to 64 letters, digits, '-', '_' or '.'");
         }
-        let reply = self.ask(ApiCall::Change { op: op.clone(), base, whole, scope, items, dry }).await;
+        let revision = match text("revision").map(|number| number.trim().parse::<u64>()) {
+            None => None,
+            Some(Ok(revision)) if revision > 0 => Some(revision),
+            Some(_) => return refuse(400, "Revision is the number the change declares, 1 or more"),
+        };
+        let call = ApiCall::Change { op: op.clone(), base, revision, whole, scope, items, dry };
+        let reply = self.operators.ask(call).await;
         if reply.status != 200 {
             events::event!(change_refused, "operation {op}: {}", reply.status);
         }
@@ -114,17 +104,17 @@
     if api.scope(&headers).is_none() {
         return refuse(401, "a bearer token is needed");
     }
-    answer(api.ask(ApiCall::Operation { op }).await, None)
+    answer(api.operators.ask(ApiCall::Operation { op }).await, None)
 }
 
 async fn read(State(api): State<Api>, headers: HeaderMap) -> Response {
     let Some(scope) = api.scope(&headers) else { return refuse(401, "a bearer token is needed") };
-    answer(api.ask(ApiCall::Configuration { scope }).await, None)
+    answer(api.operators.ask(ApiCall::Configuration { scope }).await, None)
 }
 
 async fn read_part(api: &Api, headers: &HeaderMap, pointer: &str) -> Response {
     let Some(scope) = api.scope(headers) else { return refuse(401, "a bearer token is needed") };
-    let mut reply = api.ask(ApiCall::Configuration { scope }).await;
+    let mut reply = api.operators.ask(ApiCall::Configuration { scope }).await;
     if reply.status == 200 {
         let whole: Value = serde_json::from_str(&reply.body).unwrap_or_default();
         match whole.pointer(pointer) {
@@ -177,10 +167,7 @@
             continue;
         }
         let (Some(_), Value::Object(list)) = (Kind::from_word(kind), list) else {
-            return refuse(
-                422,
-                &format!("{kind}: kinds are function-bindings, weight-sheets, headcount-plans, each an object"),
-            );
+            return refuse(422, &format!("{kind}: kinds are {}, each an object", Kind::words()));
         };
         items.extend(list.iter().map(|(name, value)| item(&format!("{kind}/{name}"), Some(value))));
     }
--- a/crates/control/src/api_calls.rs
+++ b/crates/control/src/api_calls.rs
@@ -4,7 +4,18 @@
 
 #[derive(Clone, Debug)]
 pub enum ApiCall {
-    Change { op: String, base: Option<u64>, whole: bool, scope: String, items: Vec<ItemLine>, dry: bool },
+    Change {
+        op: String,
+        base: Option<u64>,
+        /// The number the change declares for its revision; without, it gets the next.
+        revision: Option<u64>,
+        whole: bool,
+        scope: String,
+        items: Vec<ItemLine>,
+        dry: bool,
+    },
+    /// The latest revision, in force or not, and some of its resources as this registry has them.
+    Latest { keys: Vec<String> },
     Configuration { scope: String },
     Operation { op: String },
     Status,
--- a/crates/control/src/api_views.rs
+++ b/crates/control/src/api_views.rs
@@ -11,9 +11,7 @@
 use tokio::sync::watch;
 
 pub async fn ready(State(api): State<Api>) -> Response {
-    let view: Value = serde_json::from_str(&api.view.borrow()).unwrap_or_default();
-    let chained = view["role"].as_str().is_some_and(|role| role != "out");
-    if chained {
+    if api.operators.is_ready() {
         "ready\n".into_response()
     } else {
         (StatusCode::SERVICE_UNAVAILABLE, "not in the chain\n").into_response()
@@ -21,7 +19,7 @@
 }
 
 pub async fn metrics(State(api): State<Api>) -> String {
-    let view: Value = serde_json::from_str(&api.view.borrow()).unwrap_or_default();
+    let view: Value = serde_json::from_str(&api.operators.view.borrow()).unwrap_or_default();
     let mut page = String::new();
     for (name, at) in [
         ("view_number", "/view/number"),
@@ -41,8 +39,8 @@
     }
     let members = view["members"].as_array().map_or(0, Vec::len);
     page.push_str(&format!("heronlink_registry_members {members}\n"));
-    page.push_str(&format!("heronlink_registry_inbox_depth {}\n", api.control.depth()));
-    page.push_str(&format!("heronlink_registry_inbox_refused_total {}\n", api.control.refused()));
+    page.push_str(&format!("heronlink_registry_inbox_depth {}\n", api.operators.control.depth()));
+    page.push_str(&format!("heronlink_registry_inbox_refused_total {}\n", api.operators.control.refused()));
     page
 }
 
@@ -50,14 +48,14 @@
     if api.scope(&headers).is_none() {
         return refuse(401, "a bearer token is needed");
     }
-    answer(api.ask(ApiCall::Status).await, None)
+    answer(api.operators.ask(ApiCall::Status).await, None)
 }
 
 pub async fn watch_view(State(api): State<Api>, headers: HeaderMap) -> Response {
     if api.scope(&headers).as_deref() != Some("") {
         return refuse(401, "a bearer token for all tenants is needed");
     }
-    let mut view = api.view.clone();
+    let mut view = api.operators.view.clone();
     view.mark_changed();
     let lines = Lines { view };
     ([(header::CONTENT_TYPE, "application/x-ndjson")], Body::new(lines.into_body())).into_response()
--- a/crates/control/src/apply.rs
+++ b/crates/control/src/apply.rs
@@ -1,7 +1,7 @@
 //! What an entry does to the state. The same entry on the same state gives the same changes and
 //! the same receipt on every member; nothing here reads a clock, a file or a random number.
 
-use crate::apply_change::{activate, change, quorum};
+use crate::apply_change::{Change, activate, change, declare, quorum};
 use crate::apply_member::{join, lapse, leaving, tick};
 use crate::apply_task::{claim, finish, release, settle, store};
 use crate::keys;
@@ -45,7 +45,12 @@
 fn carry_out(draft: &mut Draft, command: Command) -> Receipt {
     match command {
         Command::Change { op, base, any, whole, scope, items } => {
-            change(draft, op.as_str(), (any == 0).then_some(base), whole != 0, scope.as_str(), items.into_vec())
+            let (base, whole, items) = ((any == 0).then_some(base), whole != 0, items.as_slice());
+            change(draft, op.as_str(), &Change { base, revision: 0, whole, scope: scope.as_str(), items })
+        }
+        Command::Declare { op, base, any, whole, revision, scope, items } => {
+            let (base, whole, items) = ((any == 0).then_some(base), whole != 0, items.as_slice());
+            declare(draft, op.as_str(), &Change { base, revision, whole, scope: scope.as_str(), items })
         }
         Command::Quorum { after, members } => quorum(draft, after, members.into_vec()),
         Command::Activate { step } => activate(draft, step),
--- a/crates/control/src/apply_change.rs
+++ b/crates/control/src/apply_change.rs
@@ -1,5 +1,5 @@
 //! Configuration: compare-and-set on the latest revision, checked whole, kept as a numbered step
-//! until it is activated. A change asked again under its operation id gets its first receipt.
+//! until it is activated. A taken change asked again under its operation id gets its first receipt.
 
 use crate::api_calls::ApiReply;
 use crate::apply::Draft;
@@ -16,32 +16,72 @@
 const STEP_BYTES: usize = 5 * 1024 * 1024;
 const RESOURCES: usize = 50_000;
 
-pub fn change(
-    draft: &mut Draft,
-    op: &str,
-    base: Option<u64>,
-    whole: bool,
-    scope: &str,
-    items: Vec<ItemLine>,
-) -> Receipt {
-    let op_key = format!("o/{op}");
-    if let Some(known) = draft.state.get(&op_key).and_then(|raw| wire::from_bytes::<OpRecord>(raw)) {
-        return known.receipt;
-    }
-    let receipt = match draw_up(draft, base, whole, scope, items) {
-        Ok(changed) => stage(draft, changed),
+/// A change as it is checked: on which revision, under which number of its own, of what.
+pub struct Change<'a> {
+    pub base: Option<u64>,
+    /// The revision it declares, or 0 for the next.
+    pub revision: u64,
+    pub whole: bool,
+    pub scope: &'a str,
+    pub items: &'a [ItemLine],
+}
+
+fn known(draft: &Draft, key: &str) -> Option<Receipt> {
+    draft.state.get(key).and_then(|raw| wire::from_bytes::<OpRecord>(raw)).map(|record| record.receipt)
+}
+
+fn carry_out(draft: &mut Draft, change: &Change) -> Receipt {
+    match draw_up(draft, change) {
+        Ok(changed) => stage(draft, change.revision, changed),
         Err((status, body)) => Receipt::Refused { status, body: body.into_bytes().into() },
-    };
-    draft.put(op_key.clone(), wire::to_bytes(&OpRecord { receipt: receipt.clone() }));
-    draft.expire(&op_key, OP_TICKS);
+    }
+}
+
+fn remember(draft: &mut Draft, key: &str, receipt: Receipt) {
+    draft.put(key, wire::to_bytes(&OpRecord { receipt }));
+    draft.expire(key, OP_TICKS);
+}
+
+/// An entry of format 2, whose refusal is remembered like a taken change.
+pub fn change(draft: &mut Draft, op: &str, change: &Change) -> Receipt {
+    let key = format!("{}{op}", keys::TAKEN);
+    if let Some(receipt) = known(draft, &key) {
+        return receipt;
+    }
+    let receipt = carry_out(draft, change);
+    remember(draft, &key, receipt.clone());
     receipt
 }
 
+/// Only a taken change is answered by what it was; one that was refused is looked at anew when it is
+/// asked again, since it may fit by then. That it was refused is kept for whoever looks it up.
+pub fn declare(draft: &mut Draft, op: &str, change: &Change) -> Receipt {
+    let key = format!("{}{op}", keys::TAKEN);
+    if let Some(receipt @ Receipt::Changed { .. }) = known(draft, &key) {
+        return receipt;
+    }
+    let receipt = carry_out(draft, change);
+    match &receipt {
+        Receipt::Refused { status, .. } => {
+            let bare = Receipt::Refused { status: *status, body: Vec::new().into() };
+            remember(draft, &format!("{}{op}", keys::REFUSED), bare);
+        }
+        _ => remember(draft, &key, receipt.clone()),
+    }
+    receipt
+}
+
+/// What became of an operation, as far as it is known here.
+pub fn outcome(state: &State, op: &str) -> Option<Receipt> {
+    let draft = Draft { state, changes: Vec::new() };
+    known(&draft, &format!("{}{op}", keys::TAKEN)).or_else(|| known(&draft, &format!("{}{op}", keys::REFUSED)))
+}
+
 /// The whole check of a change on the state as it is, and what it would come to; nothing is changed.
-pub fn dry_run(state: &State, base: Option<u64>, whole: bool, scope: &str, items: Vec<ItemLine>) -> ApiReply {
+pub fn dry_run(state: &State, change: &Change) -> ApiReply {
     let draft = Draft { state, changes: Vec::new() };
     let revision = draft.number(keys::LATEST_REVISION);
-    let mut reply = match draw_up(&draft, base, whole, scope, items) {
+    let mut reply = match draw_up(&draft, change) {
         Ok(changed) => {
             let keys = |gone: u8| {
                 let of_it = changed.iter().filter(move |item| (item.gone != 0) == (gone != 0));
@@ -60,21 +100,23 @@
 
 type Refusal = (u16, String);
 
-fn draw_up(
-    draft: &Draft,
-    base: Option<u64>,
-    whole: bool,
-    scope: &str,
-    items: Vec<ItemLine>,
-) -> Result<Vec<ItemLine>, Refusal> {
-    let revision = draft.number(keys::LATEST_REVISION);
-    if base.is_some_and(|base| base != revision) {
-        return Err((412, format!("{{\"fault\":\"stale revision\",\"latest\":{revision}}}")));
+fn refusal(status: u16, path: &str, fault: impl Into<String>) -> Refusal {
+    let told = Fault { path: path.to_owned(), fault: fault.into() };
+    (status, serde_json::to_string(&[told]).unwrap_or_default())
+}
+
+fn draw_up(draft: &Draft, change: &Change) -> Result<Vec<ItemLine>, Refusal> {
+    let Change { base, whole, scope, items, .. } = *change;
+    let latest = draft.number(keys::LATEST_REVISION);
+    if base.is_some_and(|base| base != latest) {
+        return Err((412, format!("{{\"fault\":\"stale revision\",\"latest\":{latest}}}")));
+    }
+    if change.revision != 0 && change.revision <= latest {
+        return Err(refusal(422, "revision", format!("above {latest}, which is the latest")));
     }
     let in_scope = |key: &str| scope.is_empty() || key.split('/').nth(1) == Some(scope);
     if let Some(item) = items.iter().find(|item| !in_scope(item.key.as_str())) {
-        let told = Fault { path: item.key.as_str().into(), fault: "another tenant's resource".into() };
-        return Err((403, serde_json::to_string(&[told]).unwrap_or_default()));
+        return Err(refusal(403, item.key.as_str(), "another tenant's resource"));
     }
     let mut pairs: BTreeMap<&str, &[u8]> = keys::with_prefix(draft.state, keys::LATEST_PAIRS)
         .map(|(key, value)| (&key[keys::LATEST_PAIRS.len()..], &value[..]))
@@ -87,7 +129,7 @@
             changed.insert(key, ItemLine { key: key.into(), gone: 1, value: Vec::new().into() });
         }
     }
-    for item in &items {
+    for item in items {
         let key = item.key.as_str();
         if item.gone != 0 {
             pairs.remove(key);
@@ -107,8 +149,7 @@
     }
     let bytes: usize = changed.iter().map(|(key, item)| key.len() + item.value.as_slice().len() + 16).sum();
     if bytes > STEP_BYTES {
-        let told = Fault { path: String::new(), fault: format!("a change of up to {STEP_BYTES} bytes; part it") };
-        return Err((413, serde_json::to_string(&[told]).unwrap_or_default()));
+        return Err(refusal(413, "", format!("a change of up to {STEP_BYTES} bytes; part it")));
     }
     let latest = |key: &str| draft.state.get(&format!("{}{key}", keys::LATEST_PAIRS));
     changed.retain(|key, item| match latest(key) {
@@ -118,8 +159,8 @@
     Ok(changed.into_values().collect())
 }
 
-fn stage(draft: &mut Draft, items: Vec<ItemLine>) -> Receipt {
-    let revision = draft.number(keys::LATEST_REVISION) + 1;
+fn stage(draft: &mut Draft, declared: u64, items: Vec<ItemLine>) -> Receipt {
+    let revision = if declared != 0 { declared } else { draft.number(keys::LATEST_REVISION).saturating_add(1) };
     for item in &items {
         let key = format!("{}{}", keys::LATEST_PAIRS, item.key.as_str());
         if item.gone != 0 {
--- a/crates/control/src/control_loop.rs
+++ b/crates/control/src/control_loop.rs
@@ -144,7 +144,7 @@
         }
     }
 
-    /// The three kinds as this registry holds them, with what is tuned beside what was declared.
+    /// The kinds as this registry holds them, with what is tuned beside what was declared.
     fn show_kinds(&mut self) {
         let state = self.core.state();
         let revision = keys::number(state, keys::ACTIVE_REVISION);
--- a/crates/control/src/core.rs
+++ b/crates/control/src/core.rs
@@ -74,6 +74,7 @@
 pub struct Core {
     pub(crate) member: Member,
     pub(crate) timing: CoreTiming,
+    pub(crate) format: u16,
     pub(crate) now: Duration,
     pub(crate) outs: Vec<CoreOutput>,
     pub(crate) sessions: Sessions,
@@ -98,6 +99,7 @@
         Core {
             member,
             timing,
+            format: wire::FORMAT,
             now: Duration::ZERO,
             outs: Vec::new(),
             sessions: Sessions::default(),
@@ -118,6 +120,12 @@
         }
     }
 
+    /// Enters nothing that a program of this format could not read.
+    pub fn speaking(mut self, format: u16) -> Self {
+        self.format = format;
+        self
+    }
+
     pub fn member(&self) -> &Member {
         &self.member
     }
--- /dev/null
+++ b/crates/control/src/dialect.rs
@@ -0,0 +1,48 @@
+//! How operators' pages in words other than the product's own are put beside it: a program hands in
+//! what makes them, and they ask the core through a handle that can be cloned.
+
+use crate::api_calls::{ApiCall, ApiReply};
+use crate::service::ControlMsg;
+use axum::Router;
+use kernel::Post;
+use serde_json::{Value, json};
+use tokio::sync::{oneshot, watch};
+
+pub type MakePages = Box<dyn FnOnce(Operators) -> Router + Send>;
+
+/// Further pages for operators and where they are served; by default there are none.
+#[derive(Default)]
+pub struct ControlDialect {
+    pub pages: Option<MakePages>,
+    pub pages_address: Option<String>,
+}
+
+/// What operators' pages ask of a registry.
+#[derive(Clone)]
+pub struct Operators {
+    pub(crate) control: Post<ControlMsg>,
+    pub(crate) view: watch::Receiver<String>,
+}
+
+impl Operators {
+    pub async fn ask(&self, call: ApiCall) -> ApiReply {
+        let (reply, told) = oneshot::channel();
+        if self.control.send(ControlMsg::Call { call, reply }).is_err() {
+            let mut reply = ApiReply::new(503, json!({"outcome": "not-run", "fault": "too busy"}));
+            reply.retry_after = Some(1);
+            return reply;
+        }
+        told.await.unwrap_or_else(|_| ApiReply::new(504, json!({"outcome": "unknown", "fault": "stopping"})))
+    }
+
+    /// This registry's view of the system as JSON, as it changes.
+    pub fn view(&self) -> watch::Receiver<String> {
+        self.view.clone()
+    }
+
+    /// Whether this registry is in the chain, and so can take changes.
+    pub fn is_ready(&self) -> bool {
+        let view: Value = serde_json::from_str(&self.view.borrow()).unwrap_or_default();
+        view["role"].as_str().is_some_and(|role| role != "out")
+    }
+}
--- a/crates/control/src/keys.rs
+++ b/crates/control/src/keys.rs
@@ -16,6 +16,8 @@
 pub const ACTIVE_PAIRS: &str = "a/";
 pub const LATEST_PAIRS: &str = "l/";
 pub const MEMBERS: &str = "r/";
+pub const TAKEN: &str = "o/";
+pub const REFUSED: &str = "q/";
 
 pub fn number(state: &State, key: &str) -> u64 {
     state.get(key).and_then(|value| value[..].try_into().ok()).map_or(0, u64::from_le_bytes)
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -11,6 +11,7 @@
 mod apply_task;
 mod control_loop;
 mod core;
+mod dialect;
 mod duties;
 mod entering;
 mod faults;
@@ -25,6 +26,7 @@
 
 pub use api_calls::{ApiCall, ApiReply};
 pub use apply::apply;
+pub use dialect::{ControlDialect, MakePages, Operators};
 pub use core::{Core, CoreInput, CoreOutput, CoreTiming};
 pub use faults::RunFault;
 pub use keys::{member_key, number};
--- a/crates/control/src/operators.rs
+++ b/crates/control/src/operators.rs
@@ -3,7 +3,7 @@
 //! A read goes to the tail, in pieces, all of one step.
 
 use crate::api_calls::{ApiCall, ApiReply};
-use crate::apply_change;
+use crate::apply_change::{self, Change};
 use crate::core::{Core, CoreOutput, Wait};
 use crate::keys;
 use bindings::Kind;
@@ -11,9 +11,11 @@
 use serde_json::{Map, Value, json};
 use std::collections::BTreeMap;
 use std::time::Duration;
-use wire::{Command, OpRecord, Receipt};
+use wire::{Command, Receipt};
 use wire::{HoldMsg, ItemLine};
 
+/// The format that first knew declared revisions.
+const DECLARES: u16 = 3;
 const CALLS: usize = 256;
 const READ_AGAIN: Duration = Duration::from_millis(400);
 
@@ -63,22 +65,32 @@
             return self.busy(ask, "this registry is not in the chain at present; ask another");
         }
         match call {
-            ApiCall::Change { base, whole, scope, items, dry: true, .. } => {
-                let reply = apply_change::dry_run(self.member.state(), base, whole, &scope, items);
+            ApiCall::Change { base, revision, whole, scope, items, dry: true, .. } => {
+                let (revision, scope, items) = (revision.unwrap_or_default(), scope.as_str(), items.as_slice());
+                let change = Change { base, revision, whole, scope, items };
+                let reply = apply_change::dry_run(self.member.state(), &change);
                 self.reply(ask, reply);
             }
-            ApiCall::Change { op, base, whole, scope, items, .. } => {
-                let command = Command::Change {
-                    op: op.as_str().into(),
-                    base: base.unwrap_or_default(),
-                    any: base.is_none() as u8,
-                    whole: whole as u8,
-                    scope: scope.into(),
-                    items: items.into(),
+            ApiCall::Change { op, base, revision, whole, scope, items, .. } => {
+                let (name, scope, items) = (op.as_str().into(), scope.into(), items.into());
+                let (base, any, whole) = (base.unwrap_or_default(), base.is_none() as u8, whole as u8);
+                let command = match (self.format, revision) {
+                    (..DECLARES, None) => Command::Change { op: name, base, any, whole, scope, items },
+                    (..DECLARES, Some(_)) => {
+                        return self.busy(ask, "revisions are declared once every registry speaks the newest format");
+                    }
+                    _ => {
+                        let revision = revision.unwrap_or_default();
+                        Command::Declare { op: name, base, any, whole, revision, scope, items }
+                    }
                 };
                 let body = wire::to_bytes(&command);
                 self.enter_raw(Wait::Change { ask, op, body: body.clone() }, body);
             }
+            ApiCall::Latest { keys } => {
+                let reply = self.latest(&keys);
+                self.reply(ask, reply);
+            }
             ApiCall::Configuration { scope } => {
                 let due = self.now + self.timing.call;
                 let read = ReadJob { scope, step: None, pairs: BTreeMap::new(), asked: self.now, due };
@@ -86,8 +98,7 @@
                 self.read_on(ask, String::new());
             }
             ApiCall::Operation { op } => {
-                let known = self.state().get(&format!("o/{op}")).and_then(|raw| wire::from_bytes::<OpRecord>(raw));
-                let reply = match known.map(|record| record.receipt) {
+                let reply = match apply_change::outcome(self.state(), &op) {
                     Some(Receipt::Changed { step, revision }) if step <= self.effective => {
                         ApiReply::new(200, json!({"operation": op, "outcome": "in-force", "revision": revision}))
                     }
@@ -105,6 +116,21 @@
         }
     }
 
+    /// What this member of the chain has of the latest revision. A change that was taken is on every
+    /// member, so whoever builds on it finds it here; an older look is refused when its change is entered.
+    fn latest(&self, keys: &[String]) -> ApiReply {
+        let state = self.member.state();
+        let read = |key: &String| {
+            let raw = state.get(&format!("{}{key}", keys::LATEST_PAIRS))?;
+            Some((key.clone(), serde_json::from_slice::<Value>(raw).ok()?))
+        };
+        let items: Map<String, Value> = keys.iter().filter_map(read).collect();
+        let revision = keys::number(state, keys::LATEST_REVISION);
+        let mut reply = ApiReply::new(200, json!({"revision": revision, "items": items}));
+        reply.revision = Some(revision);
+        reply
+    }
+
     pub(crate) fn change_done(&mut self, ask: u64, op: String, entered: bool, receipt: &[u8]) {
         if !entered {
             return self.busy(ask, "the chain takes no changes at the moment; nothing was changed");
--- a/crates/control/src/service.rs
+++ b/crates/control/src/service.rs
@@ -6,10 +6,13 @@
 use crate::apply::apply;
 use crate::control_loop::Control;
 use crate::core::{Core, CoreTiming};
+use crate::dialect::{ControlDialect, Operators};
 use crate::faults::RunFault;
 use crate::operators::stored_document;
 use crate::optimizer::{self, Host, OptimizerMsg};
 use crate::settings::RegistryEnv;
+use axum::Router;
+use axum::extract::DefaultBodyLimit;
 use chain::{Disk, Member, Store, StoreFault, Timing};
 use doors::{DoorLimits, Shelf, Tokens, Views};
 use events::event;
@@ -17,7 +20,9 @@
 use links::{LinkEvent, LinkOrder, Me};
 use std::collections::BTreeMap;
 use std::io::Write;
+use std::net::TcpListener;
 use std::rc::Rc;
+use std::thread::JoinHandle;
 use std::time::{Duration, Instant};
 use tokio::sync::{oneshot, watch};
 use wire::{Message, Seat, TunedLine};
@@ -30,7 +35,7 @@
     Stop,
 }
 
-pub fn run(settings: RegistryEnv) -> Result<(), RunFault> {
+pub fn run(settings: RegistryEnv, dialect: ControlDialect) -> Result<(), RunFault> {
     let incarnation = rand::random::<u64>() >> 8;
     let file = settings.data.join("registry.redb");
     if settings.show && !file.exists() {
@@ -46,6 +51,7 @@
     }
     let peers = listen(behind(&settings.bind, &settings.address))?;
     let operators = listen(&settings.api)?;
+    let dialect_listener = dialect.pages_address.as_deref().map(listen).transpose()?;
     let seat = Seat { id: stored.meta.seat.id, address: settings.address.as_str().into() };
     let me = seat.id;
     event!(started, "registry {me:016x} at {}, operators at {}", settings.address, settings.api);
@@ -79,9 +85,13 @@
         life,
         grace: Duration::from_secs(1),
     };
-    let pages = api::router(Api { control: control.clone(), tokens, view: shown }, body).merge(kinds);
-    let api_thread =
-        thread("api", move || local(async move { doors::serve(adopt(operators), pages, limits, stopping).await }))?;
+    let asking = Operators { control: control.clone(), view: shown };
+    let own = api::router(Api { operators: asking.clone(), tokens }, body).merge(kinds);
+    let mut doors = vec![serve("api", operators, own, limits, stopping.clone())?];
+    if let (Some(make), Some(listener)) = (dialect.pages, dialect_listener) {
+        let pages = make(asking).layer(DefaultBodyLimit::max(body));
+        doors.push(serve("pages", listener, pages, limits, stopping)?);
+    }
     let host = Host {
         me,
         solve: settings.solve,
@@ -98,7 +108,7 @@
     .map_err(RunFault::Disk)?;
     let member = Member::new(seat, stored, Timing::default(), apply, Duration::ZERO);
     let timing = CoreTiming { call: settings.call, ..CoreTiming::for_hold(settings.hold) };
-    let core = Core::new(member, timing, incarnation << 20);
+    let core = Core::new(member, timing, incarnation << 20).speaking(settings.format);
     let work = Control {
         core,
         disk,
@@ -114,12 +124,22 @@
     };
     local(work.run(control, control_inbox));
     let _ = stop.send(true);
-    let _ = api_thread.join();
+    doors.into_iter().for_each(|door| _ = door.join());
     event!(stopped);
     Ok(())
 }
 
-async fn run_links(names: Directory, me: Me, listener: std::net::TcpListener, orders: Inbox<LinkOrder>) {
+fn serve(
+    name: &str,
+    listener: TcpListener,
+    pages: Router,
+    limits: DoorLimits,
+    stop: watch::Receiver<bool>,
+) -> Result<JoinHandle<()>, RunFault> {
+    Ok(thread(name, move || local(async move { doors::serve(adopt(listener), pages, limits, stop).await }))?)
+}
+
+async fn run_links(names: Directory, me: Me, listener: TcpListener, orders: Inbox<LinkOrder>) {
     let control = find::<ControlMsg>(&names, "control");
     let optimizer = find::<OptimizerMsg>(&names, "optimizer");
     let deliver: links::Deliver = Rc::new(move |event| {
--- a/crates/doors/src/kinds.rs
+++ b/crates/doors/src/kinds.rs
@@ -1,4 +1,4 @@
-//! What the three kinds look like in a view: the resource as declared, and beside it what controllers
+//! What the kinds look like in a view: the resource as declared, and beside it what controllers
 //! made of it.
 
 use serde_json::{Value, json};
--- a/crates/doors/src/lib.rs
+++ b/crates/doors/src/lib.rs
@@ -1,5 +1,5 @@
 //! The doors: HTTP/1.1 connections taken in within bounds, the bearer tokens that scope what is seen,
-//! and the pages every node has alike: its view of the three kinds, and a live watch of it.
+//! and the pages every node has alike: its view of the declared kinds, and a live watch of it.
 
 mod kinds;
 mod serve;
--- a/crates/doors/src/views.rs
+++ b/crates/doors/src/views.rs
@@ -1,4 +1,4 @@
-//! Any node's view of the three kinds, and a live watch of it: the same pages on registries and
+//! Any node's view of the kinds, and a live watch of it: the same pages on registries and
 //! routers, each reader within the scope of its token.
 
 use crate::shelf::{Filter, Shelf, in_scope};
--- a/crates/heron/src/folder.rs
+++ b/crates/heron/src/folder.rs
@@ -8,7 +8,7 @@
 use std::path::{Path, PathBuf};
 
 const DEPTH: usize = 8;
-const KINDS: [&str; 3] = ["function-bindings", "weight-sheets", "headcount-plans"];
+const KINDS: [&str; 5] = ["function-bindings", "weight-sheets", "headcount-plans", "functions", "bounds"];
 
 #[derive(Debug, Display, Error)]
 pub enum FolderFault {
--- a/crates/traffic/src/front.rs
+++ b/crates/traffic/src/front.rs
@@ -156,7 +156,7 @@
     /// Looks the route up anew each time: a waiting task follows the newest revision.
     fn resolve(&mut self, task: u64) -> bool {
         let (Some(book), Some(record)) = (self.book.clone(), self.table.get_mut(&task)) else { return false };
-        let Some((name, binding)) = book.find_route(&record.call.path) else {
+        let Some((name, binding)) = book.find_route("", &record.call.path) else {
             if record.doubt {
                 return false;
             }
--- a/crates/traffic/src/letting_in.rs
+++ b/crates/traffic/src/letting_in.rs
@@ -68,7 +68,7 @@
             return self.answer_own(number, Outcome::Unknown, 504, 2);
         }
         match bound.class {
-            Class::Ordinary => self.hold(number),
+            Class::Ordinary | Class::Single => self.hold(number),
             _ if !self.core_near => self.refuse(number),
             Class::Once => self.claim(number),
             Class::Deferred => self.store(number),
--- a/crates/traffic/src/passes.rs
+++ b/crates/traffic/src/passes.rs
@@ -140,13 +140,13 @@
                 self.settle(number, &answer);
                 self.answer_own(number, Outcome::Unknown, 504, 0);
             }
-            (Verdict::Whole { status, head, body, turned_away }, Class::Ordinary) => {
+            (Verdict::Whole { status, head, body, turned_away }, Class::Ordinary | Class::Single) => {
                 let again = turned_away && self.try_again(number);
                 if !again {
                     self.answer(number, Outcome::Answered, status, 0, head, body);
                 }
             }
-            (Verdict::InDoubt { .. }, Class::Ordinary) => {
+            (Verdict::InDoubt { .. }, Class::Ordinary | Class::Single) => {
                 if let Some(task) = self.tasks.get_mut(&number) {
                     task.reached = true;
                 }
--- a/crates/wire/src/ledger.rs
+++ b/crates/wire/src/ledger.rs
@@ -30,6 +30,9 @@
     Finish { id: Text, function: Text, answer: Blob },
     #[deku(id = "12")]
     Tick { number: u64 },
+    /// A change with the revision it declares, or 0 for the next; only a taken one is remembered.
+    #[deku(id = "13")]
+    Declare { op: Text, base: u64, any: u8, whole: u8, revision: u64, scope: Text, items: List<ItemLine> },
 }
 
 #[derive(Clone, Debug, PartialEq, Eq, DekuRead, DekuWrite)]
--- a/crates/wire/src/spoken.rs
+++ b/crates/wire/src/spoken.rs
@@ -1,7 +1,8 @@
 //! One message in an older format, while a fleet rolls from one program revision to the next. Format 2
 //! put away what nobody read (who the tail is and its view, in `NotTail`; the successor in `Leave`) and
 //! brought beats between routers, whole home tables and the entries a registry missed. Who understands only the format before hears
-//! the older word, or nothing where it had none.
+//! the older word, or nothing where it had none. Format 3 brought the
+//! entry of a change with a declared revision, which a registry enters only where all speak it.
 
 use crate::{CarryMsg, ChainMsg, HoldMsg, Message, PlanMsg};
 
