--- a/crates/chain/src/copy.rs
+++ b/crates/chain/src/copy.rs
@@ -57,6 +57,9 @@
 
     pub(crate) fn on_join_ask(&mut self, seat: Seat, ready: bool, copy: u64) {
         let view = self.meta.view.clone();
+        if !self.is_current_tail() && self.is_chained() && !view.chain.as_slice().contains(&seat.id) {
+            return self.send(seat.id, ChainMsg::Decided { view });
+        }
         if !self.is_current_tail() || view.chain.as_slice().contains(&seat.id) || !self.may_return(seat.id) {
             return;
         }
--- a/crates/chain/src/found.rs
+++ b/crates/chain/src/found.rs
@@ -1,41 +1,73 @@
 //! Founding a cluster, once: three empty seeds that see each other and nobody else each bind,
 //! on disk, to the same three, and only when all three have said so does the first view stand.
-//! A machine that comes up empty beside a living cluster is told its view and asks to join.
+//! Where there are fewer seeds, it is those. A machine that comes up empty beside a living cluster is
+//! told its view and asks to join; one that may not found asks for nothing else, unless it had bound
+//! itself before.
 
 use crate::member::Member;
 use crate::types::Output;
+use crate::view::optimizer_for;
+use std::collections::BTreeMap;
 use std::time::Duration;
-use wire::{ChainMsg, Seat, View};
+use wire::{ChainMsg, NodeId, Seat, View};
 
 const EVERY: Duration = Duration::from_millis(250);
 const FRESH: Duration = Duration::from_millis(1500);
 const SEATS: usize = 3;
 
+pub struct Founding {
+    founders: BTreeMap<NodeId, (Seat, Duration, View)>,
+    /// How many seats a cluster is founded with; 0 if this member may not found one.
+    seats: usize,
+}
+
+impl Default for Founding {
+    fn default() -> Self {
+        Founding { founders: BTreeMap::new(), seats: SEATS }
+    }
+}
+
 impl Member {
+    /// With how many seats it may found a cluster from empty disks, up to three, or 0 for not at all.
+    pub fn founding_with(mut self, seats: usize) -> Self {
+        self.founding.seats = seats.min(SEATS);
+        self
+    }
+
     pub(crate) fn found(&mut self) {
-        if self.now < self.asked_at + EVERY || self.last > 0 {
+        if self.now < self.asked_at + EVERY || self.last > 0 || !self.may_found() {
             return;
         }
         let seat = self.meta.seat.clone();
         let bound = self.meta.accepted.clone();
+        if self.founding.seats == 1 {
+            return self.on_found_ask(seat, bound);
+        }
         self.outs.push(Output::SendSeeds { message: ChainMsg::FoundAsk { seat, bound } });
     }
 
+    fn may_found(&self) -> bool {
+        self.founding.seats > 0 || self.meta.accepted_ballot > 0
+    }
+
     pub(crate) fn on_found_ask(&mut self, seat: Seat, bound: View) {
         if self.meta.view.number > 0 {
             let view = self.meta.view.clone();
             return self.send(seat.id, ChainMsg::Decided { view });
         }
-        self.founders.insert(seat.id, (seat, self.now, bound));
+        if !self.may_found() {
+            return;
+        }
+        self.founding.founders.insert(seat.id, (seat, self.now, bound));
         let mine = (self.meta.seat.clone(), self.now, self.meta.accepted.clone());
-        self.founders.insert(self.meta.seat.id, mine);
+        self.founding.founders.insert(self.meta.seat.id, mine);
         let now = self.now;
-        self.founders.retain(|_, (_, heard, _)| now < *heard + FRESH);
+        self.founding.founders.retain(|_, (_, heard, _)| now < *heard + FRESH);
         if self.meta.accepted_ballot == 0 {
-            if self.founders.len() == SEATS {
-                let voters: Vec<Seat> = self.founders.values().map(|(seat, ..)| seat.clone()).collect();
+            if self.founding.founders.len() == self.founding.seats {
+                let voters: Vec<Seat> = self.founding.founders.values().map(|(seat, ..)| seat.clone()).collect();
                 let chain: Vec<u64> = voters.iter().map(|seat| seat.id).collect();
-                let optimizer = chain[1];
+                let optimizer = optimizer_for(&chain, 0);
                 self.meta.accepted =
                     View { number: 1, chain: chain.into(), voters: voters.into(), fresh: 0, optimizer };
                 self.meta.accepted_ballot = 1;
@@ -44,10 +76,9 @@
             return;
         }
         let first = self.meta.accepted.clone();
-        let agreed = first
-            .chain
-            .iter()
-            .all(|id| *id == self.meta.seat.id || self.founders.get(id).is_some_and(|(_, _, bound)| *bound == first));
+        let agreed = first.chain.iter().all(|id| {
+            *id == self.meta.seat.id || self.founding.founders.get(id).is_some_and(|(_, _, bound)| *bound == first)
+        });
         if agreed && self.writing.is_none() {
             self.adopt(first);
         }
@@ -55,7 +86,7 @@
 
     pub(crate) fn on_decided(&mut self, view: View) {
         if self.meta.view.number == 0 && self.meta.accepted_ballot == 0 && self.last == 0 {
-            return;
+            return self.outs.push(Output::Told { view });
         }
         self.adopt(view);
     }
--- a/crates/chain/src/member.rs
+++ b/crates/chain/src/member.rs
@@ -3,13 +3,14 @@
 //! whatever arrives meanwhile joins the next.
 
 use crate::copy::{Copying, Source};
+use crate::found::Founding;
 use crate::register::Proposal;
 use crate::returns::Return;
 use crate::types::{Apply, Batch, Input, Meta, Output, State, Stored, Timing};
 use crate::view::Round;
 use std::collections::{BTreeMap, VecDeque};
 use std::time::Duration;
-use wire::{ChainMsg, EntryLine, NodeId, OpNo, Seat, View};
+use wire::{ChainMsg, EntryLine, NodeId, OpNo, Seat};
 
 pub struct Writing {
     pub ticket: u64,
@@ -61,7 +62,7 @@
     pub(crate) source: Option<Source>,
     pub(crate) returns: BTreeMap<NodeId, Return>,
     pub(crate) asked_at: Duration,
-    pub(crate) founders: BTreeMap<NodeId, (Seat, Duration, View)>,
+    pub(crate) founding: Founding,
 }
 
 impl Member {
@@ -109,7 +110,7 @@
             source: None,
             returns: BTreeMap::new(),
             asked_at: Duration::ZERO,
-            founders: BTreeMap::new(),
+            founding: Founding::default(),
         };
         member.next.trim_below = member.log.front().map_or(0, |entry| entry.seq);
         member.heard_from_all();
--- a/crates/chain/src/types.rs
+++ b/crates/chain/src/types.rs
@@ -103,6 +103,10 @@
     Viewed {
         view: View,
     },
+    /// Told by another, while empty, which view stands: its voters are whom to ask to join.
+    Told {
+        view: View,
+    },
     /// Brought up to the others, by so many entries it missed or by a whole checkpoint.
     Installed {
         missed: Option<usize>,
--- a/crates/chain/tests/net/mod.rs
+++ b/crates/chain/tests/net/mod.rs
@@ -69,7 +69,7 @@
                 Output::Done { op, entered, .. } => self.done.push((id, op, entered)),
                 Output::Confirmed { .. } => self.confirmed.push(id),
                 Output::Installed { missed } => self.installed.push((id, missed)),
-                Output::Committed { .. } | Output::Viewed { .. } => {}
+                Output::Committed { .. } | Output::Viewed { .. } | Output::Told { .. } => {}
             }
         }
     }
--- a/crates/control/src/control_loop.rs
+++ b/crates/control/src/control_loop.rs
@@ -32,6 +32,12 @@
     pub tuned: (u64, Vec<TunedLine>),
     pub shown: Instant,
     pub seeds: Vec<String>,
+    /// Registries that a seed told of while this one is empty.
+    pub told: Vec<String>,
+}
+
+fn addresses(view: &View) -> Vec<String> {
+    view.voters.iter().map(|seat| seat.address.as_str().to_owned()).collect()
 }
 
 impl Control {
@@ -96,7 +102,7 @@
     }
 
     fn dial(&self, view: &View) {
-        let seats = view.voters.iter().map(|seat| seat.address.as_str().to_owned());
+        let seats = addresses(view).into_iter().chain(self.told.iter().cloned());
         self.order(LinkOrder::Dial { addresses: self.seeds.iter().cloned().chain(seats).collect() });
     }
 
@@ -110,7 +116,8 @@
                     self.order(LinkOrder::Send { to, message: Message::Hold(message) })
                 }
                 CoreOutput::Seeds { message } => {
-                    for address in self.seeds.clone() {
+                    let told = self.told.iter().filter(|address| !self.seeds.contains(address));
+                    for address in self.seeds.iter().chain(told).cloned().collect::<Vec<_>>() {
                         self.order(LinkOrder::SendAddress { address, message: Message::Chain(message.clone()) });
                     }
                 }
@@ -124,7 +131,15 @@
                         let _ = waiting.send(reply);
                     }
                 }
+                CoreOutput::Told { view } => {
+                    let seats = addresses(&view);
+                    if seats != self.told {
+                        self.told = seats;
+                        self.dial(&view);
+                    }
+                }
                 CoreOutput::Viewed { view } => {
+                    self.told.clear();
                     let chain: Vec<String> = view.chain.iter().map(|id| format!("{id:016x}")).collect();
                     event!(view_adopted, "view {} chain {}", view.number, chain.join(" "));
                     self.dial(&view);
--- a/crates/control/src/core.rs
+++ b/crates/control/src/core.rs
@@ -61,6 +61,7 @@
     Router { to: NodeId, message: HoldMsg },
     Reply { ask: u64, reply: ApiReply },
     Viewed { view: View },
+    Told { view: View },
     Activated { step: u64 },
     Installed { missed: Option<usize> },
 }
@@ -186,6 +187,7 @@
                     self.outs.push(CoreOutput::Viewed { view });
                     reviewed = true;
                 }
+                Output::Told { view } => self.outs.push(CoreOutput::Told { view }),
                 Output::Done { op, entered, receipt } => self.done(op, entered, receipt),
                 Output::Confirmed { round } => self.confirmed(round),
                 Output::Installed { missed } => self.outs.push(CoreOutput::Installed { missed }),
--- a/crates/control/src/service.rs
+++ b/crates/control/src/service.rs
@@ -106,7 +106,8 @@
         written.send_blocking(ControlMsg::Written(result));
     })
     .map_err(RunFault::Disk)?;
-    let member = Member::new(seat, stored, Timing::default(), apply, Duration::ZERO);
+    let seats = if settings.found { settings.seeds.len() } else { 0 };
+    let member = Member::new(seat, stored, Timing::default(), apply, Duration::ZERO).founding_with(seats);
     let timing = CoreTiming { call: settings.call, ..CoreTiming::for_hold(settings.hold) };
     let core = Core::new(member, timing, incarnation << 20).speaking(settings.format);
     let work = Control {
@@ -121,6 +122,7 @@
         tuned: (0, Vec::new()),
         shown: Instant::now(),
         seeds: settings.seeds.clone(),
+        told: Vec::new(),
     };
     local(work.run(control, control_inbox));
     let _ = stop.send(true);
--- a/crates/env/src/rules.rs
+++ b/crates/env/src/rules.rs
@@ -5,6 +5,8 @@
 use crate::FromWords;
 use std::net::SocketAddr;
 
+const SEEDS: usize = 16;
+
 pub fn in_range<T: PartialOrd + FromWords + Copy + 'static>(low: T, high: T) -> impl Fn(&T) -> Result<(), String> {
     move |value| {
         if *value >= low && *value <= high {
@@ -48,5 +50,6 @@
 pub fn seeds(value: &Vec<String>) -> Result<(), String> {
     addresses(value)?;
     let distinct: std::collections::BTreeSet<&String> = value.iter().collect();
-    if value.len() == 3 && distinct.len() == 3 { Ok(()) } else { Err("allowed are three different addresses".into()) }
+    let good = (1..=SEEDS).contains(&value.len()) && distinct.len() == value.len();
+    if good { Ok(()) } else { Err(format!("allowed are 1 to {SEEDS} different addresses")) }
 }
--- a/crates/sim/src/registry_node.rs
+++ b/crates/sim/src/registry_node.rs
@@ -164,6 +164,7 @@
                 self.after(wait, Event::Written { registry: n, life, ticket });
             }
             CoreOutput::Reply { ask, reply } => self.operator_answer(n, ask, reply),
+            CoreOutput::Told { .. } => {}
             CoreOutput::Viewed { view } => {
                 self.say(|| {
                     let chain: Vec<String> = view.chain.iter().map(|id| format!("{:04x}", id >> 48)).collect();
