--- a/crates/chain/src/line.rs
+++ b/crates/chain/src/line.rs
@@ -1,5 +1,6 @@
 //! Entries along the chain: entered at the head, written and synced at each member before they
-//! go on, applied in order, acknowledged by the tail once at least two disks hold them.
+//! go on, applied in order, acknowledged by the tail once at least two disks hold them, or the one
+//! there is where a cluster was founded with a single seat.
 
 use crate::member::Member;
 use crate::types::Output;
@@ -41,6 +42,12 @@
             && (self.is_head() || self.fence.is_some_and(|fence| self.synced >= fence))
     }
 
+    /// Whether an entry is kept on two disks, or on the only one there was ever meant to be.
+    fn keeps_copies(&self) -> bool {
+        let view = &self.meta.view;
+        view.chain.as_slice().len() >= view.voters.as_slice().len().min(2)
+    }
+
     pub(crate) fn enter_line(&mut self) {
         self.fence = None;
         self.view_fence = self.last;
@@ -61,7 +68,7 @@
         match head {
             Some(head) if head == self.meta.seat.id => {
                 let room = (self.last - self.committed) < WINDOW * 2;
-                if self.meta.view.chain.as_slice().len() < 2 || !room || self.is_unwell() {
+                if !self.keeps_copies() || !room || self.is_unwell() {
                     return self.done(op, false, Vec::new());
                 }
                 let entry = EntryLine { seq: self.last + 1, op, body: body.into() };
@@ -220,7 +227,7 @@
     }
 
     pub(crate) fn settle(&mut self) {
-        if self.is_current_tail() && self.meta.view.chain.as_slice().len() >= 2 {
+        if self.is_current_tail() && self.keeps_copies() {
             self.commit(self.synced);
         }
         self.report();
--- /dev/null
+++ b/crates/control/examples/change_cost.rs
@@ -0,0 +1,76 @@
+//! What one change costs a registry, and a router that builds its book of it, on a configuration of
+//! many routes: `cargo run --release -p control --example change_cost -- 2000`.
+
+use bindings::Book;
+use chain::State;
+use std::time::Instant;
+use wire::{Command, ItemLine, Receipt, from_bytes, to_bytes};
+
+fn line(key: String, value: String) -> ItemLine {
+    ItemLine { key: key.into(), gone: 0, value: value.into_bytes().into() }
+}
+
+fn route(number: usize, deadline: u32) -> ItemLine {
+    let notes = format!(r#"{{"fields":{{"name":"r-{number}"}},"place":[7,{number}]}}"#);
+    let binding = format!(
+        r#"{{"host":"h{}.example","route":"/gowu{number}/fi14/","function":"s{}","class":"ordinary","deadline_ms":{deadline},"aim_ms":300,"attempts":2,"rank":2,"declared":true,"notes":{notes}}}"#,
+        number % 7,
+        number % 158
+    );
+    line(format!("function-bindings/main/r-{number}"), binding)
+}
+
+fn service(number: usize) -> ItemLine {
+    let notes = r#"{"fields":{"health_path":null,"protocol":"h1","tls":false},"place":[7,1]}"#;
+    let declaration =
+        format!(r#"{{"memory_mb":768,"boot_ms":1400,"instance_limit":6,"connections":106,"notes":{notes}}}"#);
+    line(format!("functions/main/s{number}"), declaration)
+}
+
+fn timed<T>(what: &str, work: impl FnOnce() -> T) -> T {
+    let begun = Instant::now();
+    let done = work();
+    println!("{what:<40} {:>8.2} ms", begun.elapsed().as_secs_f64() * 1e3);
+    done
+}
+
+fn take(state: &mut State, what: &str, command: Command) {
+    let body = timed(&format!("{what}: written as an entry"), || to_bytes(&command));
+    println!("{what}: {} bytes", body.len());
+    let effect = timed(&format!("{what}: applied"), || control::apply(state, 1, &body));
+    match from_bytes::<Receipt>(&effect.receipt) {
+        Some(Receipt::Refused { body, .. }) => panic!("{}", String::from_utf8_lossy(body.as_slice())),
+        receipt => println!("{what}: {receipt:?}"),
+    }
+    timed(&format!("{what}: put into the state"), || {
+        for (key, value) in effect.changes {
+            match value {
+                Some(value) => state.insert(key, value),
+                None => state.remove(&key),
+            };
+        }
+    });
+}
+
+fn change(op: &str, base: u64, whole: bool, items: Vec<ItemLine>) -> Command {
+    let (op, scope, items) = (op.into(), "main".into(), items.into());
+    Command::Declare { op, base, any: 0, whole: whole as u8, revision: base + 3, scope, items }
+}
+
+fn main() {
+    let count = std::env::args().nth(1).and_then(|count| count.parse().ok()).unwrap_or(2000);
+    let mut state = State::new();
+    let items: Vec<ItemLine> = (0..158).map(service).chain((0..count).map(|n| route(n, 4000))).collect();
+    take(&mut state, "whole", change("one", 0, true, items.clone()));
+    take(&mut state, "activation", Command::Activate { step: 1 });
+    take(&mut state, "patch", change("two", 3, false, vec![route(5, 900)]));
+    take(&mut state, "activation of the patch", Command::Activate { step: 2 });
+    take(&mut state, "whole again", change("three", 6, true, items));
+    let pairs = || state.iter().filter_map(|(key, value)| Some((key.strip_prefix("a/")?, &value[..])));
+    let book = timed("a router's book", || Book::build(1, 1, pairs()));
+    let begun = Instant::now();
+    let paths: Vec<String> = (0..count).map(|number| format!("/gowu{number}/fi14/2f/some/more")).collect();
+    let hosts = ["h0.example", "H1.example:8080", "h2.example", "h3.example", "h4.example", "h5.example", "h6.example"];
+    let found = (0..100_000).filter(|n| book.find_route(hosts[n % count % 7], &paths[n % count]).is_some()).count();
+    println!("{found} of 100000 routes found, {:.0} ns each", begun.elapsed().as_secs_f64() * 1e4);
+}
--- a/crates/control/src/dialect.rs
+++ b/crates/control/src/dialect.rs
@@ -25,6 +25,10 @@
 }
 
 impl Operators {
+    pub fn new(control: Post<ControlMsg>, view: watch::Receiver<String>) -> Operators {
+        Operators { control, view }
+    }
+
     pub async fn ask(&self, call: ApiCall) -> ApiReply {
         let (reply, told) = oneshot::channel();
         if self.control.send(ControlMsg::Call { call, reply }).is_err() {
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -31,5 +31,5 @@
 pub use faults::RunFault;
 pub use keys::{member_key, number};
 pub use planner::{Planned, Planner};
-pub use service::run;
+pub use service::{ControlMsg, run};
 pub use settings::RegistryEnv;
--- a/crates/control/src/service.rs
+++ b/crates/control/src/service.rs
@@ -85,7 +85,7 @@
         life,
         grace: Duration::from_secs(1),
     };
-    let asking = Operators { control: control.clone(), view: shown };
+    let asking = Operators::new(control.clone(), shown);
     let own = api::router(Api { operators: asking.clone(), tokens }, body).merge(kinds);
     let mut doors = vec![serve("api", operators, own, limits, stopping.clone())?];
     if let (Some(make), Some(listener)) = (dialect.pages, dialect_listener) {
