--- a/crates/control/src/core.rs
+++ b/crates/control/src/core.rs
@@ -61,6 +61,7 @@
     Router { to: NodeId, message: HoldMsg },
     Reply { ask: u64, reply: ApiReply },
     Viewed { view: View },
+    Told { view: View },
     Activated { step: u64 },
     Installed { missed: Option<usize> },
 }
@@ -74,6 +75,7 @@
 pub struct Core {
     pub(crate) member: Member,
     pub(crate) timing: CoreTiming,
+    pub(crate) format: u16,
     pub(crate) now: Duration,
     pub(crate) outs: Vec<CoreOutput>,
     pub(crate) sessions: Sessions,
@@ -98,6 +100,7 @@
         Core {
             member,
             timing,
+            format: wire::FORMAT,
             now: Duration::ZERO,
             outs: Vec::new(),
             sessions: Sessions::default(),
@@ -118,6 +121,12 @@
         }
     }
 
+    /// Enters nothing that a program of this format could not read.
+    pub fn speaking(mut self, format: u16) -> Self {
+        self.format = format;
+        self
+    }
+
     pub fn member(&self) -> &Member {
         &self.member
     }
@@ -178,6 +187,7 @@
                     self.outs.push(CoreOutput::Viewed { view });
                     reviewed = true;
                 }
+                Output::Told { view } => self.outs.push(CoreOutput::Told { view }),
                 Output::Done { op, entered, receipt } => self.done(op, entered, receipt),
                 Output::Confirmed { round } => self.confirmed(round),
                 Output::Installed { missed } => self.outs.push(CoreOutput::Installed { missed }),
