--- a/crates/sim/src/lib.rs
+++ b/crates/sim/src/lib.rs
@@ -7,6 +7,7 @@
 mod ending;
 mod failing;
 mod faults;
+mod instances;
 mod net;
 mod operators;
 mod registry_node;
--- a/crates/sim/src/router_turns.rs
+++ b/crates/sim/src/router_turns.rs
@@ -54,7 +54,8 @@
                                 self.rules.served(self.now, revision);
                                 self.dispatch(n, order);
                             }
-                            HomeOutput::Platform(order) => self.platform_order(n, order),
+                            HomeOutput::Supply(order) => self.platform_order(n, order),
+                            HomeOutput::Probe { id, after, limit, .. } => self.probe(n, id, after, limit),
                             HomeOutput::PlanAsk { message } => self.ask_registries(n, message),
                             HomeOutput::Measures { lines } => {
                                 self.ask_registries(n, PlanMsg::Measures { lines: lines.into() });
--- a/crates/sim/src/world.rs
+++ b/crates/sim/src/world.rs
@@ -29,6 +29,7 @@
     Frame { to: Place, life: u64, from: NodeId, incarnation: u64, message: Message },
     Written { registry: usize, life: u64, ticket: u64 },
     Platform { router: usize, life: u64, report: supply::SupplyReport, listed_at: Duration },
+    Probed { router: usize, life: u64, id: String, ready: bool },
     InstanceDone { number: u64 },
     Listing,
     Link { router: usize, id: NodeId, up: bool },
@@ -142,6 +143,7 @@
             Event::Frame { to, life, from, incarnation, message } => self.arrive(to, life, from, incarnation, message),
             Event::Written { registry, life, ticket } => self.written(registry, life, ticket),
             Event::Platform { router, life, report, listed_at } => self.reported(router, life, report, listed_at),
+            Event::Probed { router, life, id, ready } => self.probed(router, life, id, ready),
             Event::InstanceDone { number } => self.instance_done(number),
             Event::Listing => {
                 self.listing();
--- a/crates/sim/src/yard.rs
+++ b/crates/sim/src/yard.rs
@@ -1,19 +1,25 @@
-//! The platform and its instances in the simulator: late lists, starts that go unanswered but
-//! take effect, limits, and instances that crash, turn away, or do the work and lose the answer.
+//! The platform's side of starts, stops and lists in the simulator: workers in three zones, late
+//! lists, starts that go unanswered but take effect, and a limit on calls.
 
 use crate::router_node::Turn;
 use crate::world::{Event, World};
 use rand::RngExt;
 use std::collections::{BTreeMap, VecDeque};
 use std::time::{Duration, Instant};
-use supply::{InstanceLine, Listing, Probe, StartReceipt, SupplyOrder, SupplyReport};
-use traffic::{DispatchOrder, HomeInput, Verdict};
-use wire::{AnswerHead, RequestHead};
+use supply::{
+    InstanceLine, InstanceState, Listing, StartOrder, StartReceipt, StopReceipt, SupplyOrder, SupplyReport, WorkerLine,
+};
+use traffic::{HomeInput, Verdict};
 
 const ORDERS: usize = 80;
+const WORKERS: usize = 6;
+/// What a binding that says nothing takes.
+const MEMORY_MB: usize = 256;
+const LAG: Duration = Duration::from_millis(1200);
 
 pub struct SimInstance {
     pub service: String,
+    pub worker: usize,
     pub ready_at: Duration,
     pub busy: u32,
     pub leaving: bool,
@@ -30,7 +36,8 @@
 #[derive(Default)]
 pub struct SimYard {
     pub instances: BTreeMap<String, SimInstance>,
-    pub lists: VecDeque<(Duration, Listing)>,
+    pub nonces: BTreeMap<(String, String), String>,
+    pub lists: VecDeque<(Duration, Listing, Vec<usize>)>,
     pub work: BTreeMap<u64, Work>,
     pub next: u64,
     pub lose: f64,
@@ -73,40 +80,82 @@
     pub fn platform_order(&mut self, n: usize, order: SupplyOrder) {
         let lost = self.yard.unanswered > 0.0 && self.dice.random_bool(self.yard.unanswered);
         let wait = Duration::from_millis(self.dice.random_range(2..40));
-        let life = self.routers[n].life;
+        let boot = Duration::from_millis(self.dice.random_range(800..1500));
         let taken = self.yard.takes_order(self.now);
         let report = match order {
-            SupplyOrder::Start { id, .. } if !taken => SupplyReport::Started { id, receipt: StartReceipt::Limited },
-            SupplyOrder::Stop { id } if !taken => SupplyReport::Stopped { id, taken: false },
-            SupplyOrder::Start { id, .. } if self.yard.instances.len() >= self.plan.instances => {
-                SupplyReport::Started { id, receipt: StartReceipt::NoMemory }
-            }
-            SupplyOrder::Start { id, service, .. } => {
-                self.yard.starts += 1;
-                let boot = Duration::from_millis(self.dice.random_range(800..1500));
-                let ready_at = self.now + boot;
-                let instance = SimInstance { service, ready_at, busy: 0, leaving: false };
-                self.yard.instances.insert(id.clone(), instance);
-                if lost {
-                    let report = SupplyReport::Started { id, receipt: StartReceipt::Unanswered };
-                    return self
-                        .after(wait * 50, Event::Platform { router: n, life, report, listed_at: Duration::ZERO });
-                }
-                let probed = SupplyReport::Probed { id: id.clone(), probe: Probe::Ready };
-                self.at(
-                    ready_at + wait,
-                    Event::Platform { router: n, life, report: probed, listed_at: Duration::ZERO },
-                );
-                SupplyReport::Started { id: id.clone(), receipt: StartReceipt::Accepted { address: id } }
+            SupplyOrder::Start(order) => {
+                let nonce = order.nonce.clone();
+                let receipt = if taken { self.begin(order, boot) } else { StartReceipt::Limited };
+                let receipt = if lost { StartReceipt::Unanswered } else { receipt };
+                SupplyReport::Started { nonce, receipt }
             }
-            SupplyOrder::Stop { id } => {
-                self.yard.instances.remove(&id);
-                SupplyReport::Stopped { id, taken: !lost }
+            SupplyOrder::Stop { id, .. } => {
+                let known = taken.then(|| self.yard.instances.remove(&id).is_some());
+                let receipt = match known {
+                    _ if lost => StopReceipt::Unanswered,
+                    Some(true) => StopReceipt::Taken,
+                    Some(false) => StopReceipt::Unknown,
+                    None => StopReceipt::Limited,
+                };
+                SupplyReport::Stopped { id, receipt }
             }
         };
+        let wait = if lost { wait * 50 } else { wait };
+        let life = self.routers[n].life;
         self.after(wait, Event::Platform { router: n, life, report, listed_at: Duration::ZERO });
     }
 
+    fn begin(&mut self, order: StartOrder, boot: Duration) -> StartReceipt {
+        let key = (order.service.clone(), order.nonce);
+        if let Some(id) = self.yard.nonces.get(&key) {
+            return StartReceipt::Accepted { id: id.clone(), address: id.clone() };
+        }
+        let free = self.free_places();
+        let named = order.worker.map(|name| name.trim_start_matches('w').parse::<usize>().unwrap_or(WORKERS));
+        let roomiest = || (0..WORKERS).max_by_key(|worker| free[*worker]).unwrap_or_default();
+        let worker = named.unwrap_or_else(roomiest);
+        if free.get(worker).is_none_or(|free| *free == 0) {
+            return StartReceipt::NoRoom;
+        }
+        self.yard.starts += 1;
+        let id = format!("i{}", self.yard.starts);
+        let ready_at = self.now + boot;
+        let instance = SimInstance { service: order.service, worker, ready_at, busy: 0, leaving: false };
+        self.yard.instances.insert(id.clone(), instance);
+        self.yard.nonces.insert(key, id.clone());
+        StartReceipt::Accepted { id: id.clone(), address: id }
+    }
+
+    /// How many more instances each worker has room for.
+    fn free_places(&self) -> Vec<usize> {
+        let all = self.plan.instances;
+        let on = |worker| self.yard.instances.values().filter(|instance| instance.worker == worker).count();
+        let room = |worker| all / WORKERS + usize::from(worker < all % WORKERS);
+        (0..WORKERS).map(|worker| room(worker).saturating_sub(on(worker))).collect()
+    }
+
+    /// A look whether an instance takes connections: it does from its start on, if it lives.
+    pub fn probe(&mut self, n: usize, id: String, after: Duration, limit: Duration) {
+        let (life, wait) = (self.routers[n].life, Duration::from_millis(self.dice.random_range(2..40)));
+        let ready_at = self.yard.instances.get(&id).map(|instance| instance.ready_at);
+        let (at, ready) = match ready_at.map(|at| at.max(self.now + after)) {
+            Some(at) if at <= self.now + limit => (at, true),
+            _ => (self.now + limit, false),
+        };
+        self.at(at + wait, Event::Probed { router: n, life, id, ready });
+    }
+
+    pub fn probed(&mut self, n: usize, life: u64, id: String, ready: bool) {
+        if self.routers[n].life != life {
+            return;
+        }
+        if let Some(until) = self.frozen_until(crate::world::Place::Router(n)) {
+            return self.at(until, Event::Probed { router: n, life, id, ready });
+        }
+        let ready = ready && self.yard.instances.contains_key(&id);
+        self.turn(n, Turn::Home(HomeInput::Probed { id, ready }));
+    }
+
     pub fn reported(&mut self, n: usize, life: u64, report: SupplyReport, listed_at: Duration) {
         if self.routers[n].life != life {
             return;
@@ -115,117 +164,54 @@
             return self.at(until, Event::Platform { router: n, life, report, listed_at });
         }
         if let SupplyReport::Listed { listing, .. } = &report {
-            for line in listing.instances.iter().filter(|line| line.state == "leaving") {
+            for line in listing.instances.iter().filter(|line| line.state == InstanceState::Leaving) {
                 self.yard.told_gone.entry((n, line.id.clone())).or_insert(self.now);
             }
         }
         self.turn(n, Turn::Home(HomeInput::Platform { report, listed_at }));
     }
 
-    /// Each second the list as it stood a while ago goes to every router.
+    /// Twice a second the lists as they stood a while ago go to every router.
     pub fn listing(&mut self) {
         let lines = self.yard.instances.iter().map(|(id, instance)| InstanceLine {
             id: id.clone(),
             service: instance.service.clone(),
             address: id.clone(),
+            zone: zone(instance.worker),
+            worker: format!("w{}", instance.worker),
             state: match () {
-                () if instance.leaving => "leaving".into(),
-                () if instance.ready_at > self.now => "starting".into(),
-                () => "running".into(),
+                () if instance.leaving => InstanceState::Leaving,
+                () if instance.ready_at > self.now => InstanceState::Starting,
+                () => InstanceState::Running,
             },
         });
         let list = Listing { instances: lines.collect() };
-        self.yard.lists.push_back((self.now, list));
-        while self.yard.lists.len() > 1 && self.yard.lists[1].0 + Duration::from_millis(1200) <= self.now {
+        self.yard.lists.push_back((self.now, list, self.free_places()));
+        while self.yard.lists.len() > 1 && self.yard.lists[1].0 + LAG <= self.now {
             self.yard.lists.pop_front();
         }
-        let shown = self.yard.lists[0].1.clone();
+        let (_, shown, free) = self.yard.lists[0].clone();
+        let workers: Vec<WorkerLine> = free.iter().enumerate().map(worker_line).collect();
         for n in 0..self.routers.len() {
             if self.routers[n].alive() {
                 let (life, listed_at) = (self.routers[n].life, self.router_now(n));
-                let report = SupplyReport::Listed { listing: shown.clone(), asked: Instant::now() };
                 let wait = Duration::from_millis(self.dice.random_range(1..30));
+                let lines = workers.clone();
+                let report = SupplyReport::Workers { lines, asked: Instant::now() };
+                self.after(wait, Event::Platform { router: n, life, report, listed_at });
+                let report = SupplyReport::Listed { listing: shown.clone(), asked: Instant::now() };
                 self.after(wait, Event::Platform { router: n, life, report, listed_at });
             }
         }
         self.after(Duration::from_millis(500), Event::Listing);
     }
+}
 
-    pub fn dispatch(&mut self, n: usize, order: DispatchOrder) {
-        let head: RequestHead = wire::from_bytes(&order.head).expect("a head the front wrote");
-        let label = head
-            .headers
-            .iter()
-            .find(|line| line.name.as_str() == "x-task")
-            .map(|line| String::from_utf8_lossy(line.value.as_slice()).into_owned())
-            .unwrap_or_default();
-        self.say(|| format!("task {label} goes from router {n} to {}", order.address));
-        let lost = self.dice.random_bool(self.yard.lose);
-        let garbled = self.dice.random_bool(self.yard.garble);
-        let turned = self.dice.random_bool(self.yard.turn_away);
-        let limits = &self.yard.limits;
-        let mut took = Duration::from_millis(self.dice.random_range(20..120));
-        let told = self.yard.told_gone.get(&(n, order.address.clone())).copied();
-        if told.is_some_and(|at| self.now > at + Duration::from_secs(3)) {
-            self.rules.tell(self.now, format!("{label} was sent to {} long after it was known leaving", order.address));
-        }
-        let now = self.now;
-        let declared = self.plan.limit;
-        let limit = |service: &String| limits.get(service).copied().unwrap_or(declared);
-        let verdict = match self.yard.instances.get_mut(&order.address) {
-            None => Verdict::NotSent,
-            Some(instance) if instance.ready_at > now => Verdict::NotSent,
-            Some(instance) if instance.busy >= limit(&instance.service) || turned => {
-                let service = instance.service.clone();
-                let over = instance.busy >= declared;
-                self.rules.turned_away(now, &service, over);
-                Verdict::Whole { status: 503, head: empty(), body: b"at its limit".to_vec(), turned_away: true }
-            }
-            Some(instance) => {
-                instance.busy += 1;
-                let service = instance.service.clone();
-                self.rules.ran(now, &label, &service);
-                if lost || garbled {
-                    let told = if lost { "lost" } else { "bytes after the answer's declared end" };
-                    Verdict::InDoubt { told: told.into(), late: false }
-                } else {
-                    Verdict::Whole { status: 200, head: empty(), body: label.clone().into_bytes(), turned_away: false }
-                }
-            }
-        };
-        let ran = matches!(&verdict, Verdict::Whole { status: 200, .. } | Verdict::InDoubt { .. });
-        if !ran {
-            took = Duration::from_millis(self.dice.random_range(1..15));
-        }
-        self.yard.next += 1;
-        let number = self.yard.next;
-        let instance = if ran { order.address } else { String::new() };
-        let work = Work { router: n, life: self.routers[n].life, order: order.number, instance, verdict };
-        self.yard.work.insert(number, work);
-        self.after(took, Event::InstanceDone { number });
-    }
-
-    pub fn instance_done(&mut self, number: u64) {
-        let router = self.yard.work.get(&number).map(|work| work.router);
-        if let Some(until) = router.and_then(|n| self.frozen_until(crate::world::Place::Router(n))) {
-            return self.at(until, Event::InstanceDone { number });
-        }
-        let Some(work) = self.yard.work.remove(&number) else { return };
-        let alive = match self.yard.instances.get_mut(&work.instance) {
-            Some(instance) => {
-                instance.busy = instance.busy.saturating_sub(1);
-                true
-            }
-            None => work.instance.is_empty(),
-        };
-        let verdict = if alive { work.verdict } else { Verdict::InDoubt { told: "crashed".into(), late: false } };
-        if self.routers[work.router].life != work.life {
-            return;
-        }
-        self.turn(work.router, Turn::Home(HomeInput::Dispatched { number: work.order, verdict }));
-    }
+fn zone(worker: usize) -> String {
+    ["a", "b", "c"][worker % 3].into()
 }
 
-fn empty() -> Vec<u8> {
-    wire::to_bytes(&AnswerHead::default())
+fn worker_line((worker, free): (usize, &usize)) -> WorkerLine {
+    let free_mb = u32::try_from(free.saturating_mul(MEMORY_MB)).unwrap_or(u32::MAX);
+    WorkerLine { name: format!("w{worker}"), zone: zone(worker), memory_mb: free_mb, free_mb, ready: true }
 }
--- a/crates/supply/src/lib.rs
+++ b/crates/supply/src/lib.rs
@@ -1,8 +1,14 @@
-//! Supply of instances: starting, stopping and listing them at whoever runs them, over
-//! HTTP/1.1 with JSON in the product's own dialect. Another supplier fills the same port.
+//! Supply of instances: the port through which the product starts, stops and lists them at whoever
+//! runs them, the service that carries orders to it, and the supplier of the product's own dialect.
 
-mod client;
-mod watcher;
+mod caller;
+mod own;
+mod port;
+mod service;
 
-pub use client::{Client, InstanceLine, Listing, StartReceipt};
-pub use watcher::{Probe, SupplyOrder, SupplyReport, run};
+pub use caller::Caller;
+pub use own::OwnSupplier;
+pub use port::{
+    Call, InstanceLine, InstanceState, Listing, Start, StartOrder, StartReceipt, StopReceipt, Supplier, WorkerLine,
+};
+pub use service::{Report, Settings, SupplyOrder, SupplyReport, run};
--- a/crates/traffic/src/desk.rs
+++ b/crates/traffic/src/desk.rs
@@ -9,6 +9,7 @@
 use std::time::Duration;
 use wire::NodeId;
 
+const BOOT: Duration = Duration::from_secs(1);
 const GROW: Duration = Duration::from_secs(1);
 const GROW_CALM: Duration = Duration::from_millis(200);
 
@@ -37,6 +38,7 @@
     pub desired: u32,
     pub seen: Seen,
     pub tuned_usage: Option<f64>,
+    pub sampled_zero: bool,
 }
 
 /// What is measured between two samples, for the tuning of weight sheets.
@@ -76,9 +78,21 @@
             desired: 0,
             seen: Seen::default(),
             tuned_usage: None,
+            sampled_zero: false,
         }
     }
 
+    /// Whether anything is, was lately or should be going on here; a desk asleep costs nothing.
+    pub fn is_awake(&self) -> bool {
+        let wanted = self.function.fixed.unwrap_or(self.function.min) > 0 || self.desired > 0;
+        wanted || !self.held.is_empty() || !self.instances.is_empty() || self.in_flight > 0 || self.arrivals > 0
+    }
+
+    /// How long one start takes on average.
+    pub fn boot(&self) -> Duration {
+        BOOT
+    }
+
     /// Tasks an instance is planned for, by the usage in force.
     pub fn capacity(&self) -> f64 {
         let sheet = &self.function.sheet;
--- a/crates/traffic/src/handover.rs
+++ b/crates/traffic/src/handover.rs
@@ -5,7 +5,9 @@
 use crate::desk::Desk;
 use crate::home::Home;
 use crate::home_types::{HomeOutput, Place};
+use bindings::Book;
 use events::event;
+use std::rc::Rc;
 use std::time::Duration;
 use wire::CarryMsg;
 
@@ -61,6 +63,16 @@
         self.drop_moved_deferred();
     }
 
+    /// A function that the book before did not have had no home: nothing is to be waited for.
+    pub(crate) fn open_new(&mut self, before: Option<Rc<Book>>) {
+        let Some(before) = before else { return };
+        for (name, desk) in &mut self.desks {
+            if desk.adopting == Some((self.now, false)) && before.function(name).is_none() {
+                desk.adopting = None;
+            }
+        }
+    }
+
     fn drop_moved_deferred(&mut self) {
         let moved: Vec<u64> = self
             .tasks
--- a/crates/traffic/src/home.rs
+++ b/crates/traffic/src/home.rs
@@ -5,6 +5,7 @@
 use crate::desk::Desk;
 use crate::home_types::{HomeInput, HomeOutput, HomeTask, HomeTiming, Ledger, LedgerAsk, Place, TaskId};
 use crate::keeping::Kept;
+use crate::placing::Workers;
 use bindings::Book;
 use holds::{Roster, first_number};
 use std::collections::BTreeMap;
@@ -43,7 +44,7 @@
     pub(crate) no_growth: Duration,
     pub(crate) listed: BTreeMap<String, u32>,
     pub(crate) leaving: BTreeMap<String, Duration>,
-    pub(crate) idle_from: usize,
+    pub(crate) workers: Workers,
     pub(crate) outs: Vec<HomeOutput>,
     pub refusals: u64,
 }
@@ -84,7 +85,7 @@
             no_growth: Duration::ZERO,
             listed: BTreeMap::new(),
             leaving: BTreeMap::new(),
-            idle_from: 0,
+            workers: Workers::default(),
             outs: Vec::new(),
             refusals: 0,
         }
@@ -105,10 +106,12 @@
             HomeInput::Dispatched { number, verdict } => self.dispatched(number, verdict),
             HomeInput::Ledger { message } => self.ledger_receipt(message),
             HomeInput::Platform { report, listed_at } => self.platform(report, listed_at),
+            HomeInput::Probed { id, ready } => self.probed(&id, ready),
             HomeInput::Plan { message } => self.plan_receipt(message),
             HomeInput::Book { book } => {
-                self.book = Some(book);
+                let before = self.book.replace(book);
                 self.align_desks();
+                self.open_new(before);
             }
             HomeInput::Roster { roster } => {
                 self.roster = roster;
--- a/crates/traffic/src/home_types.rs
+++ b/crates/traffic/src/home_types.rs
@@ -19,6 +19,7 @@
     Dispatched { number: u64, verdict: Verdict },
     Ledger { message: HoldMsg },
     Platform { report: SupplyReport, listed_at: Duration },
+    Probed { id: String, ready: bool },
     Plan { message: PlanMsg },
     Book { book: Rc<Book> },
     Roster { roster: Rc<Roster> },
@@ -29,14 +30,36 @@
 
 #[derive(Debug)]
 pub enum HomeOutput {
-    Carry { to: NodeId, message: CarryMsg },
-    Enter { ask: u64, body: Vec<u8> },
-    Read { ask: u64, prefix: String },
+    Carry {
+        to: NodeId,
+        message: CarryMsg,
+    },
+    Enter {
+        ask: u64,
+        body: Vec<u8>,
+    },
+    Read {
+        ask: u64,
+        prefix: String,
+    },
     Dispatch(DispatchOrder),
-    Platform(SupplyOrder),
-    PlanAsk { message: PlanMsg },
-    Samples { lines: Vec<SampleLine> },
-    Measures { lines: Vec<MeasureLine> },
+    Supply(SupplyOrder),
+    /// Look, from `after` on and for no longer than `limit`, whether the instance takes connections.
+    Probe {
+        id: String,
+        address: String,
+        after: Duration,
+        limit: Duration,
+    },
+    PlanAsk {
+        message: PlanMsg,
+    },
+    Samples {
+        lines: Vec<SampleLine>,
+    },
+    Measures {
+        lines: Vec<MeasureLine>,
+    },
 }
 
 #[derive(Clone, Debug)]
--- a/crates/traffic/src/instance.rs
+++ b/crates/traffic/src/instance.rs
@@ -9,6 +9,7 @@
     Ready,
     Drain,
     Lost,
+    Found,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -49,8 +50,11 @@
     }
 
     #[state]
-    fn gone() -> Outcome<State> {
-        Handled
+    fn gone(event: &InstanceEvent) -> Outcome<State> {
+        match event {
+            InstanceEvent::Found => Transition(State::ready()),
+            _ => Handled,
+        }
     }
 
     #[superstate]
@@ -58,14 +62,25 @@
         match event {
             InstanceEvent::Drain => Transition(State::draining()),
             InstanceEvent::Lost => Transition(State::gone()),
-            InstanceEvent::Ready => Handled,
+            InstanceEvent::Ready | InstanceEvent::Found => Handled,
         }
     }
 }
 
+/// A wish whose order has no clear outcome yet; its instance stands under the nonce until then.
+pub struct Pending {
+    pub asked: bool,
+    pub tries: u32,
+    pub hops: u32,
+    pub again: Duration,
+}
+
 pub struct Instance {
     life: StateMachine<Life>,
     pub address: String,
+    pub worker: String,
+    pub zone: String,
+    pub pending: Option<Pending>,
     pub busy: u32,
     pub foreign: u32,
     pub foreign_until: Duration,
@@ -75,6 +90,8 @@
     pub ordered: Duration,
     pub used: Duration,
     pub stopping: Option<Duration>,
+    pub stop_again: Duration,
+    pub lost: Option<Duration>,
     pub listed: bool,
 }
 
@@ -83,6 +100,9 @@
         Instance {
             life: Life.state_machine(),
             address: address.to_owned(),
+            worker: String::new(),
+            zone: String::new(),
+            pending: None,
             busy: 0,
             foreign: 0,
             foreign_until: Duration::ZERO,
@@ -92,10 +112,17 @@
             ordered: now,
             used: now,
             stopping: None,
+            stop_again: now,
+            lost: None,
             listed: false,
         }
     }
 
+    /// One that was just wished for, with nothing known of it but the nonce.
+    pub fn wished(now: Duration) -> Instance {
+        Instance { pending: Some(Pending::handed(now)), ..Instance::new(now, "") }
+    }
+
     pub fn take(&mut self, event: InstanceEvent) {
         self.life.handle(&event);
     }
@@ -124,7 +151,7 @@
     use super::*;
 
     #[test]
-    fn nothing_leads_back_from_draining_or_gone() {
+    fn nothing_leads_back_from_draining_and_only_a_connection_from_gone() {
         let mut instance = Instance::new(Duration::ZERO, "127.0.0.1:1");
         instance.take(InstanceEvent::Ready);
         assert_eq!(instance.room(Duration::ZERO, 4), 4);
@@ -134,5 +161,7 @@
         instance.take(InstanceEvent::Lost);
         instance.take(InstanceEvent::Ready);
         assert_eq!(instance.phase(), Phase::Gone);
+        instance.take(InstanceEvent::Found);
+        assert_eq!(instance.phase(), Phase::Ready);
     }
 }
--- a/crates/traffic/src/keeping.rs
+++ b/crates/traffic/src/keeping.rs
@@ -5,7 +5,8 @@
 
 use crate::home::Home;
 use crate::home_types::{HomeOutput, HomeTask};
-use crate::instance::{Instance, InstanceEvent, Phase};
+use crate::instance::{Instance, InstanceEvent, Pending, Phase};
+use crate::starting::look_limit;
 use std::collections::BTreeSet;
 use std::time::Duration;
 use wire::{CarryMsg, HomeTable, NodeId, SlotLine, Text};
@@ -147,7 +148,15 @@
                 continue;
             }
             let address = slot.address.as_str();
+            let boot = desk.boot();
+            let fresh = !desk.instances.contains_key(id);
             let instance = desk.instances.entry(id.to_owned()).or_insert_with(|| Instance::new(now, address));
+            if fresh && slot.ready == 0 && !address.is_empty() {
+                let (id, address, after) = (id.to_owned(), address.to_owned(), Duration::ZERO);
+                self.outs.push(HomeOutput::Probe { id, address, after, limit: look_limit(boot) });
+            } else if fresh && slot.ready == 0 {
+                instance.pending = Some(Pending::handed(now));
+            }
             if instance.address.is_empty() {
                 instance.address = address.to_owned();
             }
--- a/crates/traffic/src/passes.rs
+++ b/crates/traffic/src/passes.rs
@@ -4,7 +4,6 @@
 use crate::dispatch::{DispatchOrder, Verdict};
 use crate::home::Home;
 use crate::home_types::{HomeOutput, Place};
-use crate::instance::InstanceEvent;
 use bindings::Class;
 use events::event;
 use std::time::Duration;
@@ -190,10 +189,4 @@
         self.hold(number);
         true
     }
-
-    fn lose(&mut self, name: &str, instance_id: &str) {
-        if let Some(instance) = self.desks.get_mut(name).and_then(|desk| desk.instances.get_mut(instance_id)) {
-            instance.take(InstanceEvent::Lost);
-        }
-    }
 }
--- a/crates/traffic/src/plane.rs
+++ b/crates/traffic/src/plane.rs
@@ -139,7 +139,9 @@
             }
             TrafficMsg::Platform(report) => {
                 let listed_at = match &report {
-                    SupplyReport::Listed { asked, .. } => asked.saturating_duration_since(self.begun),
+                    SupplyReport::Listed { asked, .. } | SupplyReport::Workers { asked, .. } => {
+                        asked.saturating_duration_since(self.begun)
+                    }
                     _ => Duration::ZERO,
                 };
                 self.turn(Turn::Home(HomeInput::Platform { report, listed_at }));
--- a/crates/traffic/src/plane_out.rs
+++ b/crates/traffic/src/plane_out.rs
@@ -68,7 +68,8 @@
                     return Some(Turn::Home(HomeInput::Dispatched { number, verdict: Verdict::NotSent }));
                 }
             }
-            HomeOutput::Platform(order) => {
+            HomeOutput::Probe { .. } => {}
+            HomeOutput::Supply(order) => {
                 if self.platform.send(order).is_err() {
                     event!(inbox_full, "platform");
                 }
--- a/crates/traffic/src/scale.rs
+++ b/crates/traffic/src/scale.rs
@@ -4,7 +4,7 @@
 
 use crate::home::Home;
 use crate::home_types::HomeOutput;
-use crate::instance::{Instance, InstanceEvent, Phase};
+use crate::instance::{InstanceEvent, Phase};
 use events::event;
 use scaler::Situation;
 use std::time::Duration;
@@ -16,6 +16,8 @@
 const ASKS_PER_PASS: usize = 8;
 const SEEN_LASTS: Duration = Duration::from_secs(90);
 const STOP_AGAIN: Duration = Duration::from_secs(4);
+/// One that refused a connection and is still listed so long after is stopped.
+const LOST_LASTS: Duration = Duration::from_secs(4);
 
 impl Home {
     pub(crate) fn tick(&mut self) {
@@ -46,6 +48,7 @@
 
     fn scale_pass(&mut self) {
         let now = self.now;
+        self.pending_pass();
         let mut wanting: Vec<(bool, f64, u32, String)> = Vec::new();
         let mut asks_left = ASKS_PER_PASS;
         for name in self.by_need() {
@@ -105,42 +108,21 @@
                 if self.starts_left < 1.0 {
                     return;
                 }
+                if !self.start(&name) {
+                    break;
+                }
                 self.starts_left -= 1.0;
-                self.start(&name);
             }
         }
         let oldest = self.next.saturating_sub(100_000);
         self.plan_asks.retain(|ask, _| *ask > oldest);
     }
 
-    /// Functions in use first, then the idle ones, beginning each time where the last pass ended,
-    /// so that thousands of sleeping functions do not all ask for plans at once.
-    fn by_need(&mut self) -> Vec<String> {
-        let in_use = |name: &String| {
-            let desk = &self.desks[name];
-            !desk.held.is_empty() || !desk.instances.is_empty() || desk.in_flight > 0
-        };
-        let (mut names, idle): (Vec<String>, Vec<String>) = self.desks.keys().cloned().partition(in_use);
-        let from = if idle.is_empty() { 0 } else { self.idle_from % idle.len() };
-        self.idle_from = from + ASKS_PER_PASS;
-        names.extend(idle[from..].iter().chain(&idle[..from]).cloned());
-        names
-    }
-
-    fn start(&mut self, name: &str) {
-        let number = self.number();
-        let Some(desk) = self.desks.get_mut(name) else { return };
-        let id = format!(
-            "{}.{:x}.{:x}.{number:x}",
-            name.replace('/', "."),
-            self.me & 0xffff_ffff,
-            self.incarnation & 0xffff
-        );
-        event!(start_ordered, "{id}");
-        desk.instances.insert(id.clone(), Instance::new(self.now, ""));
-        let service = name.to_owned();
-        let memory_mb = desk.function.memory_mb;
-        self.outs.push(HomeOutput::Platform(SupplyOrder::Start { id, service, memory_mb }));
+    /// Functions that are awake, those whose callers wait first.
+    fn by_need(&self) -> Vec<String> {
+        let awake = self.desks.iter().filter(|(_, desk)| desk.is_awake());
+        let (waited, others): (Vec<_>, Vec<_>) = awake.partition(|(_, desk)| !desk.held.is_empty());
+        waited.into_iter().chain(others).map(|(name, _)| name.clone()).collect()
     }
 
     /// Takes the least busy out of use, those still starting first where nobody waits for them.
@@ -160,17 +142,24 @@
         }
     }
 
+    /// Stops what has drained and what was lost and is still listed; one that ended needs no call.
     fn stop_drained(&mut self) {
         let now = self.now;
+        let fence = self.roster.number;
         for desk in self.desks.values_mut() {
-            for (id, instance) in &mut desk.instances {
-                let ended = matches!(instance.phase(), Phase::Draining | Phase::Gone);
+            for (id, instance) in desk.instances.iter_mut().filter(|(_, instance)| instance.pending.is_none()) {
+                let ended = match instance.phase() {
+                    Phase::Draining => true,
+                    Phase::Gone => instance.lost.is_some_and(|at| now > at + LOST_LASTS),
+                    Phase::Starting | Phase::Ready => false,
+                };
                 let quiet = instance.busy == 0 && (instance.foreign == 0 || now >= instance.foreign_until);
-                if ended && quiet && instance.stopping.is_none_or(|at| now > at + STOP_AGAIN) {
+                if ended && quiet && (instance.stopping.is_none() || now >= instance.stop_again) {
                     instance.stopping = Some(now);
+                    instance.stop_again = now + STOP_AGAIN;
                     self.stopped.insert(id.clone(), now);
                     event!(stop_ordered, "{id}");
-                    self.outs.push(HomeOutput::Platform(SupplyOrder::Stop { id: id.clone() }));
+                    self.outs.push(HomeOutput::Supply(SupplyOrder::Stop { id: id.clone(), fence }));
                 }
             }
         }
@@ -178,7 +167,7 @@
 
     fn sample_pass(&mut self) {
         let now = self.now;
-        for desk in self.desks.values_mut() {
+        for desk in self.desks.values_mut().filter(|desk| desk.is_awake()) {
             let held = desk.held.len() as f64;
             desk.looks += 1;
             let slots = f64::from(desk.count(Phase::Ready) * desk.function.instance_limit);
@@ -197,9 +186,10 @@
         let mut lines = Vec::new();
         let mut measures = Vec::new();
         for (name, desk) in &mut self.desks {
-            if desk.leaving.is_some() {
+            if desk.leaving.is_some() || (!desk.is_awake() && desk.sampled_zero) {
                 continue;
             }
+            desk.sampled_zero = !desk.is_awake();
             let looks = f64::from(desk.looks.max(1));
             lines.push(SampleLine {
                 function: name.as_str().into(),
@@ -212,8 +202,12 @@
             (desk.arrivals, desk.answered, desk.looks) = (0, 0, 0);
             (desk.answer_time, desk.waiting_sum, desk.held_sum) = (Duration::ZERO, 0.0, 0.0);
         }
-        self.outs.push(HomeOutput::Samples { lines });
-        self.outs.push(HomeOutput::Measures { lines: measures });
+        if !lines.is_empty() {
+            self.outs.push(HomeOutput::Samples { lines });
+        }
+        if !measures.is_empty() {
+            self.outs.push(HomeOutput::Measures { lines: measures });
+        }
     }
 
     pub(crate) fn plan_receipt(&mut self, message: PlanMsg) {
--- a/crates/traffic/src/service.rs
+++ b/crates/traffic/src/service.rs
@@ -22,7 +22,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
-use supply::{Client, SupplyOrder};
+use supply::{OwnSupplier, SupplyOrder};
 use tokio::sync::watch;
 use tokio::task::spawn_local;
 use wire::{HoldMsg, Message, NodeId};
@@ -81,7 +81,9 @@
             let traffic = traffic.clone();
             spawn_local(async move { traffic.send_waiting(TrafficMsg::Platform(report)).await });
         });
-        local(async move { supply::run(Client::new(&address), platform_inbox, report, every).await });
+        let supplier = Rc::new(OwnSupplier::new(&address));
+        let settings = supply::Settings { list_every: every };
+        local(async move { supply::run(supplier, platform_inbox, report, settings).await });
     })?;
     let (names, cell, starts) = (directory.clone(), pass.clone(), settings.starts_per_second);
     thread("traffic", move || {
--- a/crates/traffic/src/supply_side.rs
+++ b/crates/traffic/src/supply_side.rs
@@ -1,104 +1,123 @@
-//! What the platform tells, set against this home's own orders: its list lags, so an instance
+//! What the supplier tells, set against this home's own orders: its list lags, so an instance
 //! ordered lately need not be on it, and one stopped lately may still be. An instance learned to
 //! be leaving or gone gets nothing more from that moment; one nobody is home to is stopped.
 
 use crate::home::Home;
 use crate::home_types::HomeOutput;
 use crate::instance::{Instance, InstanceEvent, Phase};
+use crate::starting::look_limit;
 use events::event;
 use std::collections::BTreeMap;
 use std::time::Duration;
-use supply::{InstanceLine, Listing, Probe, StartReceipt, SupplyOrder, SupplyReport};
+use supply::{InstanceLine, InstanceState, Listing, StopReceipt, SupplyOrder, SupplyReport, WorkerLine};
 
-const NO_MEMORY_PAUSE: Duration = Duration::from_millis(1000);
-const LIMITED_PAUSE: Duration = Duration::from_millis(250);
 const UNBOUND_LASTS: Duration = Duration::from_secs(15);
+const LIMITED: Duration = Duration::from_millis(300);
+const UNANSWERED: Duration = Duration::from_millis(800);
+/// A worker's crash is believed of a start ordered so long before the list of workers was read.
+const CRASH_TOLD: Duration = Duration::from_millis(1500);
+const REFUSED_AFTER: Duration = Duration::from_millis(150);
+const REFUSED_LIMIT: Duration = Duration::from_millis(1500);
 
 impl Home {
     pub(crate) fn platform(&mut self, report: SupplyReport, listed_at: Duration) {
         match report {
-            SupplyReport::Started { id, receipt } => self.started(&id, receipt),
-            SupplyReport::Probed { id, probe } => {
-                let now = self.now;
-                for desk in self.desks.values_mut() {
-                    let Some(instance) = desk.instances.get_mut(&id) else { continue };
-                    match probe {
-                        Probe::Ready => {
-                            if instance.phase() == Phase::Starting {
-                                desk.seen.booted(now.saturating_sub(instance.ordered));
-                            }
-                            instance.take(InstanceEvent::Ready);
-                        }
-                        Probe::Silent => instance.take(InstanceEvent::Lost),
-                    }
-                }
-            }
-            SupplyReport::Stopped { id, taken } => {
-                if taken {
-                    for desk in self.desks.values_mut() {
-                        desk.instances.retain(|known, instance| *known != id || instance.busy > 0);
-                    }
-                }
-            }
+            SupplyReport::Started { nonce, receipt } => self.started(&nonce, receipt),
+            SupplyReport::Stopped { id, receipt } => self.stop_told(&id, receipt),
             SupplyReport::Listed { listing, .. } => self.listed(listing, listed_at),
+            SupplyReport::Workers { lines, .. } => self.workers_listed(lines, listed_at),
             SupplyReport::ListFault => event!(platform_refused, "list"),
         }
     }
 
-    fn started(&mut self, id: &str, receipt: StartReceipt) {
+    /// A connection was made, or none for as long as it was worth trying; then the list tells.
+    pub(crate) fn probed(&mut self, id: &str, ready: bool) {
         let now = self.now;
+        if !ready || self.leaving.contains_key(id) || self.stopped.contains_key(id) {
+            return;
+        }
         for desk in self.desks.values_mut() {
             let Some(instance) = desk.instances.get_mut(id) else { continue };
-            match &receipt {
-                StartReceipt::Accepted { address } => instance.address = address.clone(),
-                StartReceipt::Unanswered => event!(platform_refused, "start of {id} unanswered"),
-                StartReceipt::NoMemory | StartReceipt::Limited => {
-                    event!(platform_refused, "start of {id}: {receipt:?}");
-                    desk.instances.remove(id);
-                    let wakes = desk.instances.is_empty() && !desk.held.is_empty();
-                    let grows = receipt == StartReceipt::NoMemory && !wakes;
-                    desk.refused_until = now + if grows { NO_MEMORY_PAUSE } else { LIMITED_PAUSE };
-                    let name = desk.function.name.clone();
-                    if receipt == StartReceipt::NoMemory {
-                        self.ask_to_give_way(&name);
-                    }
+            match instance.phase() {
+                Phase::Starting => {
+                    desk.seen.booted(now.saturating_sub(instance.ordered));
+                    instance.take(InstanceEvent::Ready);
                 }
+                Phase::Gone if instance.lost.take().is_some() => instance.take(InstanceEvent::Found),
+                _ => {}
             }
+        }
+    }
+
+    /// It refused a connection: nothing more goes there unless it takes one again soon.
+    pub(crate) fn lose(&mut self, name: &str, id: &str) {
+        let Some(instance) = self.desks.get_mut(name).and_then(|desk| desk.instances.get_mut(id)) else { return };
+        if instance.phase() != Phase::Ready {
             return;
         }
-        if matches!(receipt, StartReceipt::Accepted { .. }) {
-            self.outs.push(HomeOutput::Platform(SupplyOrder::Stop { id: id.to_owned() }));
+        instance.take(InstanceEvent::Lost);
+        instance.lost = Some(self.now);
+        let (id, address) = (id.to_owned(), instance.address.clone());
+        self.outs.push(HomeOutput::Probe { id, address, after: REFUSED_AFTER, limit: REFUSED_LIMIT });
+    }
+
+    fn stop_told(&mut self, id: &str, receipt: StopReceipt) {
+        let now = self.now;
+        for desk in self.desks.values_mut() {
+            let Some(instance) = desk.instances.get_mut(id) else { continue };
+            match receipt {
+                StopReceipt::Taken | StopReceipt::Unknown if instance.busy == 0 => drop(desk.instances.remove(id)),
+                StopReceipt::Taken | StopReceipt::Unknown => {}
+                StopReceipt::Limited => instance.stop_again = now + LIMITED,
+                StopReceipt::Unanswered => instance.stop_again = now + UNANSWERED,
+            }
+        }
+    }
+
+    /// What was starting on a worker that is down will not come.
+    fn workers_listed(&mut self, lines: Vec<WorkerLine>, asked: Duration) {
+        self.workers.take(lines, asked);
+        let workers = &self.workers;
+        for desk in self.desks.values_mut().filter(|desk| !desk.instances.is_empty()) {
+            desk.instances.retain(|_, instance| {
+                let starting = instance.phase() == Phase::Starting && instance.pending.is_none();
+                let told = asked > instance.ordered + CRASH_TOLD;
+                let down = !instance.worker.is_empty() && !workers.knows(&instance.worker);
+                !starting || !told || !down
+            });
         }
     }
 
     fn listed(&mut self, listing: Listing, asked: Duration) {
         let now = self.now;
         let mut by_function: BTreeMap<String, Vec<InstanceLine>> = BTreeMap::new();
-        let leaving = listing.instances.iter().filter(|line| line.state == "leaving");
+        let leaving = listing.instances.iter().filter(|line| line.state == InstanceState::Leaving);
         self.leaving.extend(leaving.map(|line| (line.id.clone(), now)));
         for line in listing.instances {
             by_function.entry(line.service.clone()).or_default().push(line);
         }
         self.listed = by_function.iter().map(|(name, lines)| (name.clone(), lines.len() as u32)).collect();
-        let overlay = self.timing.start_expiry;
+        let mut never_came = Vec::new();
         for (name, desk) in &mut self.desks {
             let lines = by_function.remove(name).unwrap_or_default();
+            let overlay = self.timing.start_expiry.max(look_limit(desk.boot()));
             let known: BTreeMap<&str, &InstanceLine> = lines.iter().map(|line| (line.id.as_str(), line)).collect();
-            for (id, instance) in &mut desk.instances {
+            for (id, instance) in desk.instances.iter_mut().filter(|(_, instance)| instance.pending.is_none()) {
                 match known.get(id.as_str()) {
                     Some(line) => {
-                        instance.listed = true;
-                        if instance.address.is_empty() {
-                            instance.address = line.address.clone();
-                        }
-                        match line.state.as_str() {
-                            "running" if instance.stopping.is_none() => instance.take(InstanceEvent::Ready),
-                            "leaving" => instance.take(InstanceEvent::Drain),
+                        instance.take_line(line);
+                        match line.state {
+                            InstanceState::Running if instance.stopping.is_none() && !self.leaving.contains_key(id) => {
+                                instance.take(InstanceEvent::Ready)
+                            }
+                            InstanceState::Leaving => instance.take(InstanceEvent::Drain),
                             _ => {}
                         }
                     }
-                    None if instance.listed || asked > instance.ordered + overlay => {
+                    None if instance.listed => instance.take(InstanceEvent::Lost),
+                    None if asked > instance.ordered + overlay => {
                         instance.take(InstanceEvent::Lost);
+                        never_came.push(id.clone());
                     }
                     None => {}
                 }
@@ -107,11 +126,11 @@
             desk.instances.retain(|id, instance| !gone(instance) || known.contains_key(id.as_str()));
             if desk.leaving.is_none() {
                 for line in &lines {
-                    let fresh = line.state != "leaving" && !self.stopped.contains_key(&line.id);
-                    if fresh && !desk.instances.contains_key(&line.id) {
+                    let ends = self.stopped.contains_key(&line.id) || self.leaving.contains_key(&line.id);
+                    if !ends && !desk.instances.contains_key(&line.id) {
                         let mut instance = Instance::new(now, &line.address);
-                        instance.listed = true;
-                        if line.state == "running" {
+                        instance.take_line(line);
+                        if line.state == InstanceState::Running {
                             instance.take(InstanceEvent::Ready);
                         }
                         desk.instances.insert(line.id.clone(), instance);
@@ -124,9 +143,17 @@
                 }
             }
         }
+        never_came.into_iter().for_each(|id| self.stop(id, "which never came"));
         self.stop_orphans(by_function);
     }
 
+    fn stop(&mut self, id: String, why: &str) {
+        if self.stopped.insert(id.clone(), self.now).is_none() {
+            event!(stop_ordered, "{id}, {why}");
+            self.outs.push(HomeOutput::Supply(SupplyOrder::Stop { id, fence: self.roster.number }));
+        }
+    }
+
     /// Instances of functions bound no longer, whose home by name this router would be.
     fn stop_orphans(&mut self, left: BTreeMap<String, Vec<InstanceLine>>) {
         let now = self.now;
@@ -137,11 +164,22 @@
         self.unbound.retain(|id, _| orphans.contains(id));
         for id in orphans {
             let since = *self.unbound.entry(id.clone()).or_insert(now);
-            if now > since + UNBOUND_LASTS && !self.stopped.contains_key(&id) {
-                self.stopped.insert(id.clone(), now);
-                event!(stop_ordered, "{id}, of a function bound no longer");
-                self.outs.push(HomeOutput::Platform(SupplyOrder::Stop { id }));
+            if now > since + UNBOUND_LASTS {
+                self.stop(id, "of a function bound no longer");
             }
         }
     }
 }
+
+impl Instance {
+    fn take_line(&mut self, line: &InstanceLine) {
+        self.listed = true;
+        if self.address.is_empty() {
+            self.address = line.address.clone();
+        }
+        if !line.worker.is_empty() {
+            self.worker = line.worker.clone();
+        }
+        self.zone = line.zone.clone();
+    }
+}
--- a/crates/traffic/tests/common/mod.rs
+++ b/crates/traffic/tests/common/mod.rs
@@ -1,5 +1,9 @@
 //! A small book, roster and front for the tests of one machine.
 
+#![allow(dead_code)]
+
+pub mod supplied;
+
 use bindings::Book;
 use holds::{MemberLine, Roster};
 use std::rc::Rc;
--- /dev/null
+++ b/crates/traffic/tests/common/supplied.rs
@@ -0,0 +1,121 @@
+//! A home fed by a supplier: what it orders, and what it is told.
+
+use super::{ME, ms, roster};
+use bindings::Book;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+use supply::{
+    InstanceLine, InstanceState, Listing, StartOrder, StartReceipt, StopReceipt, SupplyOrder, SupplyReport, WorkerLine,
+};
+use traffic::{Home, HomeInput, HomeOutput, HomeTiming};
+
+pub const FUNCTION: &str = "t/f";
+
+pub fn worker(name: &str, zone: &str, free_mb: u32, ready: bool) -> WorkerLine {
+    WorkerLine { name: name.into(), zone: zone.into(), memory_mb: 4096, free_mb, ready }
+}
+
+pub fn six_workers() -> Vec<WorkerLine> {
+    let zones = ["a", "b", "c"];
+    (0..6).map(|n| worker(&format!("w{n}"), zones[n % 3], 4096, true)).collect()
+}
+
+pub fn line(id: &str, worker: &str, state: InstanceState) -> InstanceLine {
+    InstanceLine {
+        id: id.into(),
+        service: FUNCTION.into(),
+        address: format!("10.0.0.9:{}", 1000 + id.len()),
+        zone: String::new(),
+        worker: worker.into(),
+        state,
+    }
+}
+
+pub fn book_of(min: u32) -> Rc<Book> {
+    let binding =
+        format!(r#"{{"route":"/t/f","function":"f","class":"ordinary","memory_mb":512,"min":{min},"max":40}}"#);
+    Rc::new(Book::build(1, 1, [("function-bindings/t/f", binding.as_bytes())].into_iter()))
+}
+
+pub struct Supplied {
+    pub home: Home,
+    pub at: u64,
+    pub starts: Vec<StartOrder>,
+    pub stops: Vec<String>,
+    pub probes: Vec<(String, Duration)>,
+    pub others: Vec<HomeOutput>,
+}
+
+impl Supplied {
+    /// A home that has always had an empty book and now takes one whose function is to have so many.
+    pub fn new(min: u32, workers: Vec<WorkerLine>) -> Supplied {
+        Supplied::beside(ME, min, workers)
+    }
+
+    /// The same where the only member, and so the home, is this one.
+    pub fn beside(member: u64, min: u32, workers: Vec<WorkerLine>) -> Supplied {
+        let home = Home::new(ME, 1, HomeTiming::default());
+        let (starts, stops, probes, others) = (Vec::new(), Vec::new(), Vec::new(), Vec::new());
+        let mut supplied = Supplied { home, at: 0, starts, stops, probes, others };
+        supplied.feed(HomeInput::Book { book: Rc::new(Book::default()) });
+        supplied.feed(HomeInput::Roster { roster: roster(7, &[member]) });
+        if !workers.is_empty() {
+            supplied.workers(workers);
+        }
+        supplied.feed(HomeInput::Book { book: book_of(min) });
+        supplied
+    }
+
+    pub fn feed(&mut self, input: HomeInput) {
+        for output in self.home.step(ms(self.at), true, input) {
+            match output {
+                HomeOutput::Supply(SupplyOrder::Start(order)) => self.starts.push(order),
+                HomeOutput::Supply(SupplyOrder::Stop { id, .. }) => self.stops.push(id),
+                HomeOutput::Probe { id, after, .. } => self.probes.push((id, after)),
+                other => self.others.push(other),
+            }
+        }
+    }
+
+    fn report(&mut self, report: SupplyReport) {
+        let listed_at = ms(self.at);
+        self.feed(HomeInput::Platform { report, listed_at });
+    }
+
+    pub fn workers(&mut self, lines: Vec<WorkerLine>) {
+        self.report(SupplyReport::Workers { lines, asked: Instant::now() });
+    }
+
+    pub fn list(&mut self, instances: Vec<InstanceLine>) {
+        self.report(SupplyReport::Listed { listing: Listing { instances }, asked: Instant::now() });
+    }
+
+    pub fn started(&mut self, nonce: &str, receipt: StartReceipt) {
+        self.report(SupplyReport::Started { nonce: nonce.into(), receipt });
+    }
+
+    pub fn accepted(&mut self, nonce: &str, id: &str) {
+        let address = format!("10.0.0.9:{}", 1000 + id.len());
+        self.started(nonce, StartReceipt::Accepted { id: id.into(), address });
+    }
+
+    pub fn stopped(&mut self, id: &str, receipt: StopReceipt) {
+        self.report(SupplyReport::Stopped { id: id.into(), receipt });
+    }
+
+    pub fn probed(&mut self, id: &str, ready: bool) {
+        self.feed(HomeInput::Probed { id: id.into(), ready });
+    }
+
+    /// Lets time pass in ticks of ten milliseconds.
+    pub fn pass(&mut self, millis: u64) {
+        for _ in 0..millis / 10 {
+            self.at += 10;
+            self.feed(HomeInput::Tick);
+        }
+    }
+
+    pub fn count(&mut self, what: &str) -> u64 {
+        self.home.status()["functions"][FUNCTION][what].as_u64().unwrap_or_default()
+    }
+}
--- a/crates/traffic/tests/front.rs
+++ b/crates/traffic/tests/front.rs
@@ -74,7 +74,7 @@
 
 #[test]
 fn a_task_that_cannot_be_served_in_time_is_refused_at_once_not_near_its_deadline() {
-    use supply::{Probe, StartReceipt, SupplyReport};
+    use supply::{StartReceipt, SupplyReport};
     use traffic::Verdict;
     let mut home = Home::new(OTHER, 1, HomeTiming::default());
     home.step(ms(0), true, HomeInput::Book { book: book() });
@@ -88,10 +88,10 @@
             inputs.push(HomeInput::Carry { from: ME, message });
         }
         let report = |report| HomeInput::Platform { report, listed_at: ms(at) };
-        if let Some(id) = instance.take() {
-            let receipt = StartReceipt::Accepted { address: "10.9.9.9:1".into() };
-            inputs.push(report(SupplyReport::Started { id: String::clone(&id), receipt }));
-            inputs.push(report(SupplyReport::Probed { id, probe: Probe::Ready }));
+        if let Some(nonce) = instance.take() {
+            let receipt = StartReceipt::Accepted { id: "i1".into(), address: "10.9.9.9:1".into() };
+            inputs.push(report(SupplyReport::Started { nonce, receipt }));
+            inputs.push(HomeInput::Probed { id: "i1".into(), ready: true });
         }
         let done = running.iter().position(|(_, due)| at >= *due).map(|place| running.remove(place));
         if let Some((number, _)) = done {
@@ -101,7 +101,7 @@
         for output in inputs.into_iter().flat_map(|input| home.step(ms(at), true, input)).collect::<Vec<_>>() {
             match output {
                 HomeOutput::Dispatch(order) => running.push((order.number, at + 500)),
-                HomeOutput::Platform(supply::SupplyOrder::Start { id, .. }) => instance = Some(id),
+                HomeOutput::Supply(supply::SupplyOrder::Start(order)) => instance = Some(order.nonce),
                 HomeOutput::Carry {
                     message: CarryMsg::Carried { outcome: Outcome::NotRun, retry_after, .. }, ..
                 } => {
--- a/crates/yard/src/api.rs
+++ b/crates/yard/src/api.rs
@@ -1,25 +1,24 @@
 //! The platform's API and the yard's owner: one thread holds the state, handlers send it asks.
 
-use crate::instance::{Ask, Endpoint, draw, serve, wall_ms};
+use crate::beginning::begin;
+use crate::instance::{Ask, draw, wall_ms};
 use crate::record::Record;
 use crate::services::load;
-use crate::state::{Held, Mischief, Yard, YardEnv};
+use crate::state::{Mischief, Yard, YardEnv};
 use axum::extract::{Path, State};
 use axum::http::StatusCode;
 use axum::routing::{get, post};
 use axum::{Json, Router};
-use rand::{RngExt, SeedableRng};
+use rand::SeedableRng;
 use serde_json::{Value, json};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
-use std::sync::Arc;
-use std::sync::atomic::AtomicBool;
 use std::time::{Duration, Instant};
-use tokio::net::{TcpListener, TcpSocket};
+use tokio::net::TcpListener;
 use tokio::sync::{mpsc, oneshot};
 
-type Answer = (StatusCode, Value);
+pub type Answer = (StatusCode, Value);
 
-enum Order {
+pub enum Order {
     Call { what: &'static str, id: String, body: Value, reply: oneshot::Sender<Answer> },
     Lot(Ask),
     Ready { id: String },
@@ -38,6 +37,7 @@
             .route("/v1/instances", get(list).post(start))
             .route("/v1/instances/{id}", axum::routing::delete(stop))
             .route("/v1/mischief", post(mischief))
+            .route("/v1/workers", get(workers))
             .route("/v1/workers/{id}/{what}", post(worker))
             .route("/v1/counts", get(counts))
             .with_state(orders.clone());
@@ -47,6 +47,8 @@
             settings,
             services,
             instances: BTreeMap::new(),
+            nonces: BTreeMap::new(),
+            begun: 0,
             shown: VecDeque::new(),
             calls: VecDeque::new(),
             mischief: Mischief::default(),
@@ -77,8 +79,11 @@
 async fn list(State(orders): Orders) -> (StatusCode, Json<Value>) {
     ask(&orders, "list", String::new(), Value::Null).await
 }
+async fn workers(State(orders): Orders) -> (StatusCode, Json<Value>) {
+    ask(&orders, "workers", String::new(), Value::Null).await
+}
 async fn start(State(orders): Orders, Json(body): Json<Value>) -> (StatusCode, Json<Value>) {
-    ask(&orders, "start", body["id"].as_str().unwrap_or_default().to_owned(), body).await
+    ask(&orders, "start", String::new(), body).await
 }
 async fn stop(State(orders): Orders, Path(id): Path<String>) -> (StatusCode, Json<Value>) {
     ask(&orders, "stop", id, Value::Null).await
@@ -98,8 +103,8 @@
     loop {
         tokio::select! {
             _ = ticks.tick() => {
-                let list = yard.listing();
-                yard.shown.push_back((Instant::now(), list));
+                let (list, workers) = (yard.listing(), yard.workers());
+                yard.shown.push_back((Instant::now(), list, workers));
             }
             order = inbox.recv() => match order {
                 Some(Order::Lot(Ask::Lot(reply))) => drop(reply.send(draw(&mut yard))),
@@ -140,7 +145,8 @@
             (StatusCode::OK, yard.late_listing(tell))
         }
         "start" | "stop" if !yard.lets_call() => (StatusCode::TOO_MANY_REQUESTS, json!({"fault": "too many calls"})),
-        "start" => begin(yard, record, orders, id, body).await,
+        "workers" => (StatusCode::OK, yard.late_workers()),
+        "start" => begin(yard, record, orders, body),
         "stop" => match yard.remove(id) {
             true => (StatusCode::ACCEPTED, json!({"id": id})),
             false => (StatusCode::NOT_FOUND, json!({"fault": "no such instance"})),
@@ -190,57 +196,3 @@
         }
     }
 }
-
-async fn begin(yard: &mut Yard, record: &Record, orders: &mpsc::Sender<Order>, id: &str, body: &Value) -> Answer {
-    let service = body["service"].as_str().unwrap_or_default().to_owned();
-    let memory_mb = body["memory_mb"].as_u64().unwrap_or(0) as u32;
-    let Some(shape) = yard.services.get(&service).cloned() else {
-        return (StatusCode::BAD_REQUEST, json!({"fault": "no such service"}));
-    };
-    if let Some(held) = yard.instances.get(id) {
-        return (StatusCode::ACCEPTED, json!({"id": id, "address": held.address, "worker": held.worker}));
-    }
-    let Some(worker) = yard.place(memory_mb) else {
-        return (StatusCode::INSUFFICIENT_STORAGE, json!({"fault": "no worker has the memory"}));
-    };
-    // The port is taken now and listened on only when the instance has started.
-    let bound = TcpSocket::new_v4().and_then(|socket| socket.bind(([127, 0, 0, 1], 0).into()).map(|()| socket));
-    let Ok((socket, address)) = bound.and_then(|socket| socket.local_addr().map(|address| (socket, address))) else {
-        return (StatusCode::SERVICE_UNAVAILABLE, json!({"fault": "no port"}));
-    };
-    let wait = Duration::from_millis(shape.start_ms * yard.dice.random_range(90..=115) / 100);
-    let (lots, mut lot_inbox) = mpsc::channel(64);
-    let alive = Arc::new(AtomicBool::new(true));
-    let endpoint = Endpoint {
-        id: id.to_owned(),
-        service: service.clone(),
-        shape,
-        busy: Arc::default(),
-        alive: alive.clone(),
-        record: record.clone(),
-        lots,
-    };
-    let (forward, ready, name) = (orders.clone(), orders.clone(), id.to_owned());
-    let task = tokio::task::spawn_local(async move {
-        tokio::time::sleep(wait).await;
-        let Ok(listener) = socket.listen(1024) else { return };
-        let _ = ready.send(Order::Ready { id: name }).await;
-        tokio::join!(serve(endpoint, listener), async {
-            while let Some(lot) = lot_inbox.recv().await {
-                let _ = forward.send(Order::Lot(lot)).await;
-            }
-        });
-    });
-    let held = Held {
-        service,
-        address: address.to_string(),
-        worker,
-        memory_mb,
-        state: "starting",
-        task: Some(task.abort_handle()),
-        alive,
-        asked: Instant::now(),
-    };
-    yard.instances.insert(id.to_owned(), held);
-    (StatusCode::ACCEPTED, json!({"id": id, "address": address.to_string(), "worker": worker}))
-}
--- a/crates/yard/src/main.rs
+++ b/crates/yard/src/main.rs
@@ -1,8 +1,9 @@
-//! `yard`: the platform's stand-in. Workers with memory, a limit on calls, late lists, instances
+//! `yard`: the platform's stand-in. Workers in zones, with memory, a limit on calls, late lists, instances
 //! that take their time to start and then serve on endpoints of their own, and a record of every
 //! task they ran. It can be told to crash or drain workers and to make instances misbehave.
 
 mod api;
+mod beginning;
 mod instance;
 mod record;
 mod services;
--- a/crates/yard/src/state.rs
+++ b/crates/yard/src/state.rs
@@ -17,6 +17,7 @@
         services: PathBuf = PathBuf::new(), any, "JSON file of services";
         record: PathBuf = PathBuf::from("runs.jsonl"), any, "file for the instances' record";
         workers: u32 = 12, in_range(1, 1000), "number of workers";
+        zones: Vec<String> = vec!["a".into(), "b".into(), "c".into()], any, "zones that the workers stand in, by turns";
         memory_mb: u32 = 5427, in_range(64, 1_000_000), "memory of each worker";
         calls: u32 = 80, in_range(1, 10_000), "starts and stops taken in a second";
         lag: Duration = Duration::from_millis(1200), in_range(Duration::ZERO, Duration::from_secs(30)), "how late the list is";
@@ -35,6 +36,14 @@
     pub asked: Instant,
 }
 
+/// What a start came to; the same nonce is told the same again.
+#[derive(Clone)]
+pub struct Started {
+    pub id: String,
+    pub address: String,
+    pub worker: usize,
+}
+
 #[derive(Clone, Default)]
 pub struct Mischief {
     pub lose: f64,
@@ -49,8 +58,10 @@
     pub settings: YardEnv,
     pub services: Services,
     pub instances: BTreeMap<String, Held>,
+    pub nonces: BTreeMap<(String, String), Started>,
+    pub begun: u64,
     pub drained: Vec<bool>,
-    pub shown: VecDeque<(Instant, Value)>,
+    pub shown: VecDeque<(Instant, Value, Value)>,
     pub calls: VecDeque<Instant>,
     pub mischief: Mischief,
     pub dice: rand_chacha::ChaCha8Rng,
@@ -77,40 +88,66 @@
         true
     }
 
-    /// The worker with the most memory left, if any has enough.
-    pub fn place(&self, memory_mb: u32) -> Option<usize> {
+    /// Memory left on each worker.
+    fn left(&self) -> Vec<i64> {
         let mut left = vec![i64::from(self.settings.memory_mb); self.drained.len()];
         for held in self.instances.values() {
             left[held.worker] -= i64::from(held.memory_mb);
         }
+        left
+    }
+
+    /// The worker that is named, or the one with the most memory left, if it has enough.
+    pub fn place(&self, named: Option<usize>, memory_mb: u32) -> Option<usize> {
+        let left = self.left();
         (0..left.len())
+            .filter(|worker| named.is_none_or(|named| named == *worker))
             .filter(|worker| !self.drained[*worker] && left[*worker] >= i64::from(memory_mb))
             .max_by_key(|worker| (left[*worker], std::cmp::Reverse(*worker)))
     }
 
+    fn zone(&self, worker: usize) -> &str {
+        let zones = &self.settings.zones;
+        zones.get(worker % zones.len().max(1)).map_or("", String::as_str)
+    }
+
     pub fn listing(&self) -> Value {
-        let lines: Vec<Value> = self
-            .instances
-            .iter()
-            .map(|(id, held)| json!({"id": id, "service": held.service, "address": held.address, "state": held.state, "worker": held.worker}))
-            .collect();
-        let workers: Vec<Value> = self
-            .drained
-            .iter()
-            .enumerate()
-            .map(|(n, drained)| json!({"id": n, "memory_mb": self.settings.memory_mb, "state": if *drained { "draining" } else { "ready" }}))
-            .collect();
-        json!({"instances": lines, "workers": workers})
+        let line = |(id, held): (&String, &Held)| {
+            json!({
+                "id": id, "service": held.service, "address": held.address, "zone": self.zone(held.worker),
+                "worker": worker_name(held.worker), "state": held.state,
+            })
+        };
+        json!({"instances": self.instances.iter().map(line).collect::<Vec<Value>>()})
     }
 
-    /// The list as it stood a while ago.
-    pub fn late_listing(&mut self, tell: impl Fn(&str)) -> Value {
+    pub fn workers(&self) -> Value {
+        let line = |(worker, left): (usize, i64)| {
+            json!({
+                "name": worker_name(worker), "zone": self.zone(worker), "memory_mb": self.settings.memory_mb,
+                "free_mb": left.max(0), "ready": !self.drained[worker],
+            })
+        };
+        json!({"workers": self.left().into_iter().enumerate().map(line).collect::<Vec<Value>>()})
+    }
+
+    /// The lists, of instances and of workers, as they stood a while ago.
+    fn late(&mut self) -> Option<&(Instant, Value, Value)> {
         let now = Instant::now();
         let lag = self.settings.lag;
         while self.shown.len() > 1 && now.duration_since(self.shown[1].0) >= lag {
             self.shown.pop_front();
         }
-        let list = self.shown.front().map_or_else(|| json!({"instances": [], "workers": []}), |(_, list)| list.clone());
+        self.shown.front()
+    }
+
+    pub fn late_workers(&mut self) -> Value {
+        let now = self.workers();
+        self.late().map_or(now, |(_, _, workers)| workers.clone())
+    }
+
+    pub fn late_listing(&mut self, tell: impl Fn(&str)) -> Value {
+        let list = self.late().map_or_else(|| json!({"instances": []}), |(_, list, _)| list.clone());
         for line in list["instances"].as_array().into_iter().flatten().filter(|line| line["state"] == "leaving") {
             let id = line["id"].as_str().unwrap_or_default();
             if self.told.insert(id.to_owned()) {
@@ -130,3 +167,11 @@
         true
     }
 }
+
+pub fn worker_name(worker: usize) -> String {
+    format!("w{worker}")
+}
+
+pub fn worker_number(name: &str) -> Option<usize> {
+    name.strip_prefix('w')?.parse().ok()
+}
