Let a registry's step and fits a second be set, and plan for boots as declared

Cause: a start is waited for as long as an instance boots, which a function now declares; a plan at a step of a second would count an instance from the next step on though it boots for two.

Seen: the tests of scaler, control and platform.

--- a/crates/control/src/optimizer.rs
+++ b/crates/control/src/optimizer.rs
@@ -7,6 +7,7 @@
 use events::event;
 use kernel::{Inbox, Post};
 use links::LinkOrder;
+use scaler::Optimizer;
 use std::time::{Duration, Instant};
 use wire::{Message, NodeId, PlanMsg, View};
 
@@ -19,6 +20,8 @@
 pub struct Host {
     pub me: NodeId,
     pub solve: Duration,
+    pub step: Duration,
+    pub fits: f64,
     pub plans: bool,
     pub tuning: bool,
     pub control: Post<ControlMsg>,
@@ -27,7 +30,7 @@
 
 pub fn run(host: Host, mut inbox: Inbox<OptimizerMsg>) {
     let begun = Instant::now();
-    let mut planner = Planner::new(host.tuning);
+    let mut planner = Planner::new(host.tuning, Optimizer::new(host.step, host.fits));
     let mut told = (0, 0);
     while let Some(message) = inbox.next_blocking() {
         match message {
--- a/crates/control/src/planner.rs
+++ b/crates/control/src/planner.rs
@@ -29,13 +29,13 @@
 
 impl Default for Planner {
     fn default() -> Self {
-        Planner::new(true)
+        Planner::new(true, Optimizer::default())
     }
 }
 
 impl Planner {
-    pub fn new(tunes: bool) -> Planner {
-        let (optimizer, functions) = (Optimizer::default(), BTreeMap::new());
+    pub fn new(tunes: bool, optimizer: Optimizer) -> Planner {
+        let functions = BTreeMap::new();
         let (told, in_force) = (BTreeMap::new(), Vec::new());
         Planner { optimizer, functions, view: View::default(), tunes, told, fence: 0, in_force }
     }
--- a/crates/control/src/service.rs
+++ b/crates/control/src/service.rs
@@ -95,6 +95,8 @@
     let host = Host {
         me,
         solve: settings.solve,
+        step: settings.step,
+        fits: settings.fits,
         plans: settings.plans,
         tuning: settings.tuning,
         control: control.clone(),
--- a/crates/control/src/settings.rs
+++ b/crates/control/src/settings.rs
@@ -24,6 +24,8 @@
         call: Duration = Duration::from_secs(10), in_range(Duration::from_secs(1), Duration::from_secs(60)), "how long an operator's call may take before its outcome is told as unknown";
         body: usize = 4 * 1024 * 1024, in_range(1024, 5 * 1024 * 1024), "longest body of an operator's call in bytes";
         solve: Duration = Duration::from_millis(1000), in_range(Duration::from_millis(10), Duration::from_secs(10)), "limit on one solve of a headcount plan";
+        step: Duration = Duration::from_secs(15), in_range(Duration::from_millis(250), Duration::from_secs(600)), "one step of samples and plans; the same on every machine";
+        fits: f64 = 8.0, in_range(0.0, 1000.0), "most fits of a forecast a second; without one the last value is repeated";
         plans: bool = true, any, "whether plans are made here when this registry is the optimizer's host; without, homes fall back";
         tuning: bool = true, any, "whether weight sheets are tuned by what is measured when this registry is the optimizer's host";
         tokens_file: PathBuf = PathBuf::new(), any, "file of more bearer tokens, one to a line, so that none need stand on a command line";
--- a/crates/scaler/src/optimizer.rs
+++ b/crates/scaler/src/optimizer.rs
@@ -11,6 +11,7 @@
 use std::time::Duration;
 
 const HORIZON: usize = 4;
+const MOST_DELAY: f64 = 8.0;
 const FITS_PER_SECOND: f64 = 8.0;
 
 pub struct Planned {
@@ -59,7 +60,9 @@
         gauge: Sample,
         limit: Duration,
     ) -> Planned {
-        let sheet = self.tuner.in_force(function);
+        let mut sheet = self.tuner.in_force(function);
+        let boots = (function.boot.as_secs_f64() / self.step.as_secs_f64()).ceil().min(MOST_DELAY) as u32;
+        sheet.startup_delay_steps = sheet.startup_delay_steps.max(boots);
         let gained = now.saturating_sub(self.refilled).as_secs_f64() * self.fits_per_second;
         self.fits_left = (self.fits_left + gained).min(self.fits_per_second.max(1.0));
         self.refilled = now;
