Send tasks to instances over kept connections, matched by the id they echo

Cause: one connection a dispatch costs a connect and a 40 ms wait for bytes after the answer, and the users' platform prices new connections. Where tasks carry ids that instances echo, an answer is known by its id, so a connection can be kept. Ruled out: hyper's client connection, which needs a driver task each and reads on where a surplus answer must end the connection. Change: a crate dispatch with a pool per instance (used last goes first, closed before the instance's Keep-Alive time), strict reading of answers, probes whose connection is kept.

--- /dev/null
+++ b/crates/dispatch/src/lib.rs
@@ -0,0 +1,18 @@
+//! Sending tasks to instances over connections that are kept. An answer is matched to its task by
+//! the id it echoes and is believed only whole; whatever falls short of that is told as it is: not
+//! run by the instance's own word, never sent, or in doubt. Where tasks carry no id, each has a
+//! connection of its own.
+
+mod answer;
+mod ask;
+mod connection;
+mod dispatcher;
+mod head;
+mod order;
+mod pool;
+mod words;
+
+pub use dispatcher::{Dispatcher, Report, run, send_to_instance};
+pub use head::{answer_lines, fill, lines};
+pub use order::{DispatchOrder, DispatchReport, DispatcherMsg, Verdict};
+pub use words::Words;
--- /dev/null
+++ b/crates/dispatch/src/words.rs
@@ -0,0 +1,42 @@
+//! The names of headers and paths that differ from one dialect to another. The default is the
+//! product's own dialect; a header that is not named is neither read nor written.
+
+use hyper::header::HeaderName;
+
+#[derive(Clone, Debug)]
+pub struct Words {
+    /// The caller's id of a request, which instances echo.
+    pub request_id: Option<HeaderName>,
+    /// Milliseconds: what a caller will wait, and what an instance is left.
+    pub deadline: Option<HeaderName>,
+    /// The instance a request is meant for; every other one answers 421.
+    pub pinned: Option<HeaderName>,
+    /// With it an instance says that it did not run the request.
+    pub not_run: Option<HeaderName>,
+    /// With it a router tells what became of a task.
+    pub outcome: Option<HeaderName>,
+    /// The caller's key of a run-once or deferred task.
+    pub key: Option<HeaderName>,
+    /// The path below which the state of deferred tasks can be asked.
+    pub task_path: Option<&'static str>,
+    /// Another path at which readiness is told.
+    pub ready_path: Option<&'static str>,
+    /// Whether callers read `Retry-After` in fractions of a second.
+    pub fractions: bool,
+}
+
+impl Default for Words {
+    fn default() -> Self {
+        Words {
+            request_id: None,
+            deadline: None,
+            pinned: None,
+            not_run: None,
+            outcome: Some(HeaderName::from_static("heronlink-outcome")),
+            key: Some(HeaderName::from_static("idempotency-key")),
+            task_path: Some("/.heron/tasks/"),
+            ready_path: None,
+            fractions: false,
+        }
+    }
+}
