--- a/crates/bindings/src/book.rs
+++ b/crates/bindings/src/book.rs
@@ -102,11 +102,11 @@
         if binding.class == Class::Deferred {
             self.deferred.insert(name.clone());
         }
-        let known =
-            self.functions.entry(name).or_insert_with_key(|name| read.function(name, None, Some(binding)));
+        let known = self.functions.entry(name).or_insert_with_key(|name| read.function(name, None, Some(binding)));
         let aim = binding.aim_ms.map(|aim| Duration::from_millis(aim.into()));
         let first = known.attempts == 0;
-        known.player_weight = if first { binding.player_weight } else { known.player_weight.max(binding.player_weight) };
+        known.player_weight =
+            if first { binding.player_weight } else { known.player_weight.max(binding.player_weight) };
         known.aim = known.aim.into_iter().chain(aim).min();
         known.rank = if first { binding.rank } else { known.rank.min(binding.rank) };
         known.attempts = known.attempts.max(binding.attempts);
--- a/crates/bindings/src/check_fields.rs
+++ b/crates/bindings/src/check_fields.rs
@@ -16,7 +16,11 @@
     let whole = plain && route.len() > 1 && route.len() <= 256 && !route.contains("//");
     let leading = route.bytes().all(|b| b > b' ' && b != 0x7f && !b"?#".contains(&b)) && route.len() <= 4096;
     let shaped = route.starts_with('/') && if route.ends_with('/') { leading } else { whole };
-    want("route", shaped, "a path such as /tenant/name, up to 256 plain characters, or the beginning of one up to a slash");
+    want(
+        "route",
+        shaped,
+        "a path such as /tenant/name, up to 256 plain characters, or the beginning of one up to a slash",
+    );
     want("route", !route.starts_with("/.heron"), "/.heron is kept for the system");
     let host = &binding.host;
     let named = host.bytes().all(|b| b > b' ' && b != 0x7f && !b"/?#@".contains(&b));
--- a/crates/control/src/api_calls.rs
+++ b/crates/control/src/api_calls.rs
@@ -15,9 +15,15 @@
         dry: bool,
     },
     /// The latest revision, in force or not, and some of its resources as this registry has them.
-    Latest { keys: Vec<String> },
-    Configuration { scope: String },
-    Operation { op: String },
+    Latest {
+        keys: Vec<String>,
+    },
+    Configuration {
+        scope: String,
+    },
+    Operation {
+        op: String,
+    },
     Status,
 }
 
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -26,8 +26,8 @@
 
 pub use api_calls::{ApiCall, ApiReply};
 pub use apply::apply;
-pub use dialect::{ControlDialect, MakePages, Operators};
 pub use core::{Core, CoreInput, CoreOutput, CoreTiming};
+pub use dialect::{ControlDialect, MakePages, Operators};
 pub use faults::RunFault;
 pub use keys::{member_key, number};
 pub use planner::{Planned, Planner};
--- a/crates/dispatch/src/words.rs
+++ b/crates/dispatch/src/words.rs
@@ -19,8 +19,6 @@
     pub key: Option<HeaderName>,
     /// The path below which the state of deferred tasks can be asked.
     pub task_path: Option<&'static str>,
-    /// Another path at which readiness is told.
-    pub ready_path: Option<&'static str>,
     /// Whether callers read `Retry-After` in fractions of a second.
     pub fractions: bool,
 }
@@ -35,7 +33,6 @@
             outcome: Some(HeaderName::from_static("heronlink-outcome")),
             key: Some(HeaderName::from_static("idempotency-key")),
             task_path: Some("/.heron/tasks/"),
-            ready_path: None,
             fractions: false,
         }
     }
--- a/crates/doors/src/serve.rs
+++ b/crates/doors/src/serve.rs
@@ -12,6 +12,9 @@
 use tokio::sync::{Semaphore, watch};
 use tokio::task::JoinSet;
 
+/// The server's buffer is never smaller.
+const HEAD_LEAST: usize = 8192;
+
 #[derive(Clone, Copy, Debug)]
 pub struct DoorLimits {
     pub connections: usize,
@@ -22,8 +25,18 @@
     pub grace: Duration,
 }
 
-pub async fn serve(listener: TcpListener, router: Router, limits: DoorLimits, mut stop: watch::Receiver<bool>) {
-    let room = Rc::new(Semaphore::new(limits.connections));
+pub async fn serve(listener: TcpListener, router: Router, limits: DoorLimits, stop: watch::Receiver<bool>) {
+    serve_within(listener, router, move || limits, stop).await;
+}
+
+/// The same with limits that may change: each connection has those in force when it came.
+pub async fn serve_within(
+    listener: TcpListener,
+    router: Router,
+    limits_now: impl Fn() -> DoorLimits,
+    mut stop: watch::Receiver<bool>,
+) {
+    let room = Rc::new(Semaphore::new(limits_now().connections));
     let mut open = JoinSet::new();
     loop {
         let permit = tokio::select! {
@@ -39,6 +52,7 @@
             continue;
         };
         let _ = stream.set_nodelay(true);
+        let limits = limits_now();
         let service = TowerToHyperService::new(router.clone());
         let mut stopping = stop.clone();
         while open.try_join_next().is_some() {}
@@ -47,7 +61,7 @@
             let connection = http1::Builder::new()
                 .timer(TokioTimer::new())
                 .header_read_timeout(limits.head_time)
-                .max_buf_size(limits.head_bytes)
+                .max_buf_size(limits.head_bytes.max(HEAD_LEAST))
                 .max_headers(limits.headers)
                 .serve_connection(TokioIo::new(stream), service);
             tokio::pin!(connection);
--- a/crates/router/src/main.rs
+++ b/crates/router/src/main.rs
@@ -1,7 +1,7 @@
 //! `router`: the data plane's program, one on every machine.
 
 use std::process::ExitCode;
-use traffic::RouterEnv;
+use traffic::{Dialect, RouterEnv};
 
 const ABOUT: &str = "meets callers, carries tasks to their homes and runs instances to match the plan";
 
@@ -9,6 +9,6 @@
     env::program("router", ABOUT, env!("CARGO_PKG_VERSION"), |settings: RouterEnv| {
         events::setup(&settings.log_level, &settings.log_file)
             .map_err(|fault| (2, format!("setting log_file = {}: {fault}", settings.log_file)))?;
-        traffic::run(settings).map_err(|fault| (1, fault.to_string()))
+        traffic::run(settings, Dialect::default()).map_err(|fault| (1, fault.to_string()))
     })
 }
--- a/crates/sim/src/callers.rs
+++ b/crates/sim/src/callers.rs
@@ -106,7 +106,9 @@
         let ask = self.callers.next;
         let header = HeaderLine { name: "x-task".into(), value: task.label.clone().into_bytes().into() };
         let call = Call {
+            host: String::new(),
             path: task.path.clone(),
+            deadline: None,
             head: RequestHead {
                 method: "POST".into(),
                 target: task.path.as_str().into(),
@@ -146,7 +148,7 @@
             Some(Outcome::NotRun) => {
                 self.callers.refused += 1;
                 self.rules.not_run(now, &task.label);
-                if reply.status == 503 && reply.retry_after == 0 {
+                if reply.status == 503 && reply.retry_after.is_zero() {
                     self.rules.tell(now, format!("{} was refused without a time to come back", task.label));
                 }
             }
--- a/crates/sim/src/operators.rs
+++ b/crates/sim/src/operators.rs
@@ -105,7 +105,15 @@
                 }));
             }
             let base = (!any).then_some(base);
-            let call = ApiCall::Change { op: mark.clone(), base, revision: None, whole, scope: String::new(), items, dry: false };
+            let call = ApiCall::Change {
+                op: mark.clone(),
+                base,
+                revision: None,
+                whole,
+                scope: String::new(),
+                items,
+                dry: false,
+            };
             self.operators.open.insert((n, ask), Asked { mark, base, invalid });
             self.feed_registry(n, CoreInput::Call { ask, call });
         }
--- a/crates/sim/src/router_turns.rs
+++ b/crates/sim/src/router_turns.rs
@@ -54,6 +54,7 @@
                                 self.rules.served(self.now, revision);
                                 self.dispatch(n, order);
                             }
+                            HomeOutput::Probe { .. } | HomeOutput::Forget { .. } => {}
                             HomeOutput::Platform(order) => self.platform_order(n, order),
                             HomeOutput::PlanAsk { message } => self.ask_registries(n, message),
                             HomeOutput::Measures { lines } => {
--- a/crates/traffic/src/budget.rs
+++ b/crates/traffic/src/budget.rs
@@ -62,6 +62,11 @@
         may
     }
 
+    /// An arrival that an instance turned away counts as one more.
+    pub fn turned_away(&mut self, now: Duration) {
+        self.seconds.add(now);
+    }
+
     pub fn counts(&mut self, now: Duration) -> (usize, usize) {
         (self.requests.count(now), self.seconds.count(now))
     }
--- /dev/null
+++ b/crates/traffic/src/caller_limits.rs
@@ -0,0 +1,36 @@
+//! What a caller may send and how long it may take: the router's settings, made narrower by the
+//! bounds of the book in force. The doors read them at each connection and each request.
+
+use axum::http::HeaderValue;
+use bindings::CallerBounds;
+use doors::DoorLimits;
+use std::time::Duration;
+
+#[derive(Clone, Debug)]
+pub struct CallerLimits {
+    pub door: DoorLimits,
+    pub body_bytes: usize,
+    pub body_time: Duration,
+    /// How long a connection may be idle, as callers are told it.
+    pub keep_alive: Option<HeaderValue>,
+}
+
+impl CallerLimits {
+    /// These limits within a book's bounds. A head and the pause before it have one time together.
+    pub fn within(&self, bounds: Option<&CallerBounds>) -> CallerLimits {
+        let Some(bounds) = bounds else { return self.clone() };
+        let time = |ms: u32| Duration::from_millis(ms.into());
+        let idle = time(bounds.idle_ms.max(bounds.head_ms)).min(self.door.head_time);
+        let told = idle.as_secs().saturating_sub(1);
+        CallerLimits {
+            door: DoorLimits {
+                head_bytes: self.door.head_bytes.min(bounds.head_bytes as usize),
+                head_time: idle,
+                ..self.door
+            },
+            body_bytes: self.body_bytes.min(bounds.body_bytes as usize),
+            body_time: self.body_time,
+            keep_alive: (told > 0).then(|| HeaderValue::try_from(format!("timeout={told}")).ok()).flatten(),
+        }
+    }
+}
--- /dev/null
+++ b/crates/traffic/src/dialect.rs
@@ -0,0 +1,16 @@
+//! How a router is made to speak words other than the product's own, and to serve further pages.
+
+use crate::ops::Views;
+use axum::Router;
+use dispatch::Words;
+
+pub type MakePages = Box<dyn FnOnce(Views) -> Router + Send>;
+
+/// The product's own dialect by default.
+#[derive(Default)]
+pub struct Dialect {
+    pub words: Words,
+    /// Further pages, and the address they are served at.
+    pub pages: Option<MakePages>,
+    pub pages_address: Option<String>,
+}
--- a/crates/traffic/src/door.rs
+++ b/crates/traffic/src/door.rs
@@ -1,27 +1,30 @@
 //! The callers' door: reads a request whole within its bounds, hands it to the traffic thread and
-//! writes the answer, with the outcome in a header of its own.
+//! writes the answer, with the outcome in a header of its own where the dialect has one.
 
+use crate::caller_limits::CallerLimits;
 use crate::front_types::{Call, Reply};
-use crate::head;
 use crate::plane::TrafficMsg;
 use axum::Router;
-use axum::body::Body;
+use axum::body::{Body, HttpBody};
 use axum::extract::{Request, State};
+use axum::http::request::Parts;
 use axum::http::{HeaderValue, StatusCode, header};
 use axum::response::Response;
 use axum::routing::any;
+use dispatch::Words;
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use kernel::Post;
-use std::time::Duration;
-use tokio::sync::oneshot;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+use tokio::sync::{oneshot, watch};
 use tokio::time::timeout;
 use wire::{AnswerHead, Outcome, RequestHead};
 
 #[derive(Clone)]
 pub struct Door {
     pub traffic: Post<TrafficMsg>,
-    pub body: usize,
-    pub body_time: Duration,
+    pub words: Arc<Words>,
+    pub limits: watch::Receiver<CallerLimits>,
 }
 
 pub fn router(door: Door) -> Router {
@@ -29,84 +32,133 @@
 }
 
 async fn meet(State(door): State<Door>, request: Request) -> Response {
+    let begun = Instant::now();
     let (parts, body) = request.into_parts();
-    let read = timeout(door.body_time, Limited::new(body, door.body).collect()).await;
-    let body = match read {
-        Err(_) => return own(408, "the request's body came too slowly", true),
-        Ok(Err(fault)) if fault.downcast_ref::<LengthLimitError>().is_some() => {
-            return own(413, "the request's body is too long", true);
-        }
-        Ok(Err(_)) => return own(400, "the request's body was cut", true),
-        Ok(Ok(body)) => body.to_bytes().to_vec(),
+    let body = match door.read(body).await {
+        Ok(body) => body,
+        Err(refused) => return refused,
     };
     let path = parts.uri.path().to_owned();
-    if let Some(id) = path.strip_prefix("/.heron/tasks/") {
-        return status(&door, id).await;
-    }
-    let text = |name: &str| parts.headers.get(name).and_then(|value| value.to_str().ok());
-    let key = text("idempotency-key").map(str::to_owned);
-    if parts.headers.contains_key("idempotency-key") && key.as_ref().is_none_or(|k| k.is_empty() || k.len() > 128) {
-        return own(400, "Idempotency-Key is 1 to 128 plain characters", false);
+    if let Some(id) = door.words.task_path.and_then(|below| path.strip_prefix(below)) {
+        return door.status(id).await;
     }
-    let target = parts.uri.path_and_query().map_or(path.as_str(), |target| target.as_str());
-    let call = Call {
-        head: RequestHead {
-            method: parts.method.as_str().into(),
-            target: target.into(),
-            headers: head::lines(&parts.headers),
-        },
-        path,
-        body,
-        key,
-        respond_async: text("prefer").is_some_and(|value| value.contains("respond-async")),
+    let Ok(call) = door.call(parts, path, body, begun) else {
+        return door.own(400, "Idempotency-Key is 1 to 128 plain characters", false);
     };
     let (reply, told) = oneshot::channel();
     if door.traffic.send(TrafficMsg::Task { call, reply }).is_err() {
-        return answer(Reply::own(503, Some(Outcome::NotRun), "this router is busy").again(2));
+        let busy = Reply::own(503, Some(Outcome::NotRun), "this router is busy");
+        return door.answer(busy.again(Duration::from_millis(500)));
     }
     match told.await {
-        Ok(reply) => answer(reply),
-        Err(_) => answer(Reply::own(504, Some(Outcome::Unknown), "the outcome is not known")),
+        Ok(reply) => door.answer(reply),
+        Err(_) => door.answer(Reply::own(504, Some(Outcome::Unknown), "the outcome is not known")),
     }
 }
 
-async fn status(door: &Door, id: &str) -> Response {
-    if id.len() != 32 || !id.bytes().all(|b| b.is_ascii_hexdigit()) {
-        return own(404, "no such task", false);
-    }
-    let (reply, told) = oneshot::channel();
-    if door.traffic.send(TrafficMsg::Status { id: id.to_owned(), reply }).is_err() {
-        return own(503, "this router is busy", false);
+impl Door {
+    async fn read(&self, body: Body) -> Result<Vec<u8>, Response> {
+        if body.is_end_stream() {
+            return Ok(Vec::new());
+        }
+        let (bytes, time) = {
+            let limits = self.limits.borrow();
+            (limits.body_bytes, limits.body_time)
+        };
+        match timeout(time, Limited::new(body, bytes).collect()).await {
+            Err(_) => Err(self.own(408, "the request's body came too slowly", true)),
+            Ok(Err(fault)) if fault.downcast_ref::<LengthLimitError>().is_some() => {
+                Err(self.own(413, "the request's body is too long", true))
+            }
+            Ok(Err(_)) => Err(self.own(400, "the request's body was cut", true)),
+            Ok(Ok(body)) => Ok(body.to_bytes().into()),
+        }
     }
-    match timeout(Duration::from_secs(4), told).await {
-        Ok(Ok(reply)) => answer(reply),
-        _ => answer(Reply::own(503, None, "the core could not be asked in time").again(1)),
+
+    /// The call a request makes; a key that cannot be one is a fault.
+    fn call(&self, parts: Parts, path: String, body: Vec<u8>, begun: Instant) -> Result<Call, ()> {
+        let words = &self.words;
+        let text = |name: &header::HeaderName| parts.headers.get(name).and_then(|value| value.to_str().ok());
+        let keyed = words.key.as_ref().filter(|name| parts.headers.contains_key(*name));
+        let key = keyed.and_then(text).map(str::to_owned);
+        if keyed.is_some() && key.as_ref().is_none_or(|key| key.is_empty() || key.len() > 128) {
+            return Err(());
+        }
+        let asked = keyed.is_some() && text(&PREFER).is_some_and(|value| value.contains("respond-async"));
+        let host = text(&header::HOST).or(parts.uri.authority().map(|authority| authority.as_str()));
+        let deadline = words.deadline.as_ref().and_then(text).and_then(|value| value.trim().parse().ok());
+        let target = parts.uri.path_and_query().map_or(path.as_str(), |target| target.as_str());
+        Ok(Call {
+            host: host.unwrap_or_default().to_owned(),
+            deadline: deadline.map(|left| Duration::from_millis(left).saturating_sub(begun.elapsed())),
+            head: RequestHead {
+                method: parts.method.as_str().into(),
+                target: target.into(),
+                headers: dispatch::lines(&parts.headers, words),
+            },
+            path,
+            body,
+            key,
+            respond_async: asked,
+        })
     }
-}
 
-fn own(status: u16, told: &'static str, close: bool) -> Response {
-    let mut response = answer(Reply::own(status, None, told));
-    if close {
-        response.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
+    async fn status(&self, id: &str) -> Response {
+        if id.len() != 32 || !id.bytes().all(|b| b.is_ascii_hexdigit()) {
+            return self.own(404, "no such task", false);
+        }
+        let (reply, told) = oneshot::channel();
+        if self.traffic.send(TrafficMsg::Status { id: id.to_owned(), reply }).is_err() {
+            return self.own(503, "this router is busy", false);
+        }
+        match timeout(Duration::from_secs(4), told).await {
+            Ok(Ok(reply)) => self.answer(reply),
+            _ => {
+                self.answer(Reply::own(503, None, "the core could not be asked in time").again(Duration::from_secs(1)))
+            }
+        }
     }
-    response
-}
 
-pub fn answer(reply: Reply) -> Response {
-    let own = reply.body.is_empty() && !reply.told.is_empty();
-    let body = if own { format!("{{\"fault\":\"{}\"}}", reply.told).into_bytes() } else { reply.body };
-    let mut response = Response::new(Body::from(body));
-    *response.status_mut() = StatusCode::from_u16(reply.status).unwrap_or(StatusCode::BAD_GATEWAY);
-    if let Some(list) = wire::from_bytes::<AnswerHead>(&reply.head) {
-        head::fill(response.headers_mut(), &list.headers);
-    } else {
-        response.headers_mut().insert(header::CONTENT_TYPE, HeaderValue::from_static("application/json"));
+    fn own(&self, status: u16, told: &'static str, close: bool) -> Response {
+        let mut response = self.answer(Reply::own(status, None, told));
+        if close {
+            response.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
+        }
+        response
     }
-    if let Some(outcome) = reply.outcome {
-        response.headers_mut().insert(head::OUTCOME, HeaderValue::from_static(outcome.word()));
+
+    pub fn answer(&self, reply: Reply) -> Response {
+        let own = reply.body.is_empty() && !reply.told.is_empty();
+        let body = if own { format!("{{\"fault\":\"{}\"}}", reply.told).into_bytes() } else { reply.body };
+        let mut response = Response::new(Body::from(body));
+        *response.status_mut() = StatusCode::from_u16(reply.status).unwrap_or(StatusCode::BAD_GATEWAY);
+        let headers = response.headers_mut();
+        if let Some(list) = wire::from_bytes::<AnswerHead>(&reply.head) {
+            dispatch::fill(headers, &list.headers);
+        } else {
+            headers.insert(header::CONTENT_TYPE, HeaderValue::from_static("application/json"));
+        }
+        if let (Some(name), Some(outcome)) = (&self.words.outcome, reply.outcome) {
+            headers.insert(name, HeaderValue::from_static(outcome.word()));
+        }
+        let refused = reply.outcome == Some(Outcome::NotRun) && reply.status == 503;
+        if refused || !reply.retry_after.is_zero() {
+            headers.insert(header::RETRY_AFTER, retry_after(reply.retry_after, self.words.fractions));
+        }
+        if let Some(told) = &self.limits.borrow().keep_alive {
+            headers.insert(KEEP_ALIVE, told.clone());
+        }
+        response
     }
-    if reply.retry_after > 0 || (reply.outcome == Some(Outcome::NotRun) && reply.status == 503) {
-        response.headers_mut().insert(header::RETRY_AFTER, HeaderValue::from(reply.retry_after.max(1)));
+}
+
+const PREFER: header::HeaderName = header::HeaderName::from_static("prefer");
+const KEEP_ALIVE: header::HeaderName = header::HeaderName::from_static("keep-alive");
+
+fn retry_after(after: Duration, fractions: bool) -> HeaderValue {
+    if fractions {
+        let seconds = format!("{:.3}", after.as_secs_f64().max(0.05));
+        return HeaderValue::try_from(seconds).unwrap_or(HeaderValue::from_static("1"));
     }
-    response
+    HeaderValue::from(after.as_millis().div_ceil(1000).max(1) as u64)
 }
--- a/crates/traffic/src/front.rs
+++ b/crates/traffic/src/front.rs
@@ -14,6 +14,10 @@
 const RETRY: Duration = Duration::from_millis(25);
 /// A home not heard for so long is carried nothing more, so that only what it had before is in doubt.
 const QUIET: Duration = Duration::from_millis(350);
+/// When to come back to a router that is full, or that waits for a proof or a home.
+pub(crate) const SOON: Duration = Duration::from_millis(300);
+/// A task with an aim waits to be carried for a quarter of it, or a little longer where that is short.
+const PATIENCE_LEAST: Duration = Duration::from_millis(120);
 
 pub struct Front {
     pub(crate) me: NodeId,
@@ -97,7 +101,7 @@
 
     fn let_in(&mut self, ask: u64, call: Call) {
         if self.table.len() >= self.limits.table {
-            let reply = Reply::own(503, Some(Outcome::NotRun), "this router is full").again(self.spread(ask, 1));
+            let reply = Reply::own(503, Some(Outcome::NotRun), "this router is full").again(self.spread(ask, SOON * 2));
             self.refusals += 1;
             return self.outs.push(FrontOutput::Reply { ask, reply });
         }
@@ -107,6 +111,9 @@
             Some(key) => format!("k-{key}"),
             None => format!("a-{:x}-{:x}-{task:x}", self.me, self.incarnation),
         };
+        let aim = self.book.as_ref().and_then(|book| book.find_route(&call.host, &call.path)?.1.aim_ms);
+        let patience =
+            aim.map_or(Duration::MAX, |aim| self.now + PATIENCE_LEAST.max(Duration::from_millis(aim.into()) / 4));
         let record = Record {
             ask,
             carry: 0,
@@ -118,6 +125,7 @@
             class: None,
             begun: self.now,
             due: self.now + DEFAULT_DEADLINE,
+            patience,
             stage: Stage::Waiting,
             again_at: self.now,
             tries: 0,
@@ -128,8 +136,9 @@
         self.attempt(task);
     }
 
-    pub(crate) fn spread(&self, seed: u64, least: u32) -> u32 {
-        least + ((seed.wrapping_mul(0x9e37_79b9_7f4a_7c15) >> 33) % 4) as u32
+    /// Up to twice as long, so that those told so together come back one by one.
+    pub(crate) fn spread(&self, seed: u64, least: Duration) -> Duration {
+        least + least * (dice(seed) >> 54) as u32 / 1024
     }
 
     pub(crate) fn remove(&mut self, task: u64) {
@@ -156,7 +165,7 @@
     /// Looks the route up anew each time: a waiting task follows the newest revision.
     fn resolve(&mut self, task: u64) -> bool {
         let (Some(book), Some(record)) = (self.book.clone(), self.table.get_mut(&task)) else { return false };
-        let Some((name, binding)) = book.find_route("", &record.call.path) else {
+        let Some((name, binding)) = book.find_route(&record.call.host, &record.call.path) else {
             if record.doubt {
                 return false;
             }
@@ -168,7 +177,7 @@
             if record.tenant != tenant {
                 let count = self.per_tenant.entry(tenant.to_owned()).or_default();
                 if *count >= self.limits.per_tenant {
-                    let again = self.spread(task, 1);
+                    let again = self.spread(task, SOON * 2);
                     let reply = Reply::own(503, Some(Outcome::NotRun), "this tenant's tasks fill their share");
                     self.answer(task, reply.again(again));
                     return false;
@@ -180,9 +189,10 @@
             }
             record.tenant = tenant.to_owned();
             record.binding = name.to_owned();
-            record.due = record.begun + Duration::from_millis(binding.deadline_ms.into());
+            let most = Duration::from_millis(binding.deadline_ms.into());
+            record.due = record.begun + record.call.deadline.map_or(most, |deadline| deadline.min(most));
         }
-        record.function = format!("{tenant}/{}", binding.function);
+        record.function = format!("{tenant}/{}", binding.function_for(dice(task)));
         record.class = Some(binding.class);
         true
     }
@@ -219,7 +229,7 @@
 
     fn carried(&mut self, from: NodeId, message: CarryMsg) {
         let carry = match &message {
-            CarryMsg::Carried { task, .. } | CarryMsg::NotHome { task } => *task,
+            CarryMsg::Answer { task, .. } | CarryMsg::Carried { task, .. } | CarryMsg::NotHome { task } => *task,
             _ => return,
         };
         let Some(task) = self.by_carry.get(&carry).copied() else { return };
@@ -228,18 +238,13 @@
             return;
         }
         match message {
+            CarryMsg::Answer { outcome, status, again_ms, head, body, .. } => {
+                let after = Duration::from_millis(again_ms.into());
+                self.told(task, outcome, status, after, head.into_vec(), body.into_vec());
+            }
             CarryMsg::Carried { outcome, status, retry_after, head, body, .. } => {
-                let outcome = if outcome == Outcome::NotRun && record.doubt { Outcome::Unknown } else { outcome };
-                let status = if outcome == Outcome::Unknown && status == 503 { 504 } else { status };
-                let reply = Reply {
-                    outcome: Some(outcome),
-                    status,
-                    retry_after,
-                    head: head.into_vec(),
-                    body: body.into_vec(),
-                    told: if outcome == Outcome::Unknown { "the outcome is not known" } else { "" },
-                };
-                self.answer(task, reply);
+                let after = Duration::from_secs(retry_after.into());
+                self.told(task, outcome, status, after, head.into_vec(), body.into_vec());
             }
             _ => {
                 record.stage = Stage::Waiting;
@@ -248,3 +253,8 @@
         }
     }
 }
+
+/// Evenly spread, and the same each time for the same task.
+fn dice(seed: u64) -> u64 {
+    holds::mix(&[&seed.to_le_bytes()])
+}
--- a/crates/traffic/src/front_passes.rs
+++ b/crates/traffic/src/front_passes.rs
@@ -1,14 +1,23 @@
-//! The front's passes: tasks whose home was lost, tasks that may be tried now, tasks out of time.
+//! The front's passes: tasks whose home was lost, tasks that may be tried now, tasks out of time; and
+//! what a home told of a task, as the caller is told it.
 
-use crate::front::Front;
+use crate::front::{Front, SOON};
 use crate::front_types::{Reply, Stage};
+use bindings::Class;
+use std::time::Duration;
 use wire::{NodeId, Outcome};
 
+fn unknown() -> Reply {
+    Reply::own(504, Some(Outcome::Unknown), "the outcome is not known")
+}
+
 impl Front {
-    /// The home was lost with tasks on it: what they came to is in doubt, and they are tried on
-    /// with the next home, which knows from the ledger or the budget whether it may run them.
+    /// The home was lost with tasks on it: what they came to is in doubt. They are tried on with the
+    /// next home, which knows from the ledger or the budget whether it may run them; what may run
+    /// only once, and stands in no ledger, is not tried on: its caller is told at once.
     pub(crate) fn doubt_home(&mut self, lost: impl Fn(NodeId) -> bool) {
-        for record in self.table.values_mut() {
+        let mut over = Vec::new();
+        for (task, record) in &mut self.table {
             if let Stage::Carried { home } = record.stage
                 && home != self.me
                 && lost(home)
@@ -17,8 +26,12 @@
                 record.again_at = self.now;
                 record.tries = record.tries.saturating_add(1);
                 record.doubt = true;
+                if record.class == Some(Class::Single) {
+                    over.push(*task);
+                }
             }
         }
+        over.into_iter().for_each(|task| self.answer(task, unknown()));
     }
 
     pub(crate) fn pass(&mut self) {
@@ -26,21 +39,37 @@
         let tasks: Vec<u64> = self.table.keys().copied().collect();
         for task in tasks {
             let Some(record) = self.table.get(&task) else { continue };
+            let impatient = !record.doubt && now >= record.patience;
             match record.stage {
-                Stage::Waiting if now + self.limits.margin >= record.due => {
+                Stage::Waiting if impatient || now + self.limits.margin >= record.due => {
                     let reply = if record.doubt {
-                        Reply::own(504, Some(Outcome::Unknown), "the outcome is not known")
+                        unknown()
                     } else {
-                        Reply::own(503, Some(Outcome::NotRun), "not run in time").again(self.spread(task, 1))
+                        Reply::own(503, Some(Outcome::NotRun), "not run in time").again(self.spread(task, SOON))
                     };
                     self.answer(task, reply);
                 }
                 Stage::Waiting if now >= record.again_at => self.attempt(task),
-                Stage::Carried { .. } if now >= record.due + self.limits.slack => {
-                    self.answer(task, Reply::own(504, Some(Outcome::Unknown), "the outcome is not known"));
-                }
+                Stage::Carried { .. } if now >= record.due + self.limits.slack => self.answer(task, unknown()),
                 _ => {}
             }
         }
     }
+
+    /// A home's word on a task, which counts for less once another home may have run it.
+    pub(crate) fn told(
+        &mut self,
+        task: u64,
+        outcome: Outcome,
+        status: u16,
+        retry_after: Duration,
+        head: Vec<u8>,
+        body: Vec<u8>,
+    ) {
+        let doubt = self.table.get(&task).is_some_and(|record| record.doubt);
+        let outcome = if outcome == Outcome::NotRun && doubt { Outcome::Unknown } else { outcome };
+        let status = if outcome == Outcome::Unknown && status == 503 { 504 } else { status };
+        let told = if outcome == Outcome::Unknown { "the outcome is not known" } else { "" };
+        self.answer(task, Reply { outcome: Some(outcome), status, retry_after, head, body, told });
+    }
 }
--- a/crates/traffic/src/front_types.rs
+++ b/crates/traffic/src/front_types.rs
@@ -8,7 +8,10 @@
 
 #[derive(Clone, Debug)]
 pub struct Call {
+    pub host: String,
     pub path: String,
+    /// How long the caller will wait, if it says so.
+    pub deadline: Option<Duration>,
     pub head: RequestHead,
     pub body: Vec<u8>,
     pub key: Option<String>,
@@ -19,7 +22,7 @@
 pub struct Reply {
     pub outcome: Option<Outcome>,
     pub status: u16,
-    pub retry_after: u32,
+    pub retry_after: Duration,
     pub head: Vec<u8>,
     pub body: Vec<u8>,
     pub told: &'static str,
@@ -27,10 +30,10 @@
 
 impl Reply {
     pub fn own(status: u16, outcome: Option<Outcome>, told: &'static str) -> Reply {
-        Reply { outcome, status, retry_after: 0, head: Vec::new(), body: Vec::new(), told }
+        Reply { outcome, status, retry_after: Duration::ZERO, head: Vec::new(), body: Vec::new(), told }
     }
-    pub fn again(mut self, seconds: u32) -> Reply {
-        self.retry_after = seconds;
+    pub fn again(mut self, after: Duration) -> Reply {
+        self.retry_after = after;
         self
     }
 }
@@ -87,6 +90,8 @@
     pub class: Option<Class>,
     pub begun: Duration,
     pub due: Duration,
+    /// Until when it may wait to be carried.
+    pub patience: Duration,
     pub stage: Stage,
     pub again_at: Duration,
     pub tries: u8,
--- a/crates/traffic/src/giving_up.rs
+++ b/crates/traffic/src/giving_up.rs
@@ -6,6 +6,17 @@
 use std::time::Duration;
 use wire::{CarryMsg, Outcome};
 
+const SOON: Duration = Duration::from_millis(500);
+/// A task with an aim that was offered to no instance in this share of its time is told so while
+/// there is time to come back.
+const STALE: f64 = 0.45;
+
+fn is_stale(now: Duration, task: &HomeTask) -> bool {
+    let unsent = task.place == Place::Held && task.dispatches == 0 && !task.reached;
+    let whole = task.due.saturating_sub(task.arrived);
+    unsent && task.aim.is_some() && now >= task.arrived + whole.mul_f64(STALE)
+}
+
 impl Home {
     /// A held task without the time its answer takes is given up now, not sent in vain.
     fn least_time(&self, task: &HomeTask) -> Duration {
@@ -20,25 +31,30 @@
         let late: Vec<u64> = self
             .tasks
             .iter()
-            .filter(|(_, task)| task.caller && now + self.timing.margin + self.least_time(task) >= task.due)
+            .filter(|(_, task)| {
+                let late = now + self.timing.margin + self.least_time(task) >= task.due;
+                task.caller && (late || is_stale(now, task))
+            })
             .filter(|(_, task)| task.class == Class::Deferred || !matches!(task.place, Place::Running { .. }))
             .map(|(number, _)| *number)
             .collect();
         for number in late {
             let Some(task) = self.tasks.get(&number) else { continue };
-            let again = self.spread(number, 1);
+            let again = self.spread(number, SOON);
             match (task.class, &task.place) {
                 (Class::Deferred, Place::Storing) => {
                     if let Some(task) = self.tasks.get_mut(&number) {
                         task.stored = None;
                     }
-                    self.answer_own(number, Outcome::Unknown, 504, 0);
+                    self.answer_own(number, Outcome::Unknown, 504, Duration::ZERO);
                 }
                 (Class::Deferred, _) => self.accept(number),
                 (Class::Once, Place::Following { .. }) => self.answer_own(number, Outcome::Unknown, 504, again),
                 (Class::Once, Place::Claiming) => self.answer_own(number, Outcome::NotRun, 503, again),
-                (Class::Ordinary, _) if task.reached => self.answer_own(number, Outcome::Unknown, 504, again),
-                _ => self.give_up(number, 1),
+                (Class::Ordinary | Class::Single, _) if task.reached => {
+                    self.answer_own(number, Outcome::Unknown, 504, again)
+                }
+                _ => self.give_up(number, SOON),
             }
         }
         let follow: Vec<u64> = self
@@ -50,15 +66,6 @@
         follow.into_iter().for_each(|number| self.claim(number));
     }
 
-    /// Tells at once that a task which was never dispatched will not be, and when to come back.
-    pub(crate) fn give_up(&mut self, number: u64, least: u32) {
-        let again = self.spread(number, least);
-        if self.tasks.get(&number).is_some_and(|task| task.class == Class::Once) {
-            self.release(number);
-        }
-        self.answer_own(number, Outcome::NotRun, 503, again);
-    }
-
     /// Gives a task that was never dispatched back to its front, which finds its home anew.
     pub(crate) fn send_back(&mut self, number: u64) {
         let Some(task) = self.tasks.get_mut(&number) else { return };
@@ -74,7 +81,11 @@
             return self.forget(number);
         }
         if task.reached {
-            return self.answer_own(number, Outcome::Unknown, 504, 0);
+            return self.answer_own(number, Outcome::Unknown, 504, Duration::ZERO);
+        }
+        // The next home would not know of the instance that turned it away.
+        if task.class == Class::Single && task.dispatches > 0 {
+            return self.refuse(number);
         }
         self.not_home(number);
     }
--- /dev/null
+++ b/crates/traffic/src/holding.rs
@@ -0,0 +1,62 @@
+//! Holding tasks until an instance has room, those of lower rank first, and refusing early what
+//! could not be served while it is worth much, with an estimate of when it could be.
+
+use crate::home::Home;
+use crate::home_types::Place;
+use std::time::Duration;
+use wire::Outcome;
+
+/// The rank of what gives way to everything else.
+pub(crate) const LAST: u32 = u32::MAX;
+/// A task without an aim is held while its expected wait is within this share of the time it has left.
+const HOPE: f64 = 0.9;
+/// A task with an aim is refused within this part of it or else held on.
+const EARLY: u32 = 4;
+const SOON: Duration = Duration::from_millis(500);
+
+impl Home {
+    pub(crate) fn hold(&mut self, number: u64) {
+        let now = self.now;
+        let Some(task) = self.tasks.get_mut(&number) else { return };
+        task.place = Place::Held;
+        let (rank, refusable, left) = (task.rank, task.stored.is_none() && !task.reached, task.due.saturating_sub(now));
+        let aim = task.aim.filter(|aim| now <= task.arrived + *aim / EARLY);
+        let Some(desk) = self.desks.get_mut(&task.function) else { return };
+        let before = |held: &&u64| self.tasks.get(held).is_some_and(|task| task.rank <= rank);
+        let ahead = desk.held.iter().take_while(before).count();
+        let wait = desk.expected_wait(ahead);
+        desk.held.insert(ahead, number);
+        let worth = match aim {
+            Some(aim) => aim.saturating_sub(desk.mean_time).max(aim / 2).min(left),
+            None => left.mul_f64(HOPE),
+        };
+        if refusable && wait > worth {
+            self.give_up(number, wait);
+        }
+    }
+
+    /// Up to half as long again, so that those told so together come back one by one.
+    pub(crate) fn spread(&self, number: u64, least: Duration) -> Duration {
+        let dice = holds::mix(&[&number.to_le_bytes(), &self.me.to_le_bytes()]);
+        least + least * (dice >> 55) as u32 / 1024
+    }
+
+    pub(crate) fn refuse(&mut self, number: u64) {
+        let again = self.spread(number, SOON);
+        self.answer_own(number, Outcome::NotRun, 503, again);
+    }
+
+    pub(crate) fn answer_own(&mut self, number: u64, outcome: Outcome, status: u16, retry_after: Duration) {
+        self.answer(number, outcome, status, retry_after, Vec::new(), Vec::new());
+    }
+
+    /// Tells at once that a task which was never run will not be, and when to come back: once those
+    /// ahead of it are expected to be done.
+    pub(crate) fn give_up(&mut self, number: u64, wait: Duration) {
+        let again = self.spread(number, wait.max(SOON / 2));
+        if self.tasks.get(&number).is_some_and(|task| task.class == bindings::Class::Once) {
+            self.release(number);
+        }
+        self.answer_own(number, Outcome::NotRun, 503, again);
+    }
+}
--- a/crates/traffic/src/home.rs
+++ b/crates/traffic/src/home.rs
@@ -3,7 +3,7 @@
 //! and stopped. Nothing is dispatched without a valid pass and the home's own place in the roster.
 
 use crate::desk::Desk;
-use crate::home_types::{HomeInput, HomeOutput, HomeTask, HomeTiming, Ledger, LedgerAsk, Place, TaskId};
+use crate::home_types::{HomeInput, HomeOutput, HomeTask, HomeTiming, Ledger, LedgerAsk, TaskId};
 use crate::keeping::Kept;
 use bindings::Book;
 use holds::{Roster, first_number};
@@ -48,9 +48,6 @@
     pub refusals: u64,
 }
 
-/// A task is held while its expected wait is within this share of the time it has left.
-const HOPE: f64 = 0.9;
-
 impl Home {
     pub fn new(me: NodeId, incarnation: u64, timing: HomeTiming) -> Self {
         Home {
@@ -103,6 +100,10 @@
             HomeInput::Carry { from, message: CarryMsg::Table { table } } => self.on_table(from, table),
             HomeInput::Carry { .. } => {}
             HomeInput::Dispatched { number, verdict } => self.dispatched(number, verdict),
+            HomeInput::Probed { id, ready } => {
+                let probe = if ready { supply::Probe::Ready } else { supply::Probe::Silent };
+                self.platform(supply::SupplyReport::Probed { id, probe }, now);
+            }
             HomeInput::Ledger { message } => self.ledger_receipt(message),
             HomeInput::Platform { report, listed_at } => self.platform(report, listed_at),
             HomeInput::Plan { message } => self.plan_receipt(message),
@@ -140,41 +141,13 @@
         self.roster.home(function) == Some(self.me)
     }
 
-    pub(crate) fn spread(&self, number: u64, least: u32) -> u32 {
-        least + (holds::mix(&[&number.to_le_bytes(), &self.me.to_le_bytes()]) % 4) as u32
-    }
-
-    pub(crate) fn hold(&mut self, number: u64) {
-        let Some(task) = self.tasks.get_mut(&number) else { return };
-        task.place = Place::Held;
-        let (low, stored, reached, left) =
-            (task.low, task.stored.is_some(), task.reached, task.due.saturating_sub(self.now));
-        let Some(desk) = self.desks.get_mut(&task.function) else { return };
-        let players = desk.held.iter().take_while(|n| self.tasks.get(n).is_some_and(|task| !task.low)).count();
-        let ahead = if low { desk.held.len() } else { players };
-        let wait = desk.expected_wait(ahead);
-        desk.held.insert(ahead, number);
-        if wait > left.mul_f64(HOPE) && !stored && !reached {
-            self.give_up(number, wait.as_secs() as u32 + 1);
-        }
-    }
-
-    pub(crate) fn refuse(&mut self, number: u64) {
-        let again = self.spread(number, 1);
-        self.answer_own(number, Outcome::NotRun, 503, again);
-    }
-
-    pub(crate) fn answer_own(&mut self, number: u64, outcome: Outcome, status: u16, retry_after: u32) {
-        self.answer(number, outcome, status, retry_after, Vec::new(), Vec::new());
-    }
-
     /// Answers the caller, if one still waits, and drops the record unless it must live on.
     pub(crate) fn answer(
         &mut self,
         number: u64,
         outcome: Outcome,
         status: u16,
-        retry_after: u32,
+        retry_after: Duration,
         head: Vec<u8>,
         body: Vec<u8>,
     ) {
@@ -188,8 +161,9 @@
             }
             let (to, id) = (task.id.from, task.id.task);
             task.caller = false;
+            let again_ms = retry_after.as_millis() as u32;
             let message =
-                CarryMsg::Carried { task: id, outcome, status, retry_after, head: head.into(), body: body.into() };
+                CarryMsg::Answer { task: id, outcome, status, again_ms, head: head.into(), body: body.into() };
             self.outs.push(HomeOutput::Carry { to, message });
         }
         let lives_on = task.stored.is_some() && outcome == Outcome::Accepted;
--- a/crates/traffic/src/home_types.rs
+++ b/crates/traffic/src/home_types.rs
@@ -1,7 +1,7 @@
 //! What a home takes and returns, the record it keeps of each task, and what it asked of the chain.
 
-use crate::dispatch::{DispatchOrder, Verdict};
 use bindings::{Book, Class};
+use dispatch::{DispatchOrder, Verdict};
 use holds::Roster;
 use std::rc::Rc;
 use std::time::Duration;
@@ -17,6 +17,7 @@
 pub enum HomeInput {
     Carry { from: NodeId, message: CarryMsg },
     Dispatched { number: u64, verdict: Verdict },
+    Probed { id: String, ready: bool },
     Ledger { message: HoldMsg },
     Platform { report: SupplyReport, listed_at: Duration },
     Plan { message: PlanMsg },
@@ -29,14 +30,40 @@
 
 #[derive(Debug)]
 pub enum HomeOutput {
-    Carry { to: NodeId, message: CarryMsg },
-    Enter { ask: u64, body: Vec<u8> },
-    Read { ask: u64, prefix: String },
+    Carry {
+        to: NodeId,
+        message: CarryMsg,
+    },
+    Enter {
+        ask: u64,
+        body: Vec<u8>,
+    },
+    Read {
+        ask: u64,
+        prefix: String,
+    },
     Dispatch(DispatchOrder),
+    /// Connect to an instance, after a while and within a limit; `Probed` tells whether it took it.
+    Probe {
+        id: String,
+        address: String,
+        after: Duration,
+        limit: Duration,
+    },
+    /// Nothing more goes to this instance.
+    Forget {
+        id: String,
+    },
     Platform(SupplyOrder),
-    PlanAsk { message: PlanMsg },
-    Samples { lines: Vec<SampleLine> },
-    Measures { lines: Vec<MeasureLine> },
+    PlanAsk {
+        message: PlanMsg,
+    },
+    Samples {
+        lines: Vec<SampleLine>,
+    },
+    Measures {
+        lines: Vec<MeasureLine>,
+    },
 }
 
 #[derive(Clone, Debug)]
@@ -89,7 +116,9 @@
     pub function: String,
     pub binding: String,
     pub class: Class,
+    pub arrived: Duration,
     pub due: Duration,
+    pub aim: Option<Duration>,
     pub not_before: Duration,
     pub place: Place,
     pub scope: String,
@@ -101,8 +130,14 @@
     pub respond_async: bool,
     pub caller: bool,
     pub dispatches: u32,
+    /// The most instances it may be sent to.
+    pub attempts: u32,
+    /// The instance it was last sent to, which others go before.
+    pub avoid: String,
+    /// It has run, or may have.
     pub reached: bool,
-    pub low: bool,
+    /// Lower goes first.
+    pub rank: u32,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/crates/traffic/src/keeper.rs
+++ b/crates/traffic/src/keeper.rs
@@ -81,7 +81,9 @@
                 function: name.clone(),
                 binding: kept.binding.as_str().into(),
                 class: Class::Deferred,
+                arrived: self.now,
                 due: Duration::MAX,
+                aim: None,
                 not_before: self.now,
                 place: Place::Held,
                 scope: String::new(),
@@ -93,8 +95,10 @@
                 respond_async: false,
                 caller: false,
                 dispatches,
+                attempts: u32::MAX,
+                avoid: String::new(),
                 reached: true,
-                low: true,
+                rank: crate::holding::LAST,
             };
             self.tasks.insert(number, task);
             self.hold(number);
--- a/crates/traffic/src/ledger.rs
+++ b/crates/traffic/src/ledger.rs
@@ -140,8 +140,8 @@
             ClaimState::Granted => self.hold(number),
             ClaimState::Running => task.place = Place::Following { at: self.now + self.timing.follow },
             ClaimState::Settled => self.answer_stored(number, answer),
-            ClaimState::Unknown => self.answer_own(number, Outcome::Unknown, 504, 0),
-            ClaimState::OtherBody => self.answer_own(number, Outcome::NotRun, 422, 0),
+            ClaimState::Unknown => self.answer_own(number, Outcome::Unknown, 504, Duration::ZERO),
+            ClaimState::OtherBody => self.answer_own(number, Outcome::NotRun, 422, Duration::ZERO),
             ClaimState::Full => self.refuse(number),
         }
     }
@@ -166,7 +166,7 @@
             ClaimState::Settled => self.answer_stored(number, answer),
             ClaimState::OtherBody => {
                 task.stored = None;
-                self.answer_own(number, Outcome::NotRun, 422, 0);
+                self.answer_own(number, Outcome::NotRun, 422, Duration::ZERO);
             }
             ClaimState::Full | ClaimState::Unknown => {
                 task.stored = None;
@@ -179,15 +179,16 @@
     pub(crate) fn accept(&mut self, number: u64) {
         let Some(id) = self.tasks.get(&number).and_then(|task| task.stored.clone()) else { return };
         let body = format!("{{\"task\":\"{id}\",\"status\":\"/.heron/tasks/{id}\"}}");
-        self.answer(number, Outcome::Accepted, 202, 0, Vec::new(), body.into_bytes());
+        self.answer(number, Outcome::Accepted, 202, Duration::ZERO, Vec::new(), body.into_bytes());
     }
 
     fn answer_stored(&mut self, number: u64, raw: &[u8]) {
         match wire::from_bytes::<StoredAnswer>(raw) {
             Some(answer) => {
-                self.answer(number, answer.outcome, answer.status, 0, answer.head.into_vec(), answer.body.into_vec())
+                let (head, body) = (answer.head.into_vec(), answer.body.into_vec());
+                self.answer(number, answer.outcome, answer.status, Duration::ZERO, head, body)
             }
-            None => self.answer_own(number, Outcome::Unknown, 504, 0),
+            None => self.answer_own(number, Outcome::Unknown, 504, Duration::ZERO),
         }
     }
 
--- a/crates/traffic/src/letting_in.rs
+++ b/crates/traffic/src/letting_in.rs
@@ -1,6 +1,7 @@
 //! Letting a carried task in: is this its home, is there room, what does its class ask first. A
 //! carry has a number of its own and is let in once, however often its frame comes.
 
+use crate::holding::LAST;
 use crate::home::Home;
 use crate::home_types::{HomeOutput, HomeTask, Place, TaskId};
 use bindings::Class;
@@ -18,34 +19,36 @@
             return;
         }
         let bound = self.book.as_ref().and_then(|book| book.binding(binding.as_str())).cloned();
-        let tenant = function.as_str().split('/').next().unwrap_or_default();
+        let service = function.as_str().split_once('/').map_or("", |(_, service)| service);
         let (Some(bound), true, Some(desk)) =
             (bound, self.is_home(function.as_str()), self.desks.get_mut(function.as_str()))
         else {
             return self.outs.push(HomeOutput::Carry { to: from, message: CarryMsg::NotHome { task } });
         };
-        if format!("{tenant}/{}", bound.function) != function.as_str() || desk.leaving.is_some() {
+        if !bound.sends_to(service) || desk.leaving.is_some() {
             return self.outs.push(HomeOutput::Carry { to: from, message: CarryMsg::NotHome { task } });
         }
         desk.arrivals += 1;
         let full = desk.held.len() >= self.timing.function_inbox;
-        let low = bound.class == Class::Deferred || bound.player_weight <= 0.0;
+        let last = bound.class == Class::Deferred || bound.player_weight <= 0.0;
         if tries == 0 {
             desk.budget.request(self.now);
         }
-        let spent = tries > 0 && bound.class == Class::Ordinary && !desk.budget.try_second(self.now);
-        let scope = format!("{}/{}", binding.as_str(), key.as_str());
-        let mut hasher = Sha256::new();
-        hasher.update(head_identity(head.as_slice()));
-        hasher.update(body.as_slice());
-        let digest = hasher.finalize().to_vec();
+        let (keyless, again) = (matches!(bound.class, Class::Ordinary | Class::Single), tries > 0);
+        let spent = again && keyless && (bound.class == Class::Single || !desk.budget.try_second(self.now));
+        let (scope, digest) = match keyless {
+            true => (String::new(), Vec::new()),
+            false => (format!("{}/{}", binding.as_str(), key.as_str()), digest(head.as_slice(), body.as_slice())),
+        };
         let number = self.number();
         let record = HomeTask {
             id,
             function: function.as_str().into(),
             binding: binding.as_str().into(),
             class: bound.class,
+            arrived: self.now,
             due: self.now + Duration::from_millis(left_ms.into()),
+            aim: bound.aim_ms.map(|aim| Duration::from_millis(aim.into())),
             not_before: self.now,
             place: Place::Held,
             scope,
@@ -57,15 +60,17 @@
             respond_async: respond_async != 0,
             caller: true,
             dispatches: 0,
-            reached: tries > 0 && bound.class == Class::Ordinary,
-            low,
+            attempts: bound.attempts.max(1),
+            avoid: String::new(),
+            reached: again && keyless,
+            rank: if last { LAST } else { bound.rank },
         };
         self.tasks.insert(number, record);
         if full {
             return self.refuse(number);
         }
         if spent {
-            return self.answer_own(number, Outcome::Unknown, 504, 2);
+            return self.answer_own(number, Outcome::Unknown, 504, Duration::from_secs(2));
         }
         match bound.class {
             Class::Ordinary | Class::Single => self.hold(number),
@@ -77,6 +82,13 @@
 }
 
 /// What makes a repeat the same request: method, target and body, not the hop's own headers.
+fn digest(head: &[u8], body: &[u8]) -> Vec<u8> {
+    let mut hasher = Sha256::new();
+    hasher.update(head_identity(head));
+    hasher.update(body);
+    hasher.finalize().to_vec()
+}
+
 fn head_identity(head: &[u8]) -> Vec<u8> {
     match wire::from_bytes::<wire::RequestHead>(head) {
         Some(head) => format!("{} {}\n", head.method.as_str(), head.target.as_str()).into_bytes(),
--- a/crates/traffic/src/lib.rs
+++ b/crates/traffic/src/lib.rs
@@ -4,9 +4,10 @@
 //! the dispatcher to instances, the platform's adapter and the follower on the control thread.
 
 mod budget;
+mod caller_limits;
 mod control_loop;
 mod desk;
-mod dispatch;
+mod dialect;
 mod door;
 mod faults;
 mod front;
@@ -15,7 +16,7 @@
 mod giving_up;
 mod giving_way;
 mod handover;
-mod head;
+mod holding;
 mod home;
 mod home_types;
 mod instance;
@@ -36,14 +37,17 @@
 mod status;
 mod supply_side;
 mod tuned;
+mod verdicts;
 
 pub use budget::{Budget, Window};
-pub use dispatch::{DispatchOrder, Verdict, send_to_instance};
+pub use dialect::{Dialect, MakePages};
+pub use dispatch::{DispatchOrder, Verdict, Words, send_to_instance};
 pub use faults::RunFault;
 pub use front::Front;
 pub use front_types::{Call, FrontInput, FrontLimits, FrontOutput, Reply};
 pub use home::Home;
 pub use home_types::{HomeInput, HomeOutput, HomeTiming, Ledger, TaskId};
 pub use ledger::stored_id;
+pub use ops::Views;
 pub use service::run;
 pub use settings::RouterEnv;
--- a/crates/traffic/src/ops.rs
+++ b/crates/traffic/src/ops.rs
@@ -30,6 +30,12 @@
 }
 
 impl Views {
+    /// Whether this router may serve: it has a proof of its revision.
+    pub fn is_ready(&self) -> bool {
+        let view: Value = serde_json::from_str(&self.control.borrow()).unwrap_or_default();
+        matches!(view["standing"].as_str(), Some("ByCore" | "ByPeers"))
+    }
+
     fn page(&self) -> Value {
         let mut page: Value = serde_json::from_str(&self.control.borrow()).unwrap_or_default();
         page["traffic"] = serde_json::from_str(&self.traffic.borrow()).unwrap_or_default();
@@ -38,9 +44,9 @@
 }
 
 async fn ready(State(views): State<Views>) -> (StatusCode, &'static str) {
-    match views.page()["standing"].as_str() {
-        Some("ByCore" | "ByPeers") => (StatusCode::OK, "ready\n"),
-        _ => (StatusCode::SERVICE_UNAVAILABLE, "no proof of revision\n"),
+    match views.is_ready() {
+        true => (StatusCode::OK, "ready\n"),
+        false => (StatusCode::SERVICE_UNAVAILABLE, "no proof of revision\n"),
     }
 }
 
--- a/crates/traffic/src/passes.rs
+++ b/crates/traffic/src/passes.rs
@@ -1,17 +1,12 @@
-//! The passes over the table: dispatching held tasks to instances with room, taking what the
-//! instances answered, and giving up, with the truth, what is out of time.
+//! The pass over held tasks: those whose turn it is go to instances with room.
 
-use crate::dispatch::{DispatchOrder, Verdict};
+use crate::desk::Desk;
 use crate::home::Home;
-use crate::home_types::{HomeOutput, Place};
-use crate::instance::InstanceEvent;
+use crate::home_types::{HomeOutput, HomeTask, Place};
+use crate::instance::Phase;
 use bindings::Class;
-use events::event;
+use dispatch::DispatchOrder;
 use std::time::Duration;
-use wire::{Outcome, StoredAnswer};
-
-const BACKOFF: Duration = Duration::from_millis(500);
-const BACKOFF_MOST: Duration = Duration::from_secs(30);
 
 impl Home {
     pub(crate) fn dispatch_pass(&mut self) {
@@ -30,17 +25,15 @@
                 continue;
             }
             for number in desk.held.iter().copied().collect::<Vec<u64>>() {
-                let may_go = |task: &crate::home_types::HomeTask| task.place == Place::Held && now >= task.not_before;
-                let ready = self.tasks.get(&number).is_some_and(may_go);
+                let may_go = |task: &&HomeTask| task.place == Place::Held && now >= task.not_before;
                 let Some(desk) = self.desks.get_mut(&name) else { break };
-                if !ready {
-                    continue;
-                }
+                let Some(task) = self.tasks.get(&number).filter(may_go) else { continue };
                 if !desk.risk.may_send(now) {
                     break;
                 }
-                let Some(selected_instance) = desk.roomiest(now) else { break };
-                self.dispatch(number, &name, selected_instance);
+                let Some(roomiest) = desk.roomiest(now) else { break };
+                let Some(selected) = other_than(desk, now, &task.avoid, roomiest) else { continue };
+                self.dispatch(number, &name, selected);
             }
         }
     }
@@ -50,7 +43,7 @@
         let order = self.number();
         let still_bound = self.tasks.get(&number).is_some_and(|task| {
             let bound = self.book.as_ref().and_then(|book| book.binding(&task.binding));
-            bound.is_some_and(|bound| name.ends_with(&format!("/{}", bound.function)))
+            bound.is_some_and(|bound| name.split_once('/').is_some_and(|(_, service)| bound.sends_to(service)))
         });
         let (Some(task), Some(desk)) = (self.tasks.get_mut(&number), self.desks.get_mut(name)) else { return };
         if !still_bound {
@@ -73,127 +66,29 @@
         } else {
             self.timing.deferred_limit
         };
-        self.running.insert(order, (number, name.to_owned(), instance_id, now));
+        self.running.insert(order, (number, name.to_owned(), instance_id.clone(), now));
         self.outs.push(HomeOutput::Dispatch(DispatchOrder {
             number: order,
+            instance: instance_id,
             address: instance.address.clone(),
             head: task.head.clone(),
             body: task.body.clone(),
             limit,
+            connections: desk.function.connections,
         }));
     }
+}
 
-    pub(crate) fn dispatched(&mut self, order: u64, verdict: Verdict) {
-        let now = self.now;
-        let Some((number, name, instance_id, begun)) = self.running.remove(&order) else { return };
-        if let Some(desk) = self.desks.get_mut(&name) {
-            desk.in_flight = desk.in_flight.saturating_sub(1);
-            desk.risk.ended(now, order, begun, matches!(verdict, Verdict::Whole { turned_away: true, .. }));
-            if let Some(instance) = desk.instances.get_mut(&instance_id) {
-                instance.busy = instance.busy.saturating_sub(1);
-                instance.used = now;
-                match &verdict {
-                    Verdict::NotSent => instance.paused_until = now + Duration::from_millis(300),
-                    Verdict::InDoubt { late: true, .. } => {
-                        instance.foreign = if now < instance.foreign_until { instance.foreign + 1 } else { 1 };
-                        instance.foreign_until = now + Duration::from_secs(2);
-                    }
-                    _ => {}
-                }
-            }
-            match &verdict {
-                Verdict::Whole { turned_away: true, .. } => {
-                    event!(turned_away, "{instance_id}");
-                    desk.turned_away(now, &instance_id);
-                    desk.seen.turned += 1;
-                }
-                Verdict::Whole { .. } => {
-                    desk.took(now.saturating_sub(begun));
-                }
-                Verdict::InDoubt { told, .. } => event!(instance_doubted, "{instance_id}: {told}"),
-                Verdict::NotSent => {}
-            }
-        }
-        let Some(class) = self.tasks.get(&number).map(|task| task.class) else { return };
-        match (verdict, class) {
-            (Verdict::NotSent, _) => {
-                if let Some(task) = self.tasks.get_mut(&number) {
-                    task.dispatches -= 1;
-                    task.not_before = now + Duration::from_millis(50);
-                }
-                self.hold(number);
-                self.lose(&name, &instance_id);
-            }
-            (Verdict::Whole { status, head, body, .. }, Class::Once) => {
-                let answer = StoredAnswer {
-                    outcome: Outcome::Answered,
-                    status,
-                    head: head.clone().into(),
-                    body: body.clone().into(),
-                };
-                self.settle(number, &answer);
-                self.answer(number, Outcome::Answered, status, 0, head, body);
-            }
-            (Verdict::InDoubt { .. }, Class::Once) => {
-                let (head, body) = (Vec::new().into(), Vec::new().into());
-                let answer = StoredAnswer { outcome: Outcome::Unknown, status: 504, head, body };
-                self.settle(number, &answer);
-                self.answer_own(number, Outcome::Unknown, 504, 0);
-            }
-            (Verdict::Whole { status, head, body, turned_away }, Class::Ordinary | Class::Single) => {
-                let again = turned_away && self.try_again(number);
-                if !again {
-                    self.answer(number, Outcome::Answered, status, 0, head, body);
-                }
-            }
-            (Verdict::InDoubt { .. }, Class::Ordinary | Class::Single) => {
-                if let Some(task) = self.tasks.get_mut(&number) {
-                    task.reached = true;
-                }
-                if !self.try_again(number) {
-                    self.answer_own(number, Outcome::Unknown, 502, 0);
-                }
-            }
-            (Verdict::Whole { status, head, body, turned_away }, Class::Deferred) if status < 500 && !turned_away => {
-                let kept = StoredAnswer {
-                    outcome: Outcome::Answered,
-                    status,
-                    head: head.clone().into(),
-                    body: body.clone().into(),
-                };
-                self.finish(number, &kept);
-                if let Some(id) = self.tasks.get(&number).and_then(|task| task.stored.clone()) {
-                    self.finished.insert(id, now);
-                }
-                self.answer(number, Outcome::Answered, status, 0, head, body);
-                self.forget(number);
-            }
-            (_, Class::Deferred) => {
-                if let Some(task) = self.tasks.get_mut(&number) {
-                    let wait = BACKOFF * 2u32.pow(task.dispatches.min(7));
-                    task.not_before = now + wait.min(BACKOFF_MOST);
-                }
-                self.hold(number);
-            }
-        }
-    }
-
-    /// Holds an ordinary task for another instance, while its time and the budget last.
-    fn try_again(&mut self, number: u64) -> bool {
-        let now = self.now;
-        let Some(task) = self.tasks.get_mut(&number) else { return false };
-        let Some(desk) = self.desks.get_mut(&task.function) else { return false };
-        if now + Duration::from_millis(200) > task.due || !desk.budget.may_second(now) {
-            return false;
-        }
-        task.not_before = now + Duration::from_millis(20);
-        self.hold(number);
-        true
+/// The roomiest instance but one; that one itself only where there is no other that is ready.
+fn other_than(desk: &Desk, now: Duration, avoid: &str, roomiest: String) -> Option<String> {
+    if roomiest != avoid {
+        return Some(roomiest);
     }
-
-    fn lose(&mut self, name: &str, instance_id: &str) {
-        if let Some(instance) = self.desks.get_mut(name).and_then(|desk| desk.instances.get_mut(instance_id)) {
-            instance.take(InstanceEvent::Lost);
-        }
+    let limit = desk.function.instance_limit;
+    let others = desk.instances.iter().filter(|(id, instance)| *id != avoid && instance.phase() == Phase::Ready);
+    let mut others = others.map(|(id, instance)| (instance.room(now, limit), id)).peekable();
+    if others.peek().is_none() {
+        return Some(roomiest);
     }
+    others.filter(|(room, _)| *room > 0).max().map(|(_, id)| id.clone())
 }
--- a/crates/traffic/src/plane.rs
+++ b/crates/traffic/src/plane.rs
@@ -1,7 +1,7 @@
 //! The traffic thread: one loop that owns the front and the home, feeds them from its inbox and
 //! carries out what they return. Tasks a router carries to itself go round here and nowhere else.
 
-use crate::dispatch::{DispatchOrder, Verdict};
+use crate::caller_limits::CallerLimits;
 use crate::front::Front;
 use crate::front_types::{Call, FrontInput, Reply};
 use crate::home::Home;
@@ -9,6 +9,7 @@
 use crate::pass_cell::PassCell;
 use crate::shelving::Shelving;
 use bindings::Book;
+use dispatch::{DispatchReport, DispatcherMsg};
 use holds::Roster;
 use kernel::{Inbox, Post};
 use links::{LinkEvent, LinkOrder};
@@ -27,7 +28,7 @@
     Task { call: Call, reply: oneshot::Sender<Reply> },
     Status { id: String, reply: oneshot::Sender<Reply> },
     Link(LinkEvent),
-    Dispatched { number: u64, verdict: Verdict },
+    Dispatcher(DispatchReport),
     Platform(SupplyReport),
     Book(Box<Book>),
     Roster(Box<Roster>),
@@ -43,9 +44,10 @@
     pub front: Front,
     pub home: Home,
     pub links: Post<LinkOrder>,
-    pub dispatcher: Post<DispatchOrder>,
+    pub dispatcher: Post<DispatcherMsg>,
     pub platform: Post<SupplyOrder>,
     pub view: watch::Sender<String>,
+    pub limits: (CallerLimits, watch::Sender<CallerLimits>),
     pub shelving: Shelving,
     pub step: u64,
     pub tail: Option<NodeId>,
@@ -134,9 +136,12 @@
                 Message::Hold(message) => self.turn(Turn::Home(HomeInput::Ledger { message })),
                 _ => {}
             },
-            TrafficMsg::Dispatched { number, verdict } => {
+            TrafficMsg::Dispatcher(DispatchReport::Dispatched { number, verdict }) => {
                 self.turn(Turn::Home(HomeInput::Dispatched { number, verdict }))
             }
+            TrafficMsg::Dispatcher(DispatchReport::Probed { id, ready }) => {
+                self.turn(Turn::Home(HomeInput::Probed { id, ready }))
+            }
             TrafficMsg::Platform(report) => {
                 let listed_at = match &report {
                     SupplyReport::Listed { asked, .. } => asked.saturating_duration_since(self.begun),
@@ -148,6 +153,8 @@
                 self.step = book.step;
                 let book = Rc::new(*book);
                 self.shelving.book(book.clone());
+                let (own, limits) = &self.limits;
+                limits.send_replace(own.within(book.bounds()));
                 self.turn(Turn::Home(HomeInput::Book { book: book.clone() }));
                 self.turn(Turn::Front(FrontInput::Book { book }));
             }
--- a/crates/traffic/src/plane_out.rs
+++ b/crates/traffic/src/plane_out.rs
@@ -1,10 +1,10 @@
 //! The plane's way out: turns of the two machines until neither has anything more to do, and
 //! their outputs carried to links, dispatcher, platform and waiting callers.
 
-use crate::dispatch::Verdict;
 use crate::front_types::{FrontOutput, Reply};
 use crate::home_types::{HomeInput, HomeOutput};
 use crate::plane::{Plane, Turn};
+use dispatch::{DispatcherMsg, Verdict};
 use events::event;
 use links::LinkOrder;
 use std::collections::VecDeque;
@@ -63,11 +63,19 @@
             }
             HomeOutput::Dispatch(order) => {
                 let number = order.number;
-                if self.dispatcher.send(order).is_err() {
-                    event!(inbox_full, "dispatcher");
-                    return Some(Turn::Home(HomeInput::Dispatched { number, verdict: Verdict::NotSent }));
+                if !self.to_dispatcher(DispatcherMsg::Send(order)) {
+                    return Some(Turn::Home(HomeInput::Dispatched { number, verdict: Verdict::Crowded }));
                 }
             }
+            HomeOutput::Probe { id, address, after, limit } => {
+                let probe = DispatcherMsg::Probe { id: id.clone(), address, after, limit };
+                if !self.to_dispatcher(probe) {
+                    return Some(Turn::Home(HomeInput::Probed { id, ready: false }));
+                }
+            }
+            HomeOutput::Forget { id } => {
+                self.to_dispatcher(DispatcherMsg::Forget { id });
+            }
             HomeOutput::Platform(order) => {
                 if self.platform.send(order).is_err() {
                     event!(inbox_full, "platform");
@@ -84,6 +92,14 @@
         None
     }
 
+    fn to_dispatcher(&self, message: DispatcherMsg) -> bool {
+        let taken = self.dispatcher.send(message).is_ok();
+        if !taken {
+            event!(inbox_full, "dispatcher");
+        }
+        taken
+    }
+
     fn to_registries(&self, message: Message) {
         for to in self.registries.clone() {
             self.link(LinkOrder::Send { to, message: message.clone() });
--- a/crates/traffic/src/service.rs
+++ b/crates/traffic/src/service.rs
@@ -1,8 +1,9 @@
 //! A router put together: the follower on the control thread, the plane on the traffic thread,
 //! links, doors, dispatcher and platform on threads of their own, all found by name.
 
+use crate::caller_limits::CallerLimits;
 use crate::control_loop::{Control, ControlMsg};
-use crate::dispatch::{self, DispatchOrder};
+use crate::dialect::Dialect;
 use crate::door::{self, Door};
 use crate::faults::RunFault;
 use crate::front::Front;
@@ -14,25 +15,28 @@
 use crate::plane::{Plane, TrafficMsg};
 use crate::settings::RouterEnv;
 use crate::shelving::Shelving;
+use dispatch::{DispatchReport, DispatcherMsg};
 use doors::{DoorLimits, Shelf, Tokens};
 use events::event;
 use holds::{Follower, FollowerTiming, Standing, mix};
-use kernel::{Directory, adopt, behind, find, listen, local, thread, wait_for_signal};
+use kernel::{Directory, Post, SendFault, adopt, behind, find, listen, local, thread, wait_for_signal};
 use links::{LinkEvent, LinkOrder, Me};
 use std::collections::{BTreeMap, BTreeSet};
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 use supply::{Client, SupplyOrder};
 use tokio::sync::watch;
 use tokio::task::spawn_local;
 use wire::{HoldMsg, Message, NodeId};
 
-pub fn run(settings: RouterEnv) -> Result<(), RunFault> {
+pub fn run(settings: RouterEnv, dialect: Dialect) -> Result<(), RunFault> {
     let begun = Instant::now();
     let incarnation = rand::random::<u64>() >> 8;
     let me: NodeId = mix(&[b"router", settings.cluster.as_bytes(), settings.address.as_bytes()]) | 1;
     let (peers, callers, ops) =
         (listen(behind(&settings.bind, &settings.address))?, listen(&settings.listen)?, listen(&settings.ops)?);
+    let pages = dialect.pages_address.as_deref().map(listen).transpose()?;
     event!(
         started,
         "router {me:016x} at {}, callers at {}, operations at {}",
@@ -45,7 +49,7 @@
     let control_inbox = directory.announce::<ControlMsg>("control", 16_384);
     let traffic_inbox = directory.announce::<TrafficMsg>("traffic", 16_384);
     let links_inbox = directory.announce::<LinkOrder>("links", 65_536);
-    let dispatch_inbox = directory.announce::<DispatchOrder>("dispatcher", 8192);
+    let dispatch_inbox = directory.announce::<DispatcherMsg>("dispatcher", 8192);
     let platform_inbox = directory.announce::<SupplyOrder>("platform", 4096);
     let (view, shown) = watch::channel(String::from("{}"));
     let (control_view, control_shown) = watch::channel(String::from("{}"));
@@ -66,13 +70,11 @@
         local(async move { links::start(myself, adopt(peers), links_inbox, deliver(names)).await })
     })?;
     let names = directory.clone();
+    let (words, door_words) = (dialect.words.clone(), Arc::new(dialect.words));
     thread("dispatcher", move || {
         let traffic = find::<TrafficMsg>(&names, "traffic");
-        let report: dispatch::Report = Rc::new(move |number, verdict| {
-            let traffic = traffic.clone();
-            spawn_local(async move { traffic.send_waiting(TrafficMsg::Dispatched { number, verdict }).await });
-        });
-        local(dispatch::run(dispatch_inbox, report));
+        let report: dispatch::Report = Rc::new(move |report| tell(&traffic, report));
+        local(dispatch::run(words, dispatch_inbox, report));
     })?;
     let (names, address, every) = (directory.clone(), settings.platform.clone(), settings.list_every);
     thread("platform", move || {
@@ -83,6 +85,9 @@
         });
         local(async move { supply::run(Client::new(&address), platform_inbox, report, every).await });
     })?;
+    let limits = caller_limits(&settings);
+    let (bounds, bounded) = watch::channel(limits.clone());
+    let (own_limits, door_limits) = (limits.clone(), limits.door);
     let (names, cell, starts) = (directory.clone(), pass.clone(), settings.starts_per_second);
     thread("traffic", move || {
         let timing = HomeTiming { starts_per_second: starts, ..HomeTiming::default() };
@@ -96,6 +101,7 @@
             dispatcher: find(&names, "dispatcher"),
             platform: find(&names, "platform"),
             view,
+            limits: (own_limits, bounds),
             shelving: Shelving::new(shelf),
             step: 0,
             tail: None,
@@ -108,23 +114,22 @@
         };
         local(plane.run(traffic_inbox));
     })?;
-    let limits = DoorLimits {
-        connections: settings.connections,
-        head_bytes: settings.head_bytes,
-        headers: settings.headers,
-        head_time: settings.head_time,
-        life: settings.life,
-        grace: settings.grace,
-    };
-    let door = Door { traffic: find(&directory, "traffic"), body: settings.body, body_time: settings.body_time };
-    let (pages, doors_stop) = (door::router(door), stopping.clone());
-    let doors_thread =
-        thread("doors", move || local(async move { doors::serve(adopt(callers), pages, limits, doors_stop).await }))?;
-    let ops_limits = DoorLimits { connections: 64, life: Duration::from_secs(86_400), ..limits };
+    let door = Door { traffic: find(&directory, "traffic"), words: door_words, limits: bounded.clone() };
+    let (callers_pages, doors_stop) = (door::router(door), stopping.clone());
+    let doors_thread = thread("doors", move || {
+        let limits = move || bounded.borrow().door;
+        local(async move { doors::serve_within(adopt(callers), callers_pages, limits, doors_stop).await })
+    })?;
+    let ops_limits = DoorLimits { connections: 64, life: Duration::from_secs(86_400), ..door_limits };
     let kinds = doors::views(doors::Views { shelf: shelved, tokens });
     let (views, ops_stop) = (Views { traffic: shown, control: control_shown }, stopping);
     thread("operations", move || {
-        local(async move { doors::serve(adopt(ops), ops_router(views).merge(kinds), ops_limits, ops_stop).await })
+        local(async move {
+            if let (Some(make), Some(listener)) = (dialect.pages, pages) {
+                spawn_local(doors::serve(adopt(listener), make(views.clone()), ops_limits, ops_stop.clone()));
+            }
+            doors::serve(adopt(ops), ops_router(views).merge(kinds), ops_limits, ops_stop).await;
+        })
     })?;
 
     let timing = FollowerTiming { hold: settings.hold, ..FollowerTiming::default() };
@@ -159,6 +164,25 @@
     Ok(())
 }
 
+fn caller_limits(settings: &RouterEnv) -> CallerLimits {
+    let door = DoorLimits {
+        connections: settings.connections,
+        head_bytes: settings.head_bytes,
+        headers: settings.headers,
+        head_time: settings.head_time,
+        life: settings.life,
+        grace: settings.grace,
+    };
+    CallerLimits { door, body_bytes: settings.body, body_time: settings.body_time, keep_alive: None }
+}
+
+fn tell(traffic: &Post<TrafficMsg>, report: DispatchReport) {
+    if let Err(SendFault::Full(message)) = traffic.send(TrafficMsg::Dispatcher(report)) {
+        let traffic = traffic.clone();
+        spawn_local(async move { traffic.send_waiting(message).await });
+    }
+}
+
 fn deliver(names: Directory) -> links::Deliver {
     let control = find::<ControlMsg>(&names, "control");
     let traffic = find::<TrafficMsg>(&names, "traffic");
--- a/crates/traffic/tests/answers.rs
+++ b/crates/traffic/tests/answers.rs
@@ -12,7 +12,8 @@
 fn order(address: String) -> DispatchOrder {
     let head = RequestHead { method: "POST".into(), target: "/f".into(), headers: Vec::new().into() };
     let limit = Duration::from_secs(5);
-    DispatchOrder { number: 1, address, head: wire::to_bytes(&head), body: b"work".to_vec(), limit }
+    let (head, body) = (wire::to_bytes(&head), b"work".to_vec());
+    DispatchOrder { number: 1, instance: "i-1".into(), address, head, body, limit, connections: u32::MAX }
 }
 
 fn verdict(answer: Vec<u8>) -> Verdict {
--- a/crates/traffic/tests/common/mod.rs
+++ b/crates/traffic/tests/common/mod.rs
@@ -1,5 +1,7 @@
 //! A small book, roster and front for the tests of one machine.
 
+#![allow(dead_code, reason = "each test file uses a part of it")]
+
 use bindings::Book;
 use holds::{MemberLine, Roster};
 use std::rc::Rc;
@@ -42,7 +44,8 @@
 
 pub fn ask(front: &mut Front, at: u64, may_serve: bool, path: &str) -> Vec<FrontOutput> {
     let head = RequestHead { method: "POST".into(), target: path.into(), headers: Vec::new().into() };
-    let call = Call { path: path.into(), head, body: b"x".to_vec(), key: None, respond_async: false };
+    let (host, path) = (String::new(), path.to_owned());
+    let call = Call { host, path, deadline: None, head, body: b"x".to_vec(), key: None, respond_async: false };
     front.step(ms(at), may_serve, FrontInput::Task { ask: at, call })
 }
 
--- a/crates/traffic/tests/front.rs
+++ b/crates/traffic/tests/front.rs
@@ -44,7 +44,7 @@
     assert!(front.step(ms(3000), false, FrontInput::Tick).is_empty());
     let told = front.step(ms(3900), false, FrontInput::Tick);
     let reply = reply(&told).expect("given up before the deadline");
-    assert_eq!((reply.outcome, reply.status, reply.retry_after > 0), (Some(Outcome::NotRun), 503, true));
+    assert_eq!((reply.outcome, reply.status, reply.retry_after > ms(0)), (Some(Outcome::NotRun), 503, true));
     assert_eq!(reply_status(&ask(&mut front, 4000, true, "/nowhere")), 404);
 }
 
@@ -65,7 +65,7 @@
     for at in (0..5000).step_by(50) {
         let outputs = home.step(ms(at + 10), true, HomeInput::Tick);
         refused +=
-            outputs.iter().filter(|o| matches!(o, HomeOutput::Carry { message: CarryMsg::Carried { .. }, .. })).count();
+            outputs.iter().filter(|o| matches!(o, HomeOutput::Carry { message: CarryMsg::Answer { .. }, .. })).count();
     }
     assert_eq!((refused, home.depths().0), (1, 0));
     home.step(ms(5100), true, HomeInput::Carry { from: ME, message });
@@ -102,10 +102,8 @@
             match output {
                 HomeOutput::Dispatch(order) => running.push((order.number, at + 500)),
                 HomeOutput::Platform(supply::SupplyOrder::Start { id, .. }) => instance = Some(id),
-                HomeOutput::Carry {
-                    message: CarryMsg::Carried { outcome: Outcome::NotRun, retry_after, .. }, ..
-                } => {
-                    refused.push((at, retry_after));
+                HomeOutput::Carry { message: CarryMsg::Answer { outcome: Outcome::NotRun, again_ms, .. }, .. } => {
+                    refused.push((at, again_ms));
                 }
                 _ => {}
             }
@@ -114,7 +112,7 @@
     // One instance, one task at a time, half a second each, fifty tasks a second: once an answer has
     // taken its time, about seven are worth holding, the others are told so as they come.
     assert!(home.depths().0 < 16, "{} are held", home.depths().0);
-    assert!(refused.len() > 200 && refused.iter().all(|(_, again)| *again >= 1));
+    assert!(refused.len() > 200 && refused.iter().all(|(_, again)| *again >= 250));
     let early = refused.iter().filter(|(at, _)| *at < 5500).count();
     assert!(early > 80, "only {early} were refused before the first deadline");
 }
--- /dev/null
+++ b/crates/traffic/tests/single.rs
@@ -0,0 +1,162 @@
+//! Tasks that are sent to one instance at most, and once: what has surely not run is told so or goes
+//! on, and what may have run is told at once as in doubt and never sent again.
+
+mod common;
+
+use bindings::Book;
+use common::{ME, OTHER, carry, ms, reply, roster};
+use std::rc::Rc;
+use test_case::test_case;
+use traffic::{Front, FrontInput, FrontLimits, FrontOutput, Home, HomeInput, HomeOutput, HomeTiming, Verdict};
+use wire::{CarryMsg, HomeTable, Outcome, RequestHead, SlotLine};
+
+fn single(attempts: u32) -> Rc<Book> {
+    let binding = format!(
+        r#"{{"route":"/t/f","function":"f","class":"single","attempts":{attempts},"aim_ms":400,"instance_limit":4}}"#
+    );
+    Rc::new(Book::build(1, 1, [("function-bindings/t/f", binding.as_bytes())].into_iter()))
+}
+
+/// A home with two instances, and the task that it was carried.
+fn home(attempts: u32) -> (Home, Vec<HomeOutput>) {
+    let mut home = Home::new(ME, 1, HomeTiming::default());
+    home.step(ms(0), true, HomeInput::Book { book: single(attempts) });
+    home.step(ms(0), true, HomeInput::Roster { roster: roster(1, &[ME, OTHER]) });
+    home.step(ms(0), true, HomeInput::Roster { roster: roster(2, &[ME]) });
+    let slot =
+        |id: &str| SlotLine { instance: id.into(), address: format!("127.0.0.1:{id}").into(), ready: 1, busy: 0 };
+    let slots = vec![slot("1"), slot("2")].into();
+    let table = HomeTable { function: "t/f".into(), roster: 2, slots, ..HomeTable::default() };
+    home.step(ms(1), true, HomeInput::Carry { from: OTHER, message: CarryMsg::Table { table } });
+    let head = RequestHead { method: "POST".into(), target: "/t/f".into(), headers: Vec::new().into() };
+    let message = CarryMsg::Carry {
+        task: 7,
+        function: "t/f".into(),
+        binding: "t/f".into(),
+        left_ms: 4000,
+        tries: 0,
+        respond_async: 0,
+        key: "a".into(),
+        head: wire::to_bytes(&head).into(),
+        body: Vec::new().into(),
+    };
+    let outputs = home.step(ms(2), true, HomeInput::Carry { from: OTHER, message });
+    (home, outputs)
+}
+
+fn sent(outputs: &[HomeOutput]) -> Option<(u64, String)> {
+    outputs.iter().find_map(|output| match output {
+        HomeOutput::Dispatch(order) => Some((order.number, order.instance.clone())),
+        _ => None,
+    })
+}
+
+fn told(outputs: &[HomeOutput]) -> Option<(Outcome, u16, u32)> {
+    outputs.iter().find_map(|output| match output {
+        HomeOutput::Carry { message: CarryMsg::Answer { outcome, status, again_ms, .. }, .. } => {
+            Some((*outcome, *status, *again_ms))
+        }
+        _ => None,
+    })
+}
+
+fn verdict(home: &mut Home, outputs: &[HomeOutput], verdict: Verdict) -> Vec<HomeOutput> {
+    let (number, _) = sent(outputs).expect("it is sent without a claim, and the core away");
+    home.step(ms(20), true, HomeInput::Dispatched { number, verdict })
+}
+
+fn doubt(late: bool) -> Verdict {
+    Verdict::InDoubt { told: "closed".into(), late }
+}
+
+#[test_case(doubt(false), 502; "no whole answer")]
+#[test_case(doubt(true), 504; "out of time")]
+fn in_doubt_it_is_told_at_once_and_never_sent_again(came: Verdict, status: u16) {
+    let (mut home, first) = home(3);
+    let outputs = verdict(&mut home, &first, came);
+    assert_eq!((told(&outputs), sent(&outputs)), (Some((Outcome::Unknown, status, 0)), None));
+    assert_eq!(home.depths(), (0, 0, 0), "no ledger, and nothing kept");
+}
+
+#[test]
+fn an_instances_own_failure_is_its_answer() {
+    let (mut home, first) = home(3);
+    let failed = Verdict::Whole { status: 500, head: Vec::new(), body: b"no".to_vec(), turned_away: false };
+    let outputs = verdict(&mut home, &first, failed);
+    assert_eq!((told(&outputs), sent(&outputs)), (Some((Outcome::Answered, 500, 0)), None));
+}
+
+#[test_case(Verdict::NotSent; "nobody listens")]
+#[test_case(Verdict::Crowded; "no connection")]
+fn an_instance_that_never_got_it_does_not_count(came: Verdict) {
+    let (mut home, first) = home(1);
+    let outputs = verdict(&mut home, &first, came);
+    let (before, after) = (sent(&first).map(|order| order.1), sent(&outputs).map(|order| order.1));
+    assert!(after.is_some() && before != after, "{outputs:?}");
+}
+
+#[test_case(false; "full")]
+#[test_case(true; "another instance")]
+fn turned_away_by_the_only_one_it_may_go_to_it_is_refused_with_a_time(wrong_instance: bool) {
+    let (mut home, first) = home(1);
+    let outputs = verdict(&mut home, &first, Verdict::NotRun { wrong_instance });
+    let (outcome, status, again) = told(&outputs).expect("told at once");
+    assert_eq!((outcome, status, sent(&outputs)), (Outcome::NotRun, 503, None));
+    assert!((100..2000).contains(&again), "{again}");
+}
+
+#[test]
+fn turned_away_it_goes_to_another_where_it_may() {
+    let (mut home, first) = home(2);
+    let second = verdict(&mut home, &first, Verdict::NotRun { wrong_instance: false });
+    assert_ne!(sent(&first).map(|order| order.1), sent(&second).map(|order| order.1));
+    let outputs = verdict(&mut home, &second, Verdict::NotRun { wrong_instance: false });
+    assert_eq!(told(&outputs).map(|told| (told.0, told.1)), Some((Outcome::NotRun, 503)));
+}
+
+fn front() -> Front {
+    let mut front = Front::new(ME, 1, FrontLimits::default());
+    front.step(ms(0), true, FrontInput::Book { book: single(1) });
+    front.step(ms(0), true, FrontInput::Roster { roster: roster(1, &[OTHER]) });
+    front.step(ms(0), true, FrontInput::Link { id: OTHER, up: true });
+    front
+}
+
+#[test_case(FrontInput::Link { id: OTHER, up: false }; "unlinked")]
+#[test_case(FrontInput::Roster { roster: roster(2, &[3]) }; "declared lost")]
+fn a_home_that_is_lost_may_have_run_it(lost: FrontInput) {
+    let mut front = front();
+    let (task, _) = carry(&common::ask(&mut front, 5, true, "/t/f"));
+    let outputs = front.step(ms(20), true, lost);
+    assert_eq!(reply(&outputs).map(|reply| (reply.outcome, reply.status)), Some((Some(Outcome::Unknown), 504)));
+    let late = CarryMsg::NotHome { task };
+    assert!(front.step(ms(30), true, FrontInput::Carried { from: OTHER, message: late }).is_empty());
+}
+
+#[test]
+fn what_its_home_gives_back_is_carried_on() {
+    let mut front = front();
+    let (task, _) = carry(&common::ask(&mut front, 5, true, "/t/f"));
+    front.step(ms(20), true, FrontInput::Carried { from: OTHER, message: CarryMsg::NotHome { task } });
+    let outputs = front.step(ms(60), true, FrontInput::Tick);
+    assert!(matches!(outputs[..], [FrontOutput::Carry { .. }]), "{outputs:?}");
+}
+
+#[test]
+fn without_a_proof_a_task_with_an_aim_is_refused_while_it_is_worth_much() {
+    let mut front = front();
+    assert!(common::ask(&mut front, 0, false, "/t/f").is_empty());
+    assert!(front.step(ms(100), false, FrontInput::Tick).is_empty());
+    let outputs = front.step(ms(130), false, FrontInput::Tick);
+    let told = reply(&outputs).expect("within a third of its aim");
+    assert_eq!((told.outcome, told.status), (Some(Outcome::NotRun), 503));
+    assert!(told.retry_after >= ms(300) && told.retry_after < ms(600));
+}
+
+#[test]
+fn a_home_that_loses_its_hold_gives_back_only_what_no_instance_has_seen() {
+    let (mut home, first) = home(3);
+    assert!(sent(&first).is_some());
+    let outputs = home.step(ms(30), false, HomeInput::Lapsed);
+    assert!(told(&outputs).is_none() && home.depths().1 == 1, "it is running: {outputs:?}");
+}
--- a/crates/wire/src/carry.rs
+++ b/crates/wire/src/carry.rs
@@ -112,11 +112,14 @@
     Beat,
     #[deku(id = "7")]
     Table { table: HomeTable },
+    /// `Carried` with the time to come back in milliseconds.
+    #[deku(id = "8")]
+    Answer { task: u64, outcome: Outcome, status: u16, again_ms: u32, head: Blob, body: Blob },
 }
 
 impl CarryMsg {
     /// Whether it is meant for the receiver's home; if not, it answers the receiver's front.
     pub fn is_for_home(&self) -> bool {
-        !matches!(self, CarryMsg::Carried { .. } | CarryMsg::NotHome { .. } | CarryMsg::Beat)
+        !matches!(self, CarryMsg::Answer { .. } | CarryMsg::Carried { .. } | CarryMsg::NotHome { .. } | CarryMsg::Beat)
     }
 }
--- a/crates/wire/src/spoken.rs
+++ b/crates/wire/src/spoken.rs
@@ -2,15 +2,22 @@
 //! put away what nobody read (who the tail is and its view, in `NotTail`; the successor in `Leave`) and
 //! brought beats between routers, whole home tables and the entries a registry missed. Who understands only the format before hears
 //! the older word, or nothing where it had none. Format 3 brought the
-//! entry of a change with a declared revision, which a registry enters only where all speak it.
+//! entry of a change with a declared revision, which a registry enters only where all speak it, and
+//! answers that tell the time to come back in milliseconds.
 
 use crate::{CarryMsg, ChainMsg, HoldMsg, Message, PlanMsg};
 
 pub fn spoken(message: Message, format: u16) -> Option<Message> {
-    if format >= 2 {
-        return Some(message);
-    }
+    let message = match message {
+        message if format >= 3 => return Some(message),
+        Message::Carry(CarryMsg::Answer { task, outcome, status, again_ms, head, body }) => {
+            let retry_after = again_ms.div_ceil(1000);
+            Message::Carry(CarryMsg::Carried { task, outcome, status, retry_after, head, body })
+        }
+        other => other,
+    };
     match message {
+        message if format >= 2 => Some(message),
         Message::Hold(HoldMsg::Seats { seats }) => Some(Message::Hold(HoldMsg::NotTail { tail: 0, view: 0, seats })),
         Message::Hold(HoldMsg::Leaving) => Some(Message::Hold(HoldMsg::Leave { successor: 0 })),
         Message::Chain(ChainMsg::SuffixAsk { .. }) => Some(Message::Chain(ChainMsg::CopyAsk { copy: 0, piece: 0 })),
@@ -31,7 +38,7 @@
 #[cfg(test)]
 mod tests {
     use super::*;
-    use crate::HomeTable;
+    use crate::{Blob, HomeTable, Outcome};
 
     #[test]
     fn format_one_hears_only_its_own_words() {
@@ -50,4 +57,19 @@
         assert!(matches!(old(Message::Hold(HoldMsg::Leaving)), Some(Message::Hold(HoldMsg::Leave { .. }))));
         assert_eq!(spoken(seats.clone(), 2), Some(seats));
     }
+
+    #[test]
+    fn formats_before_three_hear_the_time_to_come_back_in_whole_seconds() {
+        let (head, body) = (Blob::default(), Blob::default());
+        let message = CarryMsg::Answer { task: 1, outcome: Outcome::NotRun, status: 503, again_ms: 1001, head, body };
+        let answer = Message::Carry(message);
+        for format in [1, 2] {
+            let heard = spoken(answer.clone(), format);
+            assert!(
+                matches!(heard, Some(Message::Carry(CarryMsg::Carried { task: 1, retry_after: 2, .. }))),
+                "{heard:?}"
+            );
+        }
+        assert_eq!(spoken(answer.clone(), 3), Some(answer));
+    }
 }
