--- /dev/null
+++ b/crates/bindings/tests/book.rs
@@ -0,0 +1,115 @@
+//! What a router finds in a configuration: routes by host and path, shares, functions as declared.
+
+use bindings::{Book, FunctionBinding};
+use std::collections::BTreeMap;
+use std::time::Duration;
+use test_case::test_case;
+
+fn book(pairs: &[(&str, &str)]) -> Book {
+    let faults = bindings::check(pairs.iter().map(|(key, value)| (*key, value.as_bytes())));
+    assert!(faults.is_empty(), "{faults:?}");
+    Book::build(1, 1, pairs.iter().map(|(key, value)| (*key, value.as_bytes())))
+}
+
+#[test_case("a.example", "/x/y/z" => Some("t/a-xy"); "the longest of the host")]
+#[test_case("a.example", "/x/y/" => Some("t/a-xy"); "the whole of a leading part")]
+#[test_case("a.example", "/x/y" => Some("t/a-x"); "a leading part needs its slash")]
+#[test_case("a.example", "/x/yy/z" => Some("t/a-x"); "parts are whole")]
+#[test_case("a.example", "/" => None; "nothing that short, and none of any host")]
+#[test_case("A.Example:8080", "/x/y/z" => Some("t/a-xy"); "letters and port of a host do not count")]
+#[test_case("b.example", "/x/y/z" => Some("t/b-all"); "all of a host")]
+#[test_case("b.example", "/" => Some("t/b-all"); "the root of a host")]
+#[test_case("c.example", "/own/f" => Some("t/any"); "any host")]
+#[test_case("", "/own/f/g" => Some("t/any"); "no host")]
+#[test_case("a.example", "/own/f/" => Some("t/any"); "a host without such a route")]
+#[test_case("a.example", "/own/ff" => None; "parts of a route are whole")]
+#[test_case("c.example", "/own" => None; "too short")]
+#[test_case("[::1]:80", "/v6/x" => Some("t/six"); "an IP number as host")]
+#[test_case("a.example", "" => None; "no path")]
+#[test_case("a.example", "/x/\u{17e}/y" => Some("t/a-x"); "letters beyond ASCII")]
+fn a_route_is_found_by_host_and_longest_beginning(host: &str, path: &str) -> Option<&'static str> {
+    let routes = [
+        ("t/a-x", "a.example", "/x/"),
+        ("t/a-xy", "a.EXAMPLE", "/x/y/"),
+        ("t/b-all", "b.example:80", "/"),
+        ("t/any", "", "/own/f"),
+        ("t/six", "[::1]", "/v6/"),
+    ];
+    let pairs: Vec<(String, String)> = routes
+        .iter()
+        .map(|(name, host, route)| {
+            let binding = format!(r#"{{"host":"{host}","route":"{route}","function":"f","class":"single"}}"#);
+            (format!("function-bindings/{name}"), binding)
+        })
+        .collect();
+    let pairs: Vec<(&str, &str)> = pairs.iter().map(|(key, value)| (key.as_str(), value.as_str())).collect();
+    let book = book(&pairs);
+    assert_eq!(book.routes(), routes.len());
+    let (found, binding) = book.find_route(host, path)?;
+    assert_eq!(book.binding(found), Some(binding));
+    routes.iter().map(|(name, ..)| *name).find(|name| *name == found)
+}
+
+#[test]
+fn a_path_of_slashes_alone_is_looked_at_no_further_than_the_longest_route() {
+    let pairs = [("function-bindings/t/f", r#"{"route":"/t/f","function":"f","class":"ordinary"}"#)];
+    let book = book(&pairs);
+    assert!(book.find_route("", &"/".repeat(1 << 20)).is_none());
+    assert!(book.find_route("", &format!("/t/f{}", "/".repeat(1 << 20))).is_some());
+}
+
+#[test]
+fn shares_are_drawn_by_weight() {
+    let raw = r#"{"route":"/t/f","shares":{"a":3,"b":0,"c":1},"class":"ordinary"}"#;
+    let binding: FunctionBinding = serde_json::from_str(raw).unwrap();
+    let mut drawn: BTreeMap<&str, u32> = BTreeMap::new();
+    let step = u64::MAX / 4000;
+    (0..4000u64).for_each(|n| *drawn.entry(binding.function_for(n * step + step / 2)).or_default() += 1);
+    assert_eq!(drawn, BTreeMap::from([("a", 3000), ("c", 1000)]));
+    assert_eq!((binding.function_for(0), binding.function_for(u64::MAX)), ("a", "c"));
+    assert!(binding.sends_to("a") && !binding.sends_to("b") && !binding.sends_to("d"));
+    let one: FunctionBinding = serde_json::from_str(r#"{"route":"/t/f","function":"f","class":"ordinary"}"#).unwrap();
+    assert!(one.function_for(u64::MAX) == "f" && one.sends_to("f"));
+}
+
+#[test]
+fn a_function_takes_its_shape_from_its_declaration_and_its_aim_from_its_bindings() {
+    let bind = |route: &str, more: &str| format!(r#"{{"route":"{route}","class":"ordinary","declared":true,{more}}}"#);
+    let slow = bind("/slow/", r#""function":"cold","aim_ms":1500,"rank":2,"attempts":3"#);
+    let fast = bind("/fast/", r#""function":"hot","aim_ms":300,"rank":0"#);
+    let both = bind("/both/", r#""shares":{"hot":1,"cold":2},"aim_ms":900,"rank":4,"attempts":1"#);
+    let planned = bind("/planned/", r#""function":"planned","aim_ms":10"#);
+    let book = book(&[
+        ("bounds/t/limits", r#"{"body_bytes":100,"idle_ms":50}"#),
+        ("bounds/u/limits", r#"{"body_bytes":200,"idle_ms":20}"#),
+        ("function-bindings/t/both", &both),
+        ("function-bindings/t/fast", &fast),
+        ("function-bindings/t/planned", &planned),
+        ("function-bindings/t/slow", &slow),
+        ("functions/t/cold", r#"{"boot_ms":900,"instance_limit":1,"memory_mb":128,"connections":26}"#),
+        ("functions/t/hot", r#"{"boot_ms":1400,"instance_limit":6,"memory_mb":768}"#),
+        ("functions/t/planned", "{}"),
+        ("functions/t/unused", "{}"),
+        ("headcount-plans/t/planned", r#"{"min":0}"#),
+    ]);
+    let (hot, cold) = (book.function("t/hot").unwrap(), book.function("t/cold").unwrap());
+    assert_eq!((hot.boot, hot.aim), (Duration::from_millis(1400), Some(Duration::from_millis(300))));
+    assert_eq!((hot.min, hot.max, hot.rank, hot.attempts, hot.connections), (1, 1000, 0, 2, u32::MAX));
+    assert_eq!((cold.aim, cold.min, cold.rank, cold.attempts), (Some(Duration::from_millis(900)), 0, 2, 3));
+    assert_eq!((cold.instance_limit, cold.memory_mb, cold.connections), (1, 128, 26));
+    assert_eq!(book.function("t/planned").unwrap().min, 0, "an operator's plan goes before");
+    let unused = book.function("t/unused").unwrap();
+    assert_eq!((unused.min, unused.aim, unused.boot), (0, None, Duration::from_secs(1)));
+    let bounds = book.bounds().unwrap();
+    assert_eq!((bounds.body_bytes, bounds.idle_ms, bounds.head_ms), (100, 20, u32::MAX));
+}
+
+#[test]
+fn a_binding_as_it_was_declared_before_is_what_it_was() {
+    let book = book(&[("function-bindings/t/f", r#"{"route":"/t/f","function":"f","class":"once","max":3}"#)]);
+    let function = book.function("t/f").unwrap();
+    assert_eq!((function.min, function.max, function.aim, function.rank), (0, 3, None, 1));
+    let (_, binding) = book.find_route("whatever", "/t/f/x").unwrap();
+    assert_eq!((binding.attempts, binding.declared, binding.aim_ms), (2, false, None));
+    assert!(book.bounds().is_none());
+}
--- a/crates/bindings/tests/check.rs
+++ b/crates/bindings/tests/check.rs
@@ -1,6 +1,6 @@
 //! The check of a whole configuration, fault by fault.
 
-use bindings::check;
+use bindings::{check, check_name};
 
 #[test]
 fn every_fault_of_a_whole_configuration_is_told_with_its_path() {
@@ -24,3 +24,57 @@
     ];
     assert_eq!(paths, expected);
 }
+
+fn paths(pairs: &[(&str, &str)]) -> Vec<String> {
+    check(pairs.iter().map(|(key, value)| (*key, value.as_bytes()))).into_iter().map(|fault| fault.path).collect()
+}
+
+#[test]
+fn functions_shares_hosts_and_bounds_are_checked_together() {
+    let bind = |more: &str| format!(r#"{{"class":"single",{more}}}"#);
+    let one = bind(r#""host":"a.example","route":"/x/","function":"f","declared":true"#);
+    let same = bind(r#""host":"A.example:80","route":"/x/","function":"g","declared":true"#);
+    let other = bind(r#""host":"b.example","route":"/x/","shares":{"f":1,"gone":2},"declared":true"#);
+    let nothing = bind(r#""route":"/n/","shares":{"f":0,"h":0}"#);
+    let below = bind(r#""route":"/b/","shares":{"f":-1,"h":2}"#);
+    let bare = bind(r#""route":"/""#);
+    let limits = bind(r#""route":"//a/%20/","function":"f","deadline_ms":600001,"attempts":0"#);
+    let found = paths(&[
+        ("bounds/t/one", r#"{"head_ms":0}"#),
+        ("bounds/t/two", "{}"),
+        ("function-bindings/t/a", &one),
+        ("function-bindings/t/b", &same),
+        ("function-bindings/t/c", &other),
+        ("function-bindings/t/d", &nothing),
+        ("function-bindings/t/e", &below),
+        ("function-bindings/t/f", &bare),
+        ("function-bindings/t/g", &limits),
+        ("functions/t/f", r#"{"boot_ms":900,"instance_limit":6}"#),
+        ("functions/t/i", r#"{"instance_limit":0,"connections":0,"min":4,"max":3}"#),
+        ("functions/u/gone", "{}"),
+    ]);
+    let expected = [
+        "bounds/t/one/head_ms",
+        "bounds/t/two",
+        "function-bindings/t/b/route",
+        "function-bindings/t/d/shares",
+        "function-bindings/t/e/shares",
+        "function-bindings/t/f/function",
+        "function-bindings/t/g/deadline_ms",
+        "function-bindings/t/g/attempts",
+        "functions/t/i/instance_limit",
+        "functions/t/i/connections",
+        "functions/t/i/min",
+        "function-bindings/t/b/function",
+        "function-bindings/t/c/function",
+    ];
+    assert_eq!(found, expected);
+}
+
+#[test]
+fn names_are_of_plain_characters() {
+    let long = "x".repeat(128);
+    assert!(["a", "r-2bsp73y", "A.b_C-9", &long].iter().all(|name| check_name(name)));
+    let longer = "x".repeat(129);
+    assert!(["", "a b", "a/b", "\u{17e}", "a%", &longer].iter().all(|name| !check_name(name)));
+}
--- a/crates/chain/src/line.rs
+++ b/crates/chain/src/line.rs
@@ -195,6 +195,9 @@
         {
             self.send(before, ChainMsg::Position { view: self.meta.view.number, seq: self.synced });
         }
+        if self.meta.view.voters.as_slice().len() == 1 {
+            return self.settle();
+        }
         self.report();
     }
 
--- a/crates/chain/tests/net/mod.rs
+++ b/crates/chain/tests/net/mod.rs
@@ -25,6 +25,9 @@
     pub installed: Vec<(NodeId, Option<usize>)>,
     pub now: Duration,
     pub next_op: u64,
+    /// Whom a member has as seeds, if not all others.
+    pub seeds: BTreeMap<NodeId, Vec<NodeId>>,
+    pub told: BTreeMap<NodeId, Vec<NodeId>>,
 }
 
 pub fn seat(id: NodeId) -> Seat {
@@ -46,14 +49,22 @@
             installed: Vec::new(),
             now: Duration::from_secs(1),
             next_op: 0,
+            seeds: BTreeMap::new(),
+            told: BTreeMap::new(),
         };
         ids.iter().for_each(|id| net.start(*id));
         net
     }
 
     pub fn start(&mut self, id: NodeId) {
+        self.start_founding(id, 3);
+    }
+
+    /// Starts a member that may found a cluster of so many seats, or none.
+    pub fn start_founding(&mut self, id: NodeId, seats: usize) {
         let stored = self.disks.entry(id).or_default().clone();
-        self.members.insert(id, Member::new(seat(id), stored, Timing::default(), apply, self.now));
+        let member = Member::new(seat(id), stored, Timing::default(), apply, self.now).founding_with(seats);
+        self.members.insert(id, member);
     }
 
     pub fn feed(&mut self, id: NodeId, input: Input) {
@@ -62,14 +73,19 @@
             match output {
                 Output::Send { to, message } => self.frames.push_back((id, to, message)),
                 Output::SendSeeds { message } => {
-                    let others: Vec<NodeId> = self.members.keys().copied().filter(|other| *other != id).collect();
+                    let told = self.told.get(&id).into_iter().flatten();
+                    let others: Vec<NodeId> = match self.seeds.get(&id) {
+                        Some(seeds) => seeds.iter().chain(told).copied().collect(),
+                        None => self.members.keys().copied().filter(|other| *other != id).collect(),
+                    };
                     others.into_iter().for_each(|to| self.frames.push_back((id, to, message.clone())));
                 }
                 Output::Write { ticket, batch } => self.writes.push((id, ticket, batch)),
                 Output::Done { op, entered, .. } => self.done.push((id, op, entered)),
                 Output::Confirmed { .. } => self.confirmed.push(id),
                 Output::Installed { missed } => self.installed.push((id, missed)),
-                Output::Committed { .. } | Output::Viewed { .. } | Output::Told { .. } => {}
+                Output::Told { view } => drop(self.told.insert(id, view.voters.iter().map(|seat| seat.id).collect())),
+                Output::Committed { .. } | Output::Viewed { .. } => {}
             }
         }
     }
