--- a/crates/sim/src/router_turns.rs
+++ b/crates/sim/src/router_turns.rs
@@ -56,6 +56,7 @@
                             }
                             HomeOutput::Supply(order) => self.platform_order(n, order),
                             HomeOutput::Probe { id, after, limit, .. } => self.probe(n, id, after, limit),
+                            HomeOutput::Forget { .. } => {}
                             HomeOutput::PlanAsk { message } => self.ask_registries(n, message),
                             HomeOutput::Measures { lines } => {
                                 self.ask_registries(n, PlanMsg::Measures { lines: lines.into() });
--- a/crates/traffic/src/home_types.rs
+++ b/crates/traffic/src/home_types.rs
@@ -1,7 +1,7 @@
 //! What a home takes and returns, the record it keeps of each task, and what it asked of the chain.
 
-use crate::dispatch::{DispatchOrder, Verdict};
 use bindings::{Book, Class};
+use dispatch::{DispatchOrder, Verdict};
 use holds::Roster;
 use std::rc::Rc;
 use std::time::Duration;
@@ -51,6 +51,10 @@
         after: Duration,
         limit: Duration,
     },
+    /// Nothing more goes to this instance.
+    Forget {
+        id: String,
+    },
     PlanAsk {
         message: PlanMsg,
     },
@@ -112,7 +116,9 @@
     pub function: String,
     pub binding: String,
     pub class: Class,
+    pub arrived: Duration,
     pub due: Duration,
+    pub aim: Option<Duration>,
     pub not_before: Duration,
     pub place: Place,
     pub scope: String,
@@ -124,8 +130,14 @@
     pub respond_async: bool,
     pub caller: bool,
     pub dispatches: u32,
+    /// The most instances it may be sent to.
+    pub attempts: u32,
+    /// The instance it was last sent to, which others go before.
+    pub avoid: String,
+    /// It has run, or may have.
     pub reached: bool,
-    pub low: bool,
+    /// Lower goes first.
+    pub rank: u32,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/crates/traffic/src/settings.rs
+++ b/crates/traffic/src/settings.rs
@@ -28,6 +28,7 @@
         tokens_file: PathBuf = PathBuf::new(), any, "file of more bearer tokens, one to a line, so that none need stand on a command line";
         list_every: Duration = Duration::from_millis(1000), in_range(Duration::from_millis(100), Duration::from_secs(30)), "how often the platform's list is read";
         starts_per_second: f64 = 64.0, in_range(0.1, 10_000.0), "starts a second that all routers share, below what the platform takes";
+        step: Duration = Duration::from_secs(15), in_range(Duration::from_millis(250), Duration::from_secs(600)), "one step of samples and plans; the same on every machine";
         format: u16 = wire::FORMAT, in_range(wire::OLDEST, wire::FORMAT), "format in which frames are written; the one before while a fleet rolls from a version that knows no newer";
         log_level: String = "info".into(), word, "error, warn, info, debug or trace";
         log_file: String = String::new(), any, "log file, rolled over by size; empty for standard error";
--- a/crates/traffic/tests/common/mod.rs
+++ b/crates/traffic/tests/common/mod.rs
@@ -1,6 +1,6 @@
 //! A small book, roster and front for the tests of one machine.
 
-#![allow(dead_code)]
+#![allow(dead_code, reason = "each test file uses a part of it")]
 
 pub mod supplied;
 
@@ -46,7 +46,8 @@
 
 pub fn ask(front: &mut Front, at: u64, may_serve: bool, path: &str) -> Vec<FrontOutput> {
     let head = RequestHead { method: "POST".into(), target: path.into(), headers: Vec::new().into() };
-    let call = Call { path: path.into(), head, body: b"x".to_vec(), key: None, respond_async: false };
+    let (host, path) = (String::new(), path.to_owned());
+    let call = Call { host, path, deadline: None, head, body: b"x".to_vec(), key: None, respond_async: false };
     front.step(ms(at), may_serve, FrontInput::Task { ask: at, call })
 }
 
