--- a/crates/traffic/src/handover.rs
+++ b/crates/traffic/src/handover.rs
@@ -4,7 +4,7 @@
 
 use crate::desk::Desk;
 use crate::home::Home;
-use crate::home_types::{HomeOutput, Place};
+use crate::home_types::{HomeOutput, HomeTask, Place};
 use bindings::Book;
 use events::event;
 use std::rc::Rc;
@@ -74,13 +74,19 @@
     }
 
     fn drop_moved_deferred(&mut self) {
-        let moved: Vec<u64> = self
+        self.drop_deferred(|home, function| !home.is_home(function));
+    }
+
+    /// Stored tasks held here and not being run: whoever is home finds them in the chain.
+    pub(crate) fn drop_deferred(&mut self, which: impl Fn(&Home, &str) -> bool) {
+        let held = |task: &HomeTask| task.stored.is_some() && task.place == Place::Held;
+        let dropped: Vec<u64> = self
             .tasks
             .iter()
-            .filter(|(_, task)| task.stored.is_some() && task.place == Place::Held && !self.is_home(&task.function))
+            .filter(|(_, task)| held(task) && which(self, &task.function))
             .map(|(number, _)| *number)
             .collect();
-        for number in moved {
+        for number in dropped {
             self.accept(number);
             self.forget(number);
         }
--- a/crates/traffic/src/keeping.rs
+++ b/crates/traffic/src/keeping.rs
@@ -170,13 +170,14 @@
 
     /// This router's hold had lapsed: other homes have taken over. What was never dispatched goes back
     /// to its front, which has moved on if it could, so that nothing old is sent after a new beginning.
+    /// Stored tasks may have been run by the home between and are read anew from the chain.
     /// Should this be home again, it is as one that comes anew: it waits for the table of the home between.
     pub(crate) fn lapsed(&mut self) {
         let now = self.now;
         for desk in self.desks.values_mut() {
             desk.risk.be_careful(now);
             desk.budget.be_careful(now);
-            (desk.adopting, desk.begun) = (Some((now, false)), None);
+            (desk.adopting, desk.begun, desk.read_at) = (Some((now, false)), None, None);
         }
         let undone: Vec<u64> = self
             .tasks
@@ -186,5 +187,6 @@
             .map(|(number, _)| *number)
             .collect();
         undone.into_iter().for_each(|number| self.send_back(number));
+        self.drop_deferred(|_, _| true);
     }
 }
