Count what was pending as perhaps sent when a home begins from a kept table

A home that is cut off goes on sending until its hold ends; the table kept elsewhere is older, yet its list of stored tasks begun was taken for all. Change: only a table handed over says which stored tasks were begun.

--- a/crates/traffic/src/keeping.rs
+++ b/crates/traffic/src/keeping.rs
@@ -101,7 +101,9 @@
     pub(crate) fn take_kept(&mut self, name: &str) {
         let now = self.now;
         if let Some(kept) = self.kept.remove(name).filter(|kept| now < kept.at + LASTS) {
-            self.take_table(kept.table, (kept.at + FOREIGN * 4).min(now + FOREIGN));
+            // The home may have gone on sending after it: what it names as begun is not all.
+            let table = HomeTable { begun_whole: 0, ..kept.table };
+            self.take_table(table, (kept.at + FOREIGN * 4).min(now + FOREIGN));
         }
     }
 
