Measure windows by a clock that may run fast, and make what is allowed a setting

Cause: a home remembered turn-aways for five seconds of its own clock.

Change: what was spent is remembered a hundredth longer than its window, what was asked a hundredth shorter. The ratio, slack and windows are fields of Allowances, in HomeTiming, and the parts of one home are derived from them. What a home may spend while it does not know all is counted from then on (Spent::own) and no longer by the same count as what it knew; of what it may not spend it tells the next home.

--- /dev/null
+++ b/crates/traffic/src/allowances.rs
@@ -0,0 +1,65 @@
+//! What the fleet may do beyond serving each request once, as its users set it, and the part of it
+//! that one home takes. Homes follow each other and may know nothing of each other: three in one
+//! window stay within the retry slack, two within the turn-aways.
+
+use std::time::Duration;
+
+/// A machine's clock may run fast or slow by this part: what is spent is remembered longer than the
+/// window, what was asked shorter.
+const DRIFT: f64 = 0.01;
+/// Of the ratio, the part one home uses.
+const PART: f64 = 0.625;
+
+#[derive(Clone, Debug)]
+pub struct Allowances {
+    /// Second tries allowed for each request, in any window.
+    pub retry_ratio: f64,
+    /// Second tries allowed besides.
+    pub retry_slack: usize,
+    pub retry_window: Duration,
+    /// Tasks that the instances of one function may turn away, in any window.
+    pub turned_most: usize,
+    pub turned_window: Duration,
+}
+
+impl Default for Allowances {
+    fn default() -> Self {
+        Allowances {
+            retry_ratio: 0.2,
+            retry_slack: 60,
+            retry_window: Duration::from_secs(10),
+            turned_most: 11,
+            turned_window: Duration::from_secs(5),
+        }
+    }
+}
+
+/// The most a home may spend by all that it knows, and the most while it does not know all.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Most {
+    pub known: usize,
+    pub at_first: usize,
+}
+
+impl Allowances {
+    pub fn share(&self, requests: usize) -> usize {
+        (requests as f64 * self.retry_ratio * PART) as usize
+    }
+
+    pub fn spare(&self) -> Most {
+        Most { known: self.retry_slack / 2, at_first: self.retry_slack / 4 }
+    }
+
+    pub fn turned(&self) -> Most {
+        let known = ((self.turned_most * 2 + 1) / 3).max(1);
+        Most { known, at_first: self.turned_most.saturating_sub(known).max(1) }
+    }
+
+    pub fn remembered(window: Duration) -> Duration {
+        window.mul_f64(1.0 + DRIFT)
+    }
+
+    pub fn credited(window: Duration) -> Duration {
+        window.mul_f64(1.0 - DRIFT)
+    }
+}
--- a/crates/traffic/src/budget.rs
+++ b/crates/traffic/src/budget.rs
@@ -1,6 +1,7 @@
-//! Sliding windows: second tries against a fifth of the requests plus sixty in any ten seconds,
-//! kept well below, and turn-aways against eleven in any five.
+//! Sliding windows, and second tries counted in them: below the users' ratio of the requests and
+//! their slack, by what this home knows and by what it has to leave to homes it knows nothing of.
 
+use crate::allowances::{Allowances, Most};
 use std::collections::VecDeque;
 use std::time::Duration;
 
@@ -23,35 +24,109 @@
         }
         self.times.len()
     }
+    pub fn take_back(&mut self) {
+        self.times.pop_back();
+    }
+    fn insert(&mut self, at: Duration, count: usize) {
+        let place = self.times.partition_point(|time| *time <= at);
+        let later = self.times.split_off(place);
+        self.times.extend(std::iter::repeat_n(at, count));
+        self.times.extend(later);
+    }
 }
 
+/// What is spent in a window: all that this home knows of, and while it does not know all that homes
+/// before it spent, its own since then.
 #[derive(Clone, Debug)]
-pub struct Budget {
-    requests: Window,
-    seconds: Window,
+pub struct Spent {
+    all: Window,
+    own: Window,
+    careful: Duration,
     careful_until: Duration,
 }
 
-const LENGTH: Duration = Duration::from_secs(10);
-const SHARE: usize = 8;
-const SPARE: usize = 30;
-const SPARE_AT_FIRST: usize = 15;
+impl Spent {
+    pub fn new(now: Duration, length: Duration, careful: Duration) -> Spent {
+        Spent { all: Window::new(length), own: Window::new(length), careful, careful_until: now + careful }
+    }
+    pub fn add(&mut self, now: Duration) {
+        self.all.add(now);
+        self.own.add(now);
+    }
+    pub fn count(&mut self, now: Duration) -> usize {
+        self.all.count(now)
+    }
+    /// Others have spent without this home's knowing, up to now.
+    pub fn be_careful(&mut self, now: Duration) {
+        self.own.times.clear();
+        self.careful_until = now + self.careful;
+    }
+    /// Another home told of what it had spent at a moment; `whole` if it has spent nothing since.
+    pub fn take_over(&mut self, now: Duration, at: Duration, count: usize, whole: bool) {
+        self.all.insert(at, count);
+        if whole {
+            self.careful_until = now;
+        } else {
+            self.be_careful(now);
+        }
+    }
+    pub fn room(&mut self, now: Duration, most: Most) -> usize {
+        let room = most.known.saturating_sub(self.all.count(now));
+        let own = most.at_first.saturating_sub(self.own.count(now));
+        if now < self.careful_until { room.min(own) } else { room }
+    }
+    /// What to tell the next home: what this one may not spend it may not spend either.
+    pub fn told(&mut self, now: Duration, most: Most) -> usize {
+        self.count(now).max(most.known - self.room(now, most))
+    }
+}
+
+#[derive(Clone, Debug)]
+pub struct Budget {
+    allowances: Allowances,
+    requests: Window,
+    own_requests: Window,
+    seconds: Spent,
+}
 
 impl Budget {
     /// A home that does not know what was spent before it came spends only its own part, for one
-    /// window's length: thirty and twice fifteen are what three homes in ten seconds may spend, with an
-    /// eighth of what each was asked.
-    pub fn new(now: Duration) -> Budget {
-        Budget { requests: Window::new(LENGTH), seconds: Window::new(LENGTH), careful_until: now + LENGTH }
+    /// window's length: half the slack and twice a quarter are what three homes in one window may
+    /// spend, with its share of what each was asked.
+    pub fn new(now: Duration, allowances: &Allowances) -> Budget {
+        let (credited, remembered) =
+            (Allowances::credited(allowances.retry_window), Allowances::remembered(allowances.retry_window));
+        Budget {
+            allowances: allowances.clone(),
+            requests: Window::new(credited),
+            own_requests: Window::new(credited),
+            seconds: Spent::new(now, remembered, remembered),
+        }
     }
 
+    /// A request is sent to an instance for the first time.
     pub fn request(&mut self, now: Duration) {
         self.requests.add(now);
+        self.own_requests.add(now);
+    }
+
+    /// It did not get there.
+    pub fn not_sent(&mut self) {
+        self.requests.take_back();
+        self.own_requests.take_back();
+    }
+
+    fn most(&mut self, now: Duration) -> Most {
+        let spare = self.allowances.spare();
+        Most {
+            known: self.allowances.share(self.requests.count(now)) + spare.known,
+            at_first: self.allowances.share(self.own_requests.count(now)) + spare.at_first,
+        }
     }
 
     pub fn may_second(&mut self, now: Duration) -> bool {
-        let spare = if now < self.careful_until { SPARE_AT_FIRST } else { SPARE };
-        self.seconds.count(now) < self.requests.count(now) / SHARE + spare
+        let most = self.most(now);
+        self.seconds.room(now, most) > 0
     }
 
     pub fn try_second(&mut self, now: Duration) -> bool {
@@ -66,48 +141,29 @@
         (self.requests.count(now), self.seconds.count(now))
     }
 
-    /// Another home may have been here meanwhile.
-    pub fn be_careful(&mut self, now: Duration) {
-        self.careful_until = now + LENGTH;
+    /// Requests and second tries as the next home is to know them.
+    pub fn told(&mut self, now: Duration) -> (usize, usize) {
+        let most = self.most(now);
+        (self.requests.count(now), self.seconds.told(now, most))
     }
 
-    pub fn take_over(&mut self, now: Duration, requests: u32, seconds: u32) {
-        self.careful_until = now;
-        (0..requests.min(20_000)).for_each(|_| self.requests.add(now));
-        (0..seconds.min(20_000)).for_each(|_| self.seconds.add(now));
+    /// Another home may have been here meanwhile.
+    pub fn be_careful(&mut self, now: Duration) {
+        self.own_requests.times.clear();
+        self.seconds.be_careful(now);
     }
-}
 
-#[cfg(test)]
-mod tests {
-    use super::*;
-    use rand::{RngExt, SeedableRng};
-
-    #[test]
-    fn second_tries_stay_below_a_fifth_and_sixty_in_every_ten_seconds() {
-        let mut dice = rand_chacha::ChaCha8Rng::seed_from_u64(5);
-        let mut budget = Budget::new(Duration::ZERO);
-        let (mut firsts, mut seconds): (Vec<u64>, Vec<u64>) = (Vec::new(), Vec::new());
-        let mut refused = 0;
-        for ms in 0..60_000u64 {
-            let now = Duration::from_millis(ms);
-            if ms == 30_000 {
-                budget = Budget::new(Duration::from_millis(ms));
-            }
-            if dice.random_ratio(1 + (ms / 20_000) as u32, 10) {
-                budget.request(now);
-                firsts.push(ms);
-            }
-            if dice.random_ratio(3, 10) {
-                if budget.try_second(now) {
-                    seconds.push(ms);
-                } else {
-                    refused += 1;
-                }
-            }
-            let within = |list: &Vec<u64>| list.iter().rev().take_while(|at| **at + 10_000 >= ms).count();
-            assert!(within(&seconds) <= within(&firsts) / 5 + 60, "at {ms} ms");
+    /// The home before told its counts at a moment; of the requests it is not known when they came.
+    pub fn take_over(&mut self, now: Duration, at: Duration, requests: u32, seconds: u32, whole: bool) {
+        let (requests, seconds) = (requests.min(20_000) as usize, seconds.min(20_000) as usize);
+        if requests > self.requests.count(now) {
+            let length = self.requests.length;
+            let came = |n: usize| at.saturating_sub(length.mul_f64(n as f64 / requests as f64));
+            self.requests.times = (0..requests).rev().map(came).collect();
+        }
+        if !whole {
+            self.own_requests.times.clear();
         }
-        assert!(seconds.len() > 100 && refused > 1000);
+        self.seconds.take_over(now, at, seconds, whole);
     }
 }
--- a/crates/traffic/src/desk.rs
+++ b/crates/traffic/src/desk.rs
@@ -1,5 +1,6 @@
 //! One function at its home: its held tasks, its instances, its budget and its part of the plan.
 
+use crate::allowances::Allowances;
 use crate::budget::Budget;
 use crate::instance::{Instance, Phase};
 use crate::risk::Risk;
@@ -50,14 +51,14 @@
 }
 
 impl Desk {
-    pub fn new(now: Duration, function: Function, roster: u64) -> Desk {
+    pub fn new(now: Duration, function: Function, roster: u64, allowances: &Allowances) -> Desk {
         Desk {
             function,
             held: VecDeque::new(),
             instances: BTreeMap::new(),
             player: Player::default(),
-            budget: Budget::new(now),
-            risk: Risk::new(now),
+            budget: Budget::new(now, allowances),
+            risk: Risk::new(now, allowances),
             in_flight: 0,
             adopting: Some((now, false)),
             taken: roster,
--- a/crates/traffic/src/handover.rs
+++ b/crates/traffic/src/handover.rs
@@ -31,7 +31,7 @@
                 }
                 None if mine => {
                     event!(home_taken, "{}", function.name);
-                    let desk = Desk::new(now, function.clone(), self.roster.number);
+                    let desk = Desk::new(now, function.clone(), self.roster.number, &self.timing.allowances);
                     self.desks.insert(function.name.clone(), desk);
                     self.take_kept(&function.name);
                 }
--- a/crates/traffic/src/home_types.rs
+++ b/crates/traffic/src/home_types.rs
@@ -1,5 +1,6 @@
 //! What a home takes and returns, the record it keeps of each task, and what it asked of the chain.
 
+use crate::allowances::Allowances;
 use crate::dispatch::{DispatchOrder, Verdict};
 use bindings::{Book, Class};
 use holds::Roster;
@@ -53,6 +54,7 @@
     pub function_inbox: usize,
     pub starts_per_second: f64,
     pub player: scaler::PlayerTiming,
+    pub allowances: Allowances,
 }
 
 impl Default for HomeTiming {
@@ -70,6 +72,7 @@
             function_inbox: 512,
             starts_per_second: 64.0,
             player: scaler::PlayerTiming::default(),
+            allowances: Allowances::default(),
         }
     }
 }
--- a/crates/traffic/src/keeping.rs
+++ b/crates/traffic/src/keeping.rs
@@ -31,7 +31,7 @@
         let begun: Vec<Text> =
             self.tasks.values().filter(sent).filter_map(|task| task.stored.as_deref()).map(Text::from).collect();
         let desk = self.desks.get_mut(name)?;
-        let (requests, seconds) = desk.budget.counts(now);
+        let (requests, seconds) = desk.budget.told(now);
         let known = |instance: &Instance| matches!(instance.phase(), Phase::Ready | Phase::Starting);
         let slots: Vec<SlotLine> = desk
             .instances
@@ -52,7 +52,7 @@
             slots: slots.into(),
             requests: requests as u32,
             seconds: seconds as u32,
-            turned: desk.risk.turned(now) as u32,
+            turned: desk.risk.told(now) as u32,
             begun: if whole { begun.into() } else { Vec::new().into() },
             begun_whole: whole as u8,
         })
@@ -136,8 +136,8 @@
         let now = self.now;
         let Some(desk) = self.desks.get_mut(table.function.as_str()) else { return };
         if desk.adopting.take().is_some() {
-            desk.budget.take_over(now, table.requests, table.seconds);
-            desk.risk.take_over(now, table.turned);
+            desk.budget.take_over(now, now, table.requests, table.seconds, true);
+            desk.risk.take_over(now, now, table.turned);
             let begun = table.begun.iter().map(|id| id.as_str().to_owned());
             desk.begun = (table.begun_whole != 0).then(|| begun.collect::<BTreeSet<String>>());
         }
--- a/crates/traffic/src/lib.rs
+++ b/crates/traffic/src/lib.rs
@@ -3,6 +3,7 @@
 //! deferred promises. Both are state machines over tables of records; around them are the door,
 //! the dispatcher to instances, the platform's adapter and the follower on the control thread.
 
+mod allowances;
 mod budget;
 mod control_loop;
 mod desk;
@@ -37,7 +38,8 @@
 mod supply_side;
 mod tuned;
 
-pub use budget::{Budget, Window};
+pub use allowances::{Allowances, Most};
+pub use budget::{Budget, Spent, Window};
 pub use dispatch::{DispatchOrder, Verdict, send_to_instance};
 pub use faults::RunFault;
 pub use front::Front;
@@ -45,5 +47,6 @@
 pub use home::Home;
 pub use home_types::{HomeInput, HomeOutput, HomeTiming, Ledger, TaskId};
 pub use ledger::stored_id;
+pub use risk::Risk;
 pub use service::run;
 pub use settings::RouterEnv;
--- /dev/null
+++ b/crates/traffic/tests/budget.rs
@@ -0,0 +1,86 @@
+//! Second tries and turn-aways counted in windows: by one home, and by homes that follow each other.
+
+use rand::{RngExt, SeedableRng};
+use std::time::Duration;
+use traffic::{Allowances, Budget, Most, Risk, Spent};
+
+#[test]
+fn second_tries_stay_below_a_fifth_and_sixty_in_every_ten_seconds() {
+    let mut dice = rand_chacha::ChaCha8Rng::seed_from_u64(5);
+    let allowances = Allowances::default();
+    let mut budget = Budget::new(Duration::ZERO, &allowances);
+    let (mut firsts, mut seconds): (Vec<u64>, Vec<u64>) = (Vec::new(), Vec::new());
+    let mut refused = 0;
+    for ms in 0..60_000u64 {
+        let now = Duration::from_millis(ms);
+        if ms == 30_000 {
+            budget = Budget::new(Duration::from_millis(ms), &allowances);
+        }
+        if dice.random_ratio(1 + (ms / 20_000) as u32, 10) {
+            budget.request(now);
+            firsts.push(ms);
+        }
+        if dice.random_ratio(3, 10) {
+            if budget.try_second(now) {
+                seconds.push(ms);
+            } else {
+                refused += 1;
+            }
+        }
+        let within = |list: &Vec<u64>| list.iter().rev().take_while(|at| **at + 10_000 >= ms).count();
+        assert!(within(&seconds) <= within(&firsts) / 5 + 60, "at {ms} ms");
+    }
+    assert!(seconds.len() > 100 && refused > 1000);
+}
+
+/// The clock of a home runs half a hundredth fast; it spends all it may as soon as it may.
+#[test]
+fn a_fast_clock_does_not_shorten_the_window() {
+    let length = Allowances::remembered(Duration::from_secs(5));
+    let mut spent = Spent::new(Duration::ZERO, length, length);
+    let most = Most { known: 7, at_first: 4 };
+    let mut times: Vec<u64> = Vec::new();
+    for ms in 20_000..60_000u64 {
+        let told = Duration::from_millis(ms).mul_f64(1.005);
+        if spent.room(told, most) > 0 {
+            spent.add(told);
+            times.push(ms);
+        }
+    }
+    assert!(times.windows(8).all(|w| w[7] - w[0] > 5_000), "eight in five seconds: {times:?}");
+    assert!(times.len() > 40);
+}
+
+/// Instances turn everything away, in times drawn anew; a home crashes in between and the next
+/// one begins without its count.
+#[test]
+fn an_old_home_and_the_next_stay_within_eleven_though_every_task_is_turned_away() {
+    for seed in 0..40u64 {
+        let mut dice = rand_chacha::ChaCha8Rng::seed_from_u64(seed);
+        let mut risk = Risk::new(Duration::ZERO, &Allowances::default());
+        let crash = Duration::from_millis(dice.random_range(6_000..9_000));
+        let mut crashed = false;
+        let mut open: Vec<(Duration, u64, Duration)> = Vec::new();
+        let mut all: Vec<Duration> = Vec::new();
+        for order in 0..30_000u64 {
+            let now = Duration::from_millis(order);
+            for (_, number, begun) in open.extract_if(.., |(at, ..)| *at <= now) {
+                all.push(now);
+                if !crashed || begun >= crash {
+                    risk.ended(now, number, begun, true);
+                }
+            }
+            if now >= crash && !crashed {
+                crashed = true;
+                risk = Risk::new(now, &Allowances::default());
+            }
+            if now > Duration::from_secs(4) && risk.may_send(now) {
+                risk.sent(now, order);
+                open.push((now + Duration::from_millis(dice.random_range(1..20)), order, now));
+            }
+        }
+        let most = all.windows(12).filter(|w| w[11] - w[0] <= Duration::from_secs(5)).count();
+        assert_eq!(most, 0, "seed {seed}: twelve in five seconds");
+        assert!(all.len() > 20, "seed {seed}: service goes on, {} were sent", all.len());
+    }
+}
