Take a kept copy of a table for what it is: older than the last of what was spent

Cause: a home that began from the copy it kept took its counts as whole. Ruled out: a table taken twice, the window's length, a third home.

Change: with a copy, a home is careful as one without: its own turn-aways stay within four and its own second tries within a quarter of the slack until the window has passed, all it knows within the whole. A table handed over is whole for second tries; for turn-aways it is not, since the old home's tasks are on their way. A copy handed back to a machine that returned is told as of a careful home.

--- a/crates/traffic/src/allowances.rs
+++ b/crates/traffic/src/allowances.rs
@@ -55,6 +55,13 @@
         Most { known, at_first: self.turned_most.saturating_sub(known).max(1) }
     }
 
+    /// Counts of a copy, told as those of a home that has only its part at first left to spend.
+    pub fn as_of_a_copy(&self, requests: &mut u32, seconds: &mut u32, turned: &mut u32) {
+        let kept_back = |most: Most| most.known.saturating_sub(most.at_first) as u32;
+        *seconds = (*seconds).max(self.share(*requests as usize) as u32 + kept_back(self.spare()));
+        *turned = (*turned).max(kept_back(self.turned()));
+    }
+
     pub fn remembered(window: Duration) -> Duration {
         window.mul_f64(1.0 + DRIFT)
     }
--- a/crates/traffic/src/keeping.rs
+++ b/crates/traffic/src/keeping.rs
@@ -100,7 +100,7 @@
     pub(crate) fn take_kept(&mut self, name: &str) {
         let now = self.now;
         if let Some(kept) = self.kept.remove(name).filter(|kept| now < kept.at + LASTS) {
-            self.take_table(kept.table, (kept.at + FOREIGN * 4).min(now + FOREIGN));
+            self.take_table(kept.table, Some(kept.at), (kept.at + FOREIGN * 4).min(now + FOREIGN));
         }
     }
 
@@ -117,7 +117,8 @@
             self.kept.iter().filter(|(_, kept)| back(kept)).map(|(name, _)| name.clone()).collect();
         for name in names {
             let Some(kept) = self.kept.remove(&name).filter(|kept| now < kept.at + LASTS) else { continue };
-            let table = HomeTable { kept: 0, roster: self.roster.number, ..kept.table };
+            let mut table = HomeTable { kept: 0, roster: self.roster.number, ..kept.table };
+            self.timing.allowances.as_of_a_copy(&mut table.requests, &mut table.seconds, &mut table.turned);
             self.outs.push(HomeOutput::Carry { to: kept.from, message: CarryMsg::Table { table } });
         }
     }
@@ -128,16 +129,18 @@
         let fits = self.desks.get(name).is_some_and(|desk| desk.leaving.is_none() && table.roster >= desk.taken);
         if mine && fits {
             let until = self.now + FOREIGN;
-            self.take_table(table, until);
+            self.take_table(table, None, until);
         }
     }
 
-    fn take_table(&mut self, table: HomeTable, foreign_until: Duration) {
+    /// A kept copy is as old as its `copied`: the home it was kept for has spent more since.
+    fn take_table(&mut self, table: HomeTable, copied: Option<Duration>, foreign_until: Duration) {
         let now = self.now;
         let Some(desk) = self.desks.get_mut(table.function.as_str()) else { return };
         if desk.adopting.take().is_some() {
-            desk.budget.take_over(now, now, table.requests, table.seconds, true);
-            desk.risk.take_over(now, now, table.turned);
+            let at = copied.unwrap_or(now);
+            desk.budget.take_over(now, at, table.requests, table.seconds, copied.is_none());
+            desk.risk.take_over(now, at, table.turned);
             let begun = table.begun.iter().map(|id| id.as_str().to_owned());
             desk.begun = (table.begun_whole != 0).then(|| begun.collect::<BTreeSet<String>>());
         }
--- a/crates/traffic/src/risk.rs
+++ b/crates/traffic/src/risk.rs
@@ -40,9 +40,9 @@
         self.turned.be_careful(now);
     }
 
-    /// The home before told, at a moment, how many were turned away lately.
+    /// The home before told, at a moment, how many were turned away lately; what it had sent may be yet.
     pub fn take_over(&mut self, now: Duration, at: Duration, turned: u32) {
-        self.turned.take_over(now, at, turned.min(64) as usize, true);
+        self.turned.take_over(now, at, turned.min(64) as usize, false);
     }
 
     pub fn turned(&mut self, now: Duration) -> usize {
--- a/crates/traffic/tests/budget.rs
+++ b/crates/traffic/tests/budget.rs
@@ -84,3 +84,18 @@
         assert!(all.len() > 20, "seed {seed}: service goes on, {} were sent", all.len());
     }
 }
+
+/// A table is as old as its last copy: the home it was kept for has spent more since.
+#[test]
+fn a_home_that_begins_from_a_kept_copy_spends_only_its_own_part_at_first() {
+    let (at, now) = (Duration::from_secs(20), Duration::from_millis(20_400));
+    let most = Most { known: 7, at_first: 4 };
+    let mut spent = Spent::new(now, Duration::from_secs(5), Duration::from_secs(5));
+    spent.take_over(now, at, 1, false);
+    assert_eq!(spent.room(now, most), 4, "not six");
+    spent.add(now);
+    assert_eq!((spent.room(now, most), spent.told(now, most)), (3, 4));
+    let mut handed = Spent::new(now, Duration::from_secs(5), Duration::from_secs(5));
+    handed.take_over(now, now, 1, true);
+    assert_eq!(handed.room(now, most), 6, "a table handed over is whole");
+}
