Merge what homes may spend as settings; follow seeds that change while a node runs

Ruled out: taking the hangup for a planned stop.

Change: on a hangup, and every two seconds without one, the settings are read again and whole; seeds that differ are followed at once, a wrong file is told and the old settings stay. The users' bounds on second tries and turn-aways are the router's settings now.

--- a/crates/control/src/control_loop.rs
+++ b/crates/control/src/control_loop.rs
@@ -87,6 +87,17 @@
                 self.show_kinds();
                 None
             }
+            ControlMsg::Seeds(Ok(seeds)) => {
+                event!(settings_taken, "seeds {}", seeds.join(","));
+                self.seeds = seeds;
+                let view = self.core.member().view().clone();
+                self.dial(&view);
+                None
+            }
+            ControlMsg::Seeds(Err(fault)) => {
+                event!(settings_refused, "{fault}");
+                None
+            }
             ControlMsg::Call { call, reply } => {
                 self.next_call += 1;
                 self.calls.insert(self.next_call, reply);
--- a/crates/control/src/dialect.rs
+++ b/crates/control/src/dialect.rs
@@ -3,6 +3,7 @@
 
 use crate::api_calls::{ApiCall, ApiReply};
 use crate::service::ControlMsg;
+use crate::settings::RegistryEnv;
 use axum::Router;
 use kernel::Post;
 use serde_json::{Value, json};
@@ -15,6 +16,8 @@
 pub struct ControlDialect {
     pub pages: Option<MakePages>,
     pub pages_address: Option<String>,
+    /// Reads the settings again; without it they stay as they were at the start.
+    pub reread: Option<env::Reread<RegistryEnv>>,
 }
 
 /// What operators' pages ask of a registry.
--- a/crates/control/src/service.rs
+++ b/crates/control/src/service.rs
@@ -32,6 +32,7 @@
     Written(Result<u64, StoreFault>),
     Call { call: ApiCall, reply: oneshot::Sender<ApiReply> },
     Tuned { fence: u64, lines: Vec<TunedLine> },
+    Seeds(Result<Vec<String>, String>),
     Stop,
 }
 
@@ -126,7 +127,15 @@
         seeds: settings.seeds.clone(),
         told: Vec::new(),
     };
-    local(work.run(control, control_inbox));
+    local(async move {
+        if let Some(reread) = dialect.reread {
+            let (post, read) = (control.clone(), move || reread().map(|settings| settings.seeds));
+            tokio::task::spawn_local(kernel::follow(settings.seeds, read, async move |told| {
+                post.send_waiting(ControlMsg::Seeds(told)).await;
+            }));
+        }
+        work.run(control, control_inbox).await
+    });
     let _ = stop.send(true);
     doors.into_iter().for_each(|door| _ = door.join());
     event!(stopped);
--- a/crates/events/src/list.rs
+++ b/crates/events/src/list.rs
@@ -24,6 +24,8 @@
     started = 1, Info, "program started";
     stopping = 2, Info, "planned stop begun";
     stopped = 3, Info, "program stopped";
+    settings_taken = 5, Info, "changed settings taken";
+    settings_refused = 6, Error, "changed settings refused, kept as they were";
     inbox_full = 4, Warn, "inbox full, message refused";
     link_up = 101, Info, "link up";
     link_down = 102, Info, "link down";
--- a/crates/registry/src/main.rs
+++ b/crates/registry/src/main.rs
@@ -6,9 +6,10 @@
 const ABOUT: &str = "keeps heronlink's shared state: configuration, holds, the run-once ledger, stored tasks";
 
 fn main() -> ExitCode {
-    env::program("registry", ABOUT, env!("CARGO_PKG_VERSION"), |settings: RegistryEnv, _| {
+    env::program("registry", ABOUT, env!("CARGO_PKG_VERSION"), |settings: RegistryEnv, reread| {
         events::setup(&settings.log_level, &settings.log_file)
             .map_err(|fault| (2, format!("setting log_file = {}: {fault}", settings.log_file)))?;
-        control::run(settings, ControlDialect::default()).map_err(|fault| (1, fault.to_string()))
+        control::run(settings, ControlDialect { reread: Some(reread), ..ControlDialect::default() })
+            .map_err(|fault| (1, fault.to_string()))
     })
 }
--- a/crates/traffic/src/control_loop.rs
+++ b/crates/traffic/src/control_loop.rs
@@ -22,6 +22,7 @@
 
 pub enum ControlMsg {
     Link(LinkEvent),
+    Seeds(Result<Vec<String>, String>),
     Stop,
 }
 
@@ -68,6 +69,7 @@
                         leaving = Some((Instant::now(), finished));
                     }
                     Some(ControlMsg::Stop) => {}
+                    Some(ControlMsg::Seeds(told)) => self.follow_seeds(told),
                     None => return,
                 },
             }
@@ -85,6 +87,17 @@
         }
     }
 
+    fn follow_seeds(&mut self, told: Result<Vec<String>, String>) {
+        match told {
+            Ok(seeds) => {
+                event!(settings_taken, "seeds {}", seeds.join(","));
+                self.seeds = seeds;
+                self.dial();
+            }
+            Err(fault) => event!(settings_refused, "{fault}"),
+        }
+    }
+
     fn is_handed_over(&self) -> bool {
         let me = self.follower.me();
         self.follower.roster().member(me).is_none_or(|line| line.leaving != 0)
--- a/crates/traffic/src/desk.rs
+++ b/crates/traffic/src/desk.rs
@@ -1,5 +1,6 @@
 //! One function at its home: its held tasks, its instances, its budget and its part of the plan.
 
+use crate::allowances::Allowances;
 use crate::budget::Budget;
 use crate::instance::{Instance, Phase};
 use crate::risk::Risk;
@@ -9,7 +10,6 @@
 use std::time::Duration;
 use wire::NodeId;
 
-const BOOT: Duration = Duration::from_secs(1);
 const GROW: Duration = Duration::from_secs(1);
 const GROW_CALM: Duration = Duration::from_millis(200);
 
@@ -52,14 +52,14 @@
 }
 
 impl Desk {
-    pub fn new(now: Duration, function: Function, roster: u64) -> Desk {
+    pub fn new(now: Duration, function: Function, roster: u64, allowances: &Allowances) -> Desk {
         Desk {
             function,
             held: VecDeque::new(),
             instances: BTreeMap::new(),
             player: Player::default(),
-            budget: Budget::new(now),
-            risk: Risk::new(now),
+            budget: Budget::new(now, allowances),
+            risk: Risk::new(now, allowances),
             in_flight: 0,
             adopting: Some((now, false)),
             taken: roster,
@@ -90,7 +90,14 @@
 
     /// How long one start takes on average.
     pub fn boot(&self) -> Duration {
-        BOOT
+        self.function.boot
+    }
+
+    /// Others may have been home here meanwhile: what they spent and sent is not known.
+    pub fn begin_anew(&mut self, now: Duration) {
+        self.risk.be_careful(now);
+        self.budget.be_careful(now);
+        (self.adopting, self.begun, self.read_at) = (Some((now, false)), None, None);
     }
 
     /// Tasks an instance is planned for, by the usage in force.
--- a/crates/traffic/src/dialect.rs
+++ b/crates/traffic/src/dialect.rs
@@ -1,6 +1,7 @@
 //! How a router is made to speak words other than the product's own, and to serve further pages.
 
 use crate::ops::Views;
+use crate::settings::RouterEnv;
 use axum::Router;
 use dispatch::Words;
 use std::rc::Rc;
@@ -19,4 +20,6 @@
     /// Further pages, and the address they are served at.
     pub pages: Option<MakePages>,
     pub pages_address: Option<String>,
+    /// Reads the settings again; without it they stay as they were at the start.
+    pub reread: Option<env::Reread<RouterEnv>>,
 }
--- a/crates/traffic/src/keeping.rs
+++ b/crates/traffic/src/keeping.rs
@@ -4,7 +4,7 @@
 //! table under an older roster than the desk was taken by is refused: its sender was fenced out.
 
 use crate::home::Home;
-use crate::home_types::{HomeOutput, HomeTask};
+use crate::home_types::{HomeOutput, HomeTask, Ledger, Place};
 use crate::instance::{Instance, InstanceEvent, Pending, Phase};
 use crate::starting::look_limit;
 use std::collections::BTreeSet;
@@ -32,7 +32,7 @@
         let begun: Vec<Text> =
             self.tasks.values().filter(sent).filter_map(|task| task.stored.as_deref()).map(Text::from).collect();
         let desk = self.desks.get_mut(name)?;
-        let (requests, seconds) = desk.budget.counts(now);
+        let (requests, seconds) = desk.budget.told(now);
         let known = |instance: &Instance| matches!(instance.phase(), Phase::Ready | Phase::Starting);
         let slots: Vec<SlotLine> = desk
             .instances
@@ -53,7 +53,7 @@
             slots: slots.into(),
             requests: requests as u32,
             seconds: seconds as u32,
-            turned: desk.risk.turned(now) as u32,
+            turned: desk.risk.told(now) as u32,
             begun: if whole { begun.into() } else { Vec::new().into() },
             begun_whole: whole as u8,
         })
@@ -103,7 +103,7 @@
         if let Some(kept) = self.kept.remove(name).filter(|kept| now < kept.at + LASTS) {
             // The home may have gone on sending after it: what it names as begun is not all.
             let table = HomeTable { begun_whole: 0, ..kept.table };
-            self.take_table(table, (kept.at + FOREIGN * 4).min(now + FOREIGN));
+            self.take_table(table, Some(kept.at), (kept.at + FOREIGN * 4).min(now + FOREIGN));
         }
     }
 
@@ -120,7 +120,8 @@
             self.kept.iter().filter(|(_, kept)| back(kept)).map(|(name, _)| name.clone()).collect();
         for name in names {
             let Some(kept) = self.kept.remove(&name).filter(|kept| now < kept.at + LASTS) else { continue };
-            let table = HomeTable { kept: 0, roster: self.roster.number, ..kept.table };
+            let mut table = HomeTable { kept: 0, roster: self.roster.number, ..kept.table };
+            self.timing.allowances.as_of_a_copy(&mut table.requests, &mut table.seconds, &mut table.turned);
             self.outs.push(HomeOutput::Carry { to: kept.from, message: CarryMsg::Table { table } });
         }
     }
@@ -131,16 +132,18 @@
         let fits = self.desks.get(name).is_some_and(|desk| desk.leaving.is_none() && table.roster >= desk.taken);
         if mine && fits {
             let until = self.now + FOREIGN;
-            self.take_table(table, until);
+            self.take_table(table, None, until);
         }
     }
 
-    fn take_table(&mut self, table: HomeTable, foreign_until: Duration) {
+    /// A kept copy is as old as its `copied`: the home it was kept for has spent more since.
+    fn take_table(&mut self, table: HomeTable, copied: Option<Duration>, foreign_until: Duration) {
         let now = self.now;
         let Some(desk) = self.desks.get_mut(table.function.as_str()) else { return };
         if desk.adopting.take().is_some() {
-            desk.budget.take_over(now, table.requests, table.seconds);
-            desk.risk.take_over(now, table.turned);
+            let at = copied.unwrap_or(now);
+            desk.budget.take_over(now, at, table.requests, table.seconds, copied.is_none());
+            desk.risk.take_over(now, at, table.turned);
             let begun = table.begun.iter().map(|id| id.as_str().to_owned());
             desk.begun = (table.begun_whole != 0).then(|| begun.collect::<BTreeSet<String>>());
         }
@@ -177,15 +180,15 @@
     pub(crate) fn lapsed(&mut self) {
         let now = self.now;
         for desk in self.desks.values_mut() {
-            desk.risk.be_careful(now);
-            desk.budget.be_careful(now);
-            (desk.adopting, desk.begun, desk.read_at) = (Some((now, false)), None, None);
+            desk.begin_anew(now);
         }
+        self.asks.retain(|_, ask| ask.kind != Ledger::Deferred);
+        self.doubt_stored();
         let undone: Vec<u64> = self
             .tasks
             .iter()
             .filter(|(_, task)| task.caller && task.stored.is_none())
-            .filter(|(_, task)| !matches!(task.place, crate::home_types::Place::Running { .. }))
+            .filter(|(_, task)| !matches!(task.place, Place::Running { .. }))
             .map(|(number, _)| *number)
             .collect();
         undone.into_iter().for_each(|number| self.send_back(number));
--- a/crates/traffic/src/lib.rs
+++ b/crates/traffic/src/lib.rs
@@ -3,6 +3,7 @@
 //! deferred promises. Both are state machines over tables of records; around them are the door,
 //! the dispatcher to instances, the platform's adapter and the follower on the control thread.
 
+mod allowances;
 mod budget;
 mod caller_limits;
 mod control_loop;
@@ -41,8 +42,9 @@
 mod tuned;
 mod verdicts;
 
-pub use budget::{Budget, Window};
-pub use dialect::{Dialect, MakePages};
+pub use allowances::{Allowances, Most};
+pub use budget::{Budget, Spent, Window};
+pub use dialect::{Dialect, MakePages, MakeSupplier};
 pub use dispatch::{DispatchOrder, Verdict, Words, send_to_instance};
 pub use faults::RunFault;
 pub use front::Front;
@@ -51,5 +53,6 @@
 pub use home_types::{HomeInput, HomeOutput, HomeTiming, Ledger, TaskId};
 pub use ledger::stored_id;
 pub use ops::Views;
+pub use risk::Risk;
 pub use service::run;
 pub use settings::RouterEnv;
--- a/crates/traffic/src/service.rs
+++ b/crates/traffic/src/service.rs
@@ -92,9 +92,14 @@
     let limits = caller_limits(&settings);
     let (bounds, bounded) = watch::channel(limits.clone());
     let (own_limits, door_limits) = (limits.clone(), limits.door);
-    let (names, cell, starts, step) = (directory.clone(), pass.clone(), settings.starts_per_second, settings.step);
+    let (names, cell) = (directory.clone(), pass.clone());
+    let timing = HomeTiming {
+        starts_per_second: settings.starts_per_second,
+        sample: settings.step,
+        allowances: settings.allowances(),
+        ..HomeTiming::default()
+    };
     thread("traffic", move || {
-        let timing = HomeTiming { starts_per_second: starts, sample: step, ..HomeTiming::default() };
         let plane = Plane {
             me,
             begun,
@@ -157,6 +162,12 @@
     };
     let post = find::<ControlMsg>(&directory, "control");
     local(async move {
+        if let Some(reread) = dialect.reread {
+            let (post, read) = (post.clone(), move || reread().map(|settings| settings.seeds));
+            spawn_local(kernel::follow(settings.seeds, read, async move |told| {
+                post.send_waiting(ControlMsg::Seeds(told)).await;
+            }));
+        }
         spawn_local(async move {
             wait_for_signal().await;
             post.send_waiting(ControlMsg::Stop).await;
--- a/crates/traffic/src/settings.rs
+++ b/crates/traffic/src/settings.rs
@@ -1,5 +1,6 @@
 //! The router's settings.
 
+use crate::allowances::Allowances;
 use doors::well_formed;
 use env::{address, address_or_none, any, in_range, seeds, word};
 use std::path::PathBuf;
@@ -28,9 +29,25 @@
         tokens_file: PathBuf = PathBuf::new(), any, "file of more bearer tokens, one to a line, so that none need stand on a command line";
         list_every: Duration = Duration::from_millis(1000), in_range(Duration::from_millis(100), Duration::from_secs(30)), "how often the platform's list is read";
         starts_per_second: f64 = 64.0, in_range(0.1, 10_000.0), "starts a second that all routers share, below what the platform takes";
+        retry_ratio: f64 = 0.2, in_range(0.0, 10.0), "second tries to a function allowed for each of its requests, over all routers, in any window";
+        retry_slack: usize = 60, in_range(0, 1_000_000), "second tries to a function allowed besides";
+        retry_window: Duration = Duration::from_secs(10), in_range(Duration::from_secs(1), Duration::from_secs(600)), "length of that window";
+        turned_most: usize = 11, in_range(0, 1_000_000), "tasks that one function's instances may turn away in any five seconds";
         step: Duration = Duration::from_secs(15), in_range(Duration::from_millis(250), Duration::from_secs(600)), "one step of samples and plans; the same on every machine";
         format: u16 = wire::FORMAT, in_range(wire::OLDEST, wire::FORMAT), "format in which frames are written; the one before while a fleet rolls from a version that knows no newer";
         log_level: String = "info".into(), word, "error, warn, info, debug or trace";
         log_file: String = String::new(), any, "log file, rolled over by size; empty for standard error";
     }
 }
+
+impl RouterEnv {
+    pub fn allowances(&self) -> Allowances {
+        Allowances {
+            retry_ratio: self.retry_ratio,
+            retry_slack: self.retry_slack,
+            retry_window: self.retry_window,
+            turned_most: self.turned_most,
+            ..Allowances::default()
+        }
+    }
+}
