--- a/crates/fleet/src/smoke.rs
+++ b/crates/fleet/src/smoke.rs
@@ -162,7 +162,7 @@
         .await;
     let taken = json!({"set": {"function-bindings/pixelkrov/x": {"route": "/studio-01/rules", "function": "x", "class": "once"}}});
     smoke.status("another tenant's route is 409", change(two, TENANT, Some("*"), taken), 409).await;
-    let bad = json!({"set": {"function-bindings/pixelkrov/x": {"route": "x", "function": "X", "class": "once"}}});
+    let bad = json!({"set": {"function-bindings/pixelkrov/x": {"route": "x", "function": "X Y", "class": "once"}}});
     let faults = smoke.status("an invalid change is 422", change(two, TOKEN, Some("*"), bad), 422).await;
     let told = faults.map(|answer| String::from_utf8_lossy(&answer.body).into_owned()).unwrap_or_default();
     let both = told.contains("/pixelkrov/x/route") && told.contains("/pixelkrov/x/function");
