--- a/crates/sim/src/router_turns.rs
+++ b/crates/sim/src/router_turns.rs
@@ -54,8 +54,9 @@
                                 self.rules.served(self.now, revision);
                                 self.dispatch(n, order);
                             }
-                            HomeOutput::Probe { .. } | HomeOutput::Forget { .. } => {}
-                            HomeOutput::Platform(order) => self.platform_order(n, order),
+                            HomeOutput::Supply(order) => self.platform_order(n, order),
+                            HomeOutput::Probe { id, after, limit, .. } => self.probe(n, id, after, limit),
+                            HomeOutput::Forget { .. } => {}
                             HomeOutput::PlanAsk { message } => self.ask_registries(n, message),
                             HomeOutput::Measures { lines } => {
                                 self.ask_registries(n, PlanMsg::Measures { lines: lines.into() });
--- a/crates/traffic/src/desk.rs
+++ b/crates/traffic/src/desk.rs
@@ -37,6 +37,7 @@
     pub desired: u32,
     pub seen: Seen,
     pub tuned_usage: Option<f64>,
+    pub sampled_zero: bool,
 }
 
 /// What is measured between two samples, for the tuning of weight sheets.
@@ -76,9 +77,21 @@
             desired: 0,
             seen: Seen::default(),
             tuned_usage: None,
+            sampled_zero: false,
         }
     }
 
+    /// Whether anything is, was lately or should be going on here; a desk asleep costs nothing.
+    pub fn is_awake(&self) -> bool {
+        let wanted = self.function.fixed.unwrap_or(self.function.min) > 0 || self.desired > 0;
+        wanted || !self.held.is_empty() || !self.instances.is_empty() || self.in_flight > 0 || self.arrivals > 0
+    }
+
+    /// How long one start takes on average.
+    pub fn boot(&self) -> Duration {
+        self.function.boot
+    }
+
     /// Tasks an instance is planned for, by the usage in force.
     pub fn capacity(&self) -> f64 {
         let sheet = &self.function.sheet;
@@ -91,14 +104,6 @@
         self.mean_time.mul_f64(1.5).clamp(Duration::from_millis(30), Duration::from_millis(1000))
     }
 
-    /// How long a task behind so many others can expect to be held, by what answers have taken and
-    /// the instances there are or are wanted. Nothing is known before the first answer.
-    pub fn expected_wait(&self, ahead: usize) -> Duration {
-        let there = self.count(Phase::Ready) + self.count(Phase::Starting);
-        let slots = there.max(self.desired).max(1) * self.function.instance_limit;
-        self.mean_time.mul_f64(ahead as f64 / f64::from(slots))
-    }
-
     pub fn took(&mut self, time: Duration) {
         self.answered += 1;
         self.answer_time += time;
--- a/crates/traffic/src/dialect.rs
+++ b/crates/traffic/src/dialect.rs
@@ -3,6 +3,7 @@
 use crate::ops::Views;
 use axum::Router;
 use dispatch::Words;
+use supply::Start;
 
 pub type MakePages = Box<dyn FnOnce(Views) -> Router + Send>;
 
@@ -10,6 +11,8 @@
 #[derive(Default)]
 pub struct Dialect {
     pub words: Words,
+    /// Makes whoever runs the instances; by default that of the settings, in the product's own dialect.
+    pub supplier: Option<Start>,
     /// Further pages, and the address they are served at.
     pub pages: Option<MakePages>,
     pub pages_address: Option<String>,
--- a/crates/traffic/src/front.rs
+++ b/crates/traffic/src/front.rs
@@ -11,7 +11,7 @@
 use wire::{CarryMsg, NodeId, Outcome};
 
 const DEFAULT_DEADLINE: Duration = Duration::from_secs(4);
-const RETRY: Duration = Duration::from_millis(25);
+pub(crate) const RETRY: Duration = Duration::from_millis(25);
 /// A home not heard for so long is carried nothing more, so that only what it had before is in doubt.
 const QUIET: Duration = Duration::from_millis(350);
 /// When to come back to a router that is full, or that waits for a proof or a home.
@@ -226,32 +226,6 @@
         };
         self.outs.push(FrontOutput::Carry { to: home, message });
     }
-
-    fn carried(&mut self, from: NodeId, message: CarryMsg) {
-        let carry = match &message {
-            CarryMsg::Answer { task, .. } | CarryMsg::Carried { task, .. } | CarryMsg::NotHome { task } => *task,
-            _ => return,
-        };
-        let Some(task) = self.by_carry.get(&carry).copied() else { return };
-        let Some(record) = self.table.get_mut(&task) else { return };
-        if record.stage != (Stage::Carried { home: from }) {
-            return;
-        }
-        match message {
-            CarryMsg::Answer { outcome, status, again_ms, head, body, .. } => {
-                let after = Duration::from_millis(again_ms.into());
-                self.told(task, outcome, status, after, head.into_vec(), body.into_vec());
-            }
-            CarryMsg::Carried { outcome, status, retry_after, head, body, .. } => {
-                let after = Duration::from_secs(retry_after.into());
-                self.told(task, outcome, status, after, head.into_vec(), body.into_vec());
-            }
-            _ => {
-                record.stage = Stage::Waiting;
-                record.again_at = self.now + RETRY;
-            }
-        }
-    }
 }
 
 /// Evenly spread, and the same each time for the same task.
--- a/crates/traffic/src/front_passes.rs
+++ b/crates/traffic/src/front_passes.rs
@@ -1,11 +1,11 @@
 //! The front's passes: tasks whose home was lost, tasks that may be tried now, tasks out of time; and
 //! what a home told of a task, as the caller is told it.
 
-use crate::front::{Front, SOON};
+use crate::front::{Front, RETRY, SOON};
 use crate::front_types::{Reply, Stage};
 use bindings::Class;
 use std::time::Duration;
-use wire::{NodeId, Outcome};
+use wire::{CarryMsg, NodeId, Outcome};
 
 fn unknown() -> Reply {
     Reply::own(504, Some(Outcome::Unknown), "the outcome is not known")
@@ -56,16 +56,34 @@
         }
     }
 
+    pub(crate) fn carried(&mut self, from: NodeId, message: CarryMsg) {
+        let carry = match &message {
+            CarryMsg::Answer { task, .. } | CarryMsg::Carried { task, .. } | CarryMsg::NotHome { task } => *task,
+            _ => return,
+        };
+        let Some(task) = self.by_carry.get(&carry).copied() else { return };
+        let Some(record) = self.table.get_mut(&task) else { return };
+        if record.stage != (Stage::Carried { home: from }) {
+            return;
+        }
+        match message {
+            CarryMsg::Answer { outcome, status, again_ms, head, body, .. } => {
+                let after = Duration::from_millis(again_ms.into());
+                self.told(task, outcome, status, after, head.into_vec(), body.into_vec());
+            }
+            CarryMsg::Carried { outcome, status, retry_after, head, body, .. } => {
+                let after = Duration::from_secs(retry_after.into());
+                self.told(task, outcome, status, after, head.into_vec(), body.into_vec());
+            }
+            _ => {
+                record.stage = Stage::Waiting;
+                record.again_at = self.now + RETRY;
+            }
+        }
+    }
+
     /// A home's word on a task, which counts for less once another home may have run it.
-    pub(crate) fn told(
-        &mut self,
-        task: u64,
-        outcome: Outcome,
-        status: u16,
-        retry_after: Duration,
-        head: Vec<u8>,
-        body: Vec<u8>,
-    ) {
+    fn told(&mut self, task: u64, outcome: Outcome, status: u16, retry_after: Duration, head: Vec<u8>, body: Vec<u8>) {
         let doubt = self.table.get(&task).is_some_and(|record| record.doubt);
         let outcome = if outcome == Outcome::NotRun && doubt { Outcome::Unknown } else { outcome };
         let status = if outcome == Outcome::Unknown && status == 503 { 504 } else { status };
--- a/crates/traffic/src/handover.rs
+++ b/crates/traffic/src/handover.rs
@@ -4,8 +4,10 @@
 
 use crate::desk::Desk;
 use crate::home::Home;
-use crate::home_types::{HomeOutput, Place};
+use crate::home_types::{HomeOutput, HomeTask, Place};
+use bindings::Book;
 use events::event;
+use std::rc::Rc;
 use std::time::Duration;
 use wire::CarryMsg;
 
@@ -61,14 +63,30 @@
         self.drop_moved_deferred();
     }
 
+    /// A function that the book before did not have had no home: nothing is to be waited for.
+    pub(crate) fn open_new(&mut self, before: Option<Rc<Book>>) {
+        let Some(before) = before else { return };
+        for (name, desk) in &mut self.desks {
+            if desk.adopting == Some((self.now, false)) && before.function(name).is_none() {
+                desk.adopting = None;
+            }
+        }
+    }
+
     fn drop_moved_deferred(&mut self) {
-        let moved: Vec<u64> = self
+        self.drop_deferred(|home, function| !home.is_home(function));
+    }
+
+    /// Stored tasks held here and not being run: whoever is home finds them in the chain.
+    pub(crate) fn drop_deferred(&mut self, which: impl Fn(&Home, &str) -> bool) {
+        let held = |task: &HomeTask| task.stored.is_some() && task.place == Place::Held;
+        let dropped: Vec<u64> = self
             .tasks
             .iter()
-            .filter(|(_, task)| task.stored.is_some() && task.place == Place::Held && !self.is_home(&task.function))
+            .filter(|(_, task)| held(task) && which(self, &task.function))
             .map(|(number, _)| *number)
             .collect();
-        for number in moved {
+        for number in dropped {
             self.accept(number);
             self.forget(number);
         }
--- a/crates/traffic/src/home_types.rs
+++ b/crates/traffic/src/home_types.rs
@@ -17,9 +17,9 @@
 pub enum HomeInput {
     Carry { from: NodeId, message: CarryMsg },
     Dispatched { number: u64, verdict: Verdict },
-    Probed { id: String, ready: bool },
     Ledger { message: HoldMsg },
     Platform { report: SupplyReport, listed_at: Duration },
+    Probed { id: String, ready: bool },
     Plan { message: PlanMsg },
     Book { book: Rc<Book> },
     Roster { roster: Rc<Roster> },
@@ -43,7 +43,8 @@
         prefix: String,
     },
     Dispatch(DispatchOrder),
-    /// Connect to an instance, after a while and within a limit; `Probed` tells whether it took it.
+    Supply(SupplyOrder),
+    /// Connect, from `after` on and for no longer than `limit`; `Probed` tells whether the instance took it.
     Probe {
         id: String,
         address: String,
@@ -54,7 +55,6 @@
     Forget {
         id: String,
     },
-    Platform(SupplyOrder),
     PlanAsk {
         message: PlanMsg,
     },
--- a/crates/traffic/src/keeping.rs
+++ b/crates/traffic/src/keeping.rs
@@ -5,7 +5,8 @@
 
 use crate::home::Home;
 use crate::home_types::{HomeOutput, HomeTask};
-use crate::instance::{Instance, InstanceEvent, Phase};
+use crate::instance::{Instance, InstanceEvent, Pending, Phase};
+use crate::starting::look_limit;
 use std::collections::BTreeSet;
 use std::time::Duration;
 use wire::{CarryMsg, HomeTable, NodeId, SlotLine, Text};
@@ -100,7 +101,9 @@
     pub(crate) fn take_kept(&mut self, name: &str) {
         let now = self.now;
         if let Some(kept) = self.kept.remove(name).filter(|kept| now < kept.at + LASTS) {
-            self.take_table(kept.table, (kept.at + FOREIGN * 4).min(now + FOREIGN));
+            // The home may have gone on sending after it: what it names as begun is not all.
+            let table = HomeTable { begun_whole: 0, ..kept.table };
+            self.take_table(table, (kept.at + FOREIGN * 4).min(now + FOREIGN));
         }
     }
 
@@ -147,7 +150,15 @@
                 continue;
             }
             let address = slot.address.as_str();
+            let boot = desk.boot();
+            let fresh = !desk.instances.contains_key(id);
             let instance = desk.instances.entry(id.to_owned()).or_insert_with(|| Instance::new(now, address));
+            if fresh && slot.ready == 0 && !address.is_empty() {
+                let (id, address, after) = (id.to_owned(), address.to_owned(), Duration::ZERO);
+                self.outs.push(HomeOutput::Probe { id, address, after, limit: look_limit(boot) });
+            } else if fresh && slot.ready == 0 {
+                instance.pending = Some(Pending::handed(now));
+            }
             if instance.address.is_empty() {
                 instance.address = address.to_owned();
             }
@@ -161,13 +172,14 @@
 
     /// This router's hold had lapsed: other homes have taken over. What was never dispatched goes back
     /// to its front, which has moved on if it could, so that nothing old is sent after a new beginning.
+    /// Stored tasks may have been run by the home between and are read anew from the chain.
     /// Should this be home again, it is as one that comes anew: it waits for the table of the home between.
     pub(crate) fn lapsed(&mut self) {
         let now = self.now;
         for desk in self.desks.values_mut() {
             desk.risk.be_careful(now);
             desk.budget.be_careful(now);
-            (desk.adopting, desk.begun) = (Some((now, false)), None);
+            (desk.adopting, desk.begun, desk.read_at) = (Some((now, false)), None, None);
         }
         let undone: Vec<u64> = self
             .tasks
@@ -177,5 +189,6 @@
             .map(|(number, _)| *number)
             .collect();
         undone.into_iter().for_each(|number| self.send_back(number));
+        self.drop_deferred(|_, _| true);
     }
 }
--- a/crates/traffic/src/plane_out.rs
+++ b/crates/traffic/src/plane_out.rs
@@ -76,7 +76,7 @@
             HomeOutput::Forget { id } => {
                 self.to_dispatcher(DispatcherMsg::Forget { id });
             }
-            HomeOutput::Platform(order) => {
+            HomeOutput::Supply(order) => {
                 if self.platform.send(order).is_err() {
                     event!(inbox_full, "platform");
                 }
--- a/crates/traffic/src/service.rs
+++ b/crates/traffic/src/service.rs
@@ -25,7 +25,7 @@
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
-use supply::{Client, SupplyOrder};
+use supply::{OwnSupplier, Supplier, SupplyOrder};
 use tokio::sync::watch;
 use tokio::task::spawn_local;
 use wire::{HoldMsg, Message, NodeId};
@@ -76,6 +76,7 @@
         let report: dispatch::Report = Rc::new(move |report| tell(&traffic, report));
         local(dispatch::run(words, dispatch_inbox, report));
     })?;
+    let supplier = dialect.supplier;
     let (names, address, every) = (directory.clone(), settings.platform.clone(), settings.list_every);
     thread("platform", move || {
         let traffic = find::<TrafficMsg>(&names, "traffic");
@@ -83,7 +84,9 @@
             let traffic = traffic.clone();
             spawn_local(async move { traffic.send_waiting(TrafficMsg::Platform(report)).await });
         });
-        local(async move { supply::run(Client::new(&address), platform_inbox, report, every).await });
+        let supplier = supplier.map_or_else(|| Rc::new(OwnSupplier::new(&address)) as Rc<dyn Supplier>, |make| make());
+        let settings = supply::Settings { list_every: every };
+        local(async move { supply::run(supplier, platform_inbox, report, settings).await });
     })?;
     let limits = caller_limits(&settings);
     let (bounds, bounded) = watch::channel(limits.clone());
--- a/crates/traffic/tests/common/mod.rs
+++ b/crates/traffic/tests/common/mod.rs
@@ -2,6 +2,8 @@
 
 #![allow(dead_code, reason = "each test file uses a part of it")]
 
+pub mod supplied;
+
 use bindings::Book;
 use holds::{MemberLine, Roster};
 use std::rc::Rc;
