--- a/crates/traffic/src/dialect.rs
+++ b/crates/traffic/src/dialect.rs
@@ -4,19 +4,16 @@
 use crate::settings::RouterEnv;
 use axum::Router;
 use dispatch::Words;
-use std::rc::Rc;
-use supply::Supplier;
+use supply::Start;
 
-/// Makes the supplier on the thread that it serves.
-pub type MakeSupplier = Box<dyn FnOnce() -> Rc<dyn Supplier> + Send>;
 pub type MakePages = Box<dyn FnOnce(Views) -> Router + Send>;
 
 /// The product's own dialect by default.
 #[derive(Default)]
 pub struct Dialect {
     pub words: Words,
-    /// Who runs instances; the product's own supplier at the `platform` setting, if none is given.
-    pub supplier: Option<MakeSupplier>,
+    /// Makes whoever runs the instances; by default that of the settings, in the product's own dialect.
+    pub supplier: Option<Start>,
     /// Further pages, and the address they are served at.
     pub pages: Option<MakePages>,
     pub pages_address: Option<String>,
--- a/crates/traffic/src/holding.rs
+++ b/crates/traffic/src/holding.rs
@@ -24,11 +24,11 @@
         let Some(desk) = self.desks.get_mut(&task.function) else { return };
         let before = |held: &&u64| self.tasks.get(held).is_some_and(|task| task.rank <= rank);
         let ahead = desk.held.iter().take_while(before).count();
-        let wait = desk.expected_wait(ahead);
+        let wait = desk.expected_wait(now, ahead);
         desk.held.insert(ahead, number);
         let worth = match aim {
-            Some(aim) => aim.saturating_sub(desk.mean_time).max(aim / 2).min(left),
-            None => left.mul_f64(HOPE),
+            Some(aim) if desk.has_any() => aim.saturating_sub(desk.mean_time).max(aim / 2).min(left),
+            _ => left.mul_f64(HOPE),
         };
         if refusable && wait > worth {
             self.give_up(number, wait);
--- a/crates/traffic/src/home_types.rs
+++ b/crates/traffic/src/home_types.rs
@@ -45,7 +45,7 @@
     },
     Dispatch(DispatchOrder),
     Supply(SupplyOrder),
-    /// Look, from `after` on and for no longer than `limit`, whether the instance takes connections.
+    /// Connect, from `after` on and for no longer than `limit`; `Probed` tells whether the instance took it.
     Probe {
         id: String,
         address: String,
--- a/crates/traffic/src/lib.rs
+++ b/crates/traffic/src/lib.rs
@@ -10,6 +10,7 @@
 mod desk;
 mod dialect;
 mod door;
+mod estimate;
 mod faults;
 mod front;
 mod front_passes;
@@ -44,7 +45,7 @@
 
 pub use allowances::{Allowances, Most};
 pub use budget::{Budget, Spent, Window};
-pub use dialect::{Dialect, MakePages, MakeSupplier};
+pub use dialect::{Dialect, MakePages};
 pub use dispatch::{DispatchOrder, Verdict, Words, send_to_instance};
 pub use faults::RunFault;
 pub use front::Front;
--- a/crates/traffic/src/service.rs
+++ b/crates/traffic/src/service.rs
@@ -76,16 +76,15 @@
         let report: dispatch::Report = Rc::new(move |report| tell(&traffic, report));
         local(dispatch::run(words, dispatch_inbox, report));
     })?;
+    let supplier = dialect.supplier;
     let (names, address, every) = (directory.clone(), settings.platform.clone(), settings.list_every);
-    let make_supplier = dialect.supplier;
     thread("platform", move || {
         let traffic = find::<TrafficMsg>(&names, "traffic");
         let report: Rc<dyn Fn(supply::SupplyReport)> = Rc::new(move |report| {
             let traffic = traffic.clone();
             spawn_local(async move { traffic.send_waiting(TrafficMsg::Platform(report)).await });
         });
-        let own = || -> Rc<dyn Supplier> { Rc::new(OwnSupplier::new(&address)) };
-        let supplier = make_supplier.map_or_else(own, |make| make());
+        let supplier = supplier.map_or_else(|| Rc::new(OwnSupplier::new(&address)) as Rc<dyn Supplier>, |make| make());
         let settings = supply::Settings { list_every: every };
         local(async move { supply::run(supplier, platform_inbox, report, settings).await });
     })?;
--- a/crates/traffic/src/verdicts.rs
+++ b/crates/traffic/src/verdicts.rs
@@ -1,7 +1,10 @@
 //! What instances made of the tasks sent to them: answers go back, what has surely not run may go to
 //! another instance, and what may have run is tried again only where it may run more than once.
 
+use crate::desk::Desk;
 use crate::home::Home;
+use crate::home_types::HomeOutput;
+use crate::instance::InstanceEvent;
 use bindings::Class;
 use dispatch::Verdict;
 use events::event;
@@ -29,7 +32,8 @@
             }
             (Verdict::NotRun { .. }, Class::Ordinary | Class::Single | Class::Once) => {
                 if !self.try_again(number, false) {
-                    let wait = self.desks.get(&name).map_or(Duration::ZERO, |desk| desk.expected_wait(desk.held.len()));
+                    let wait = |desk: &Desk| desk.expected_wait(now, desk.held.len());
+                    let wait = self.desks.get(&name).map_or(Duration::ZERO, wait);
                     self.give_up(number, wait);
                 }
             }
@@ -75,7 +79,6 @@
     /// What the desk learns of its instance from a verdict.
     fn note(&mut self, name: &str, instance_id: &str, order: u64, begun: Duration, verdict: &Verdict) {
         let now = self.now;
-        let mut lost = matches!(verdict, Verdict::NotSent);
         let Some(desk) = self.desks.get_mut(name) else { return };
         let turned_away =
             matches!(verdict, Verdict::Whole { turned_away: true, .. } | Verdict::NotRun { wrong_instance: false });
@@ -101,15 +104,14 @@
                 desk.seen.turned += 1;
             }
             Verdict::Whole { .. } => desk.took(now.saturating_sub(begun)),
-            Verdict::NotRun { .. } => {
-                event!(instance_doubted, "{instance_id}: another answers at its address");
-                lost = true;
-            }
+            Verdict::NotRun { .. } => event!(instance_doubted, "{instance_id}: another answers at its address"),
             Verdict::InDoubt { told, .. } => event!(instance_doubted, "{instance_id}: {told}"),
             Verdict::NotSent | Verdict::Crowded => {}
         }
-        if lost {
-            self.lose(name, instance_id);
+        let replaced = *verdict == Verdict::NotRun { wrong_instance: true };
+        if replaced || *verdict == Verdict::NotSent {
+            self.outs.push(HomeOutput::Forget { id: instance_id.to_owned() });
+            if replaced { self.replaced(name, instance_id) } else { self.lose(name, instance_id) }
         }
     }
 
@@ -128,6 +130,14 @@
         self.hold(number);
         true
     }
+
+    /// Another instance answers at its address: that one takes connections, so there is no more to look.
+    fn replaced(&mut self, name: &str, instance_id: &str) {
+        if let Some(instance) = self.desks.get_mut(name).and_then(|desk| desk.instances.get_mut(instance_id)) {
+            instance.take(InstanceEvent::Lost);
+            instance.lost = Some(self.now);
+        }
+    }
 }
 
 fn stored(status: u16, head: &[u8], body: &[u8]) -> StoredAnswer {
