--- a/crates/traffic/src/door.rs
+++ b/crates/traffic/src/door.rs
@@ -162,3 +162,7 @@
     }
     HeaderValue::from(after.as_millis().div_ceil(1000).max(1) as u64)
 }
+
+#[cfg(test)]
+#[path = "door_tests.rs"]
+mod tests;
--- a/crates/traffic/src/estimate.rs
+++ b/crates/traffic/src/estimate.rs
@@ -43,39 +43,5 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-    use crate::instance::InstanceEvent;
-    use bindings::Book;
-    use test_case::test_case;
-
-    const NOW: Duration = Duration::from_secs(100);
-
-    /// Two slots an instance, half a second an answer, a second a start.
-    fn desk(ready: u32, busy: u32, starting: u32) -> Desk {
-        let binding: &[u8] = br#"{"route":"/t/f","function":"f","class":"ordinary","instance_limit":2}"#;
-        let book = Book::build(1, 1, [("function-bindings/t/f", binding)].into_iter());
-        let mut desk = Desk::new(NOW, book.function("t/f").expect("bound").clone(), 1);
-        desk.took(Duration::from_millis(500));
-        for number in 0..ready + starting {
-            let mut instance = Instance::new(NOW - Duration::from_millis(400), "127.0.0.1:1");
-            if number < ready {
-                instance.take(InstanceEvent::Ready);
-                instance.busy = busy;
-            }
-            desk.instances.insert(number.to_string(), instance);
-        }
-        desk
-    }
-
-    #[test_case(1, 1, 0, 0 => 0; "a slot is free")]
-    #[test_case(1, 2, 0, 0 => 250; "one of two comes free")]
-    #[test_case(1, 2, 0, 3 => 1000; "behind three others")]
-    #[test_case(0, 0, 1, 1 => 600; "an instance starts")]
-    #[test_case(0, 0, 1, 3 => 1100; "it starts and works for a while")]
-    #[test_case(0, 0, 0, 0 => 1000; "none is there yet")]
-    #[test_case(1, 2, 1, 7 => 1050; "some come free and some start")]
-    fn a_wait_is_expected(ready: u32, busy: u32, starting: u32, ahead: usize) -> u128 {
-        desk(ready, busy, starting).expected_wait(NOW, ahead).as_millis()
-    }
-}
+#[path = "estimate_tests.rs"]
+mod tests;
--- a/crates/traffic/src/plane.rs
+++ b/crates/traffic/src/plane.rs
@@ -20,8 +20,8 @@
 use tokio::sync::{oneshot, watch};
 use wire::{CarryMsg, DeferredRecord, HoldMsg, Message, NodeId, StoredAnswer};
 
-const TICK: Duration = Duration::from_millis(10);
-const SHOW: Duration = Duration::from_millis(200);
+const TICK: Duration = Duration::from_millis(20);
+const SHOW: Duration = Duration::from_millis(500);
 const STATUS_BIT: u64 = 1 << 62;
 
 pub enum TrafficMsg {
