--- a/crates/traffic/src/door.rs
+++ b/crates/traffic/src/door.rs
@@ -84,7 +84,7 @@
         if keyed.is_some() && key.as_ref().is_none_or(|key| key.is_empty() || key.len() > 128) {
             return Err(());
         }
-        let asked = keyed.is_some() && text(&PREFER).is_some_and(|value| value.contains("respond-async"));
+        let asked = words.task_path.is_some() && text(&PREFER).is_some_and(|value| value.contains("respond-async"));
         let host = text(&header::HOST).or(parts.uri.authority().map(|authority| authority.as_str()));
         let deadline = words.deadline.as_ref().and_then(text).and_then(|value| value.trim().parse().ok());
         let target = parts.uri.path_and_query().map_or(path.as_str(), |target| target.as_str());
--- a/crates/traffic/src/door_tests.rs
+++ b/crates/traffic/src/door_tests.rs
@@ -105,6 +105,13 @@
     assert_eq!(response.headers()["heronlink-outcome"], "answered");
 }
 
+#[test_case(Words::default() => true; "where the state of a task can be asked")]
+#[test_case(another_dialect() => false; "where it cannot")]
+fn an_answer_is_put_off_as_preferred(words: Words) -> bool {
+    let (call, _) = ask(words, request(&[("prefer", "respond-async")], ""), done());
+    call.expect("it is let in").respond_async
+}
+
 #[test]
 fn a_body_beyond_bounds_is_refused_and_ends_the_connection() {
     let (call, response) = ask(another_dialect(), request(&[], &"x".repeat(65)), done());
