--- a/crates/traffic/src/door.rs
+++ b/crates/traffic/src/door.rs
@@ -84,7 +84,7 @@
         if keyed.is_some() && key.as_ref().is_none_or(|key| key.is_empty() || key.len() > 128) {
             return Err(());
         }
-        let asked = keyed.is_some() && text(&PREFER).is_some_and(|value| value.contains("respond-async"));
+        let asked = words.task_path.is_some() && text(&PREFER).is_some_and(|value| value.contains("respond-async"));
         let host = text(&header::HOST).or(parts.uri.authority().map(|authority| authority.as_str()));
         let deadline = words.deadline.as_ref().and_then(text).and_then(|value| value.trim().parse().ok());
         let target = parts.uri.path_and_query().map_or(path.as_str(), |target| target.as_str());
@@ -162,3 +162,7 @@
     }
     HeaderValue::from(after.as_millis().div_ceil(1000).max(1) as u64)
 }
+
+#[cfg(test)]
+#[path = "door_tests.rs"]
+mod tests;
