Let go of held stored tasks when the hold has lapsed

Cause: a home that was frozen or cut off kept the deferred tasks it held as never sent. Ruled out: callers' own repeats, the count handed over, a read of the store older than the other home.

Change: on a lapse held stored tasks are dropped (their callers told 202) and read back as the store tells of them, counted as sent unless the table of the home between says otherwise; those just being stored count as sent; reads under way are dropped.

--- a/crates/traffic/src/desk.rs
+++ b/crates/traffic/src/desk.rs
@@ -80,6 +80,13 @@
         }
     }
 
+    /// Others may have been home here meanwhile: what they spent and sent is not known.
+    pub fn begin_anew(&mut self, now: Duration) {
+        self.risk.be_careful(now);
+        self.budget.be_careful(now);
+        (self.adopting, self.begun, self.read_at) = (Some((now, false)), None, None);
+    }
+
     /// Tasks an instance is planned for, by the usage in force.
     pub fn capacity(&self) -> f64 {
         let sheet = &self.function.sheet;
--- a/crates/traffic/src/keeper.rs
+++ b/crates/traffic/src/keeper.rs
@@ -49,6 +49,19 @@
         }
     }
 
+    /// Another home may have sent what is stored. What was held here is let go of, and read back as the
+    /// store tells of it; what is just being stored counts as sent.
+    pub(crate) fn doubt_stored(&mut self) {
+        let held = |task: &HomeTask| task.stored.is_some() && task.place == Place::Held;
+        let numbers: Vec<u64> = self.tasks.iter().filter(|(_, task)| held(task)).map(|(number, _)| *number).collect();
+        for number in numbers {
+            self.accept(number);
+            self.forget(number);
+        }
+        let storing = self.tasks.values_mut().filter(|task| task.place == Place::Storing);
+        storing.for_each(|task| task.dispatches = task.dispatches.max(1));
+    }
+
     /// Without a table of the home before, whatever is pending at the first look may have been sent
     /// already; what is stored from then on was not sent by anybody else.
     fn learn_begun(&mut self, name: &str, items: &[ItemLine]) {
--- a/crates/traffic/src/keeping.rs
+++ b/crates/traffic/src/keeping.rs
@@ -4,7 +4,7 @@
 //! table under an older roster than the desk was taken by is refused: its sender was fenced out.
 
 use crate::home::Home;
-use crate::home_types::{HomeOutput, HomeTask};
+use crate::home_types::{HomeOutput, HomeTask, Ledger, Place};
 use crate::instance::{Instance, InstanceEvent, Phase};
 use std::collections::BTreeSet;
 use std::time::Duration;
@@ -168,15 +168,15 @@
     pub(crate) fn lapsed(&mut self) {
         let now = self.now;
         for desk in self.desks.values_mut() {
-            desk.risk.be_careful(now);
-            desk.budget.be_careful(now);
-            (desk.adopting, desk.begun) = (Some((now, false)), None);
+            desk.begin_anew(now);
         }
+        self.asks.retain(|_, ask| ask.kind != Ledger::Deferred);
+        self.doubt_stored();
         let undone: Vec<u64> = self
             .tasks
             .iter()
             .filter(|(_, task)| task.caller && task.stored.is_none())
-            .filter(|(_, task)| !matches!(task.place, crate::home_types::Place::Running { .. }))
+            .filter(|(_, task)| !matches!(task.place, Place::Running { .. }))
             .map(|(number, _)| *number)
             .collect();
         undone.into_iter().for_each(|number| self.send_back(number));
