Count a request when it is first sent, not when it comes

Cause: a home credited an eighth of a second try for each task it let in, also for those refused or given up in a crowd, and a task that went back and came again was credited at each home.

Change: the request is counted when it is sent to an instance for the first time, and taken back if it did not get there; what came as a second try never is. This is no more than the users' platform allows, which counts what clients sent, arrived or not.

Seen: traffic/tests/lapse.rs: 200 credited for 200 held and none sent before, none now.

--- a/crates/sim/tests/seeds.rs
+++ b/crates/sim/tests/seeds.rs
@@ -30,6 +30,7 @@
 #[test_case(Sort::Overload, &[70027, 90219, 90360]; "a window measured by a fast clock")]
 #[test_case(Sort::Mixed, &[70523, 70555]; "a kept copy older than the last turn-aways")]
 #[test_case(Sort::Overload, &[70141]; "stored tasks held through a lapse were sent again, uncounted")]
+#[test_case(Sort::Overload, &[90123]; "requests that were refused earned second tries")]
 fn seeds_keep_the_rules(sort: Sort, seeds: &[u64]) {
     for seed in seeds {
         let outcome = run(*seed, sort, false);
--- a/crates/traffic/src/home_types.rs
+++ b/crates/traffic/src/home_types.rs
@@ -108,6 +108,13 @@
     pub low: bool,
 }
 
+impl HomeTask {
+    /// Neither sent from here nor counted among second tries when it came.
+    pub fn is_first(&self) -> bool {
+        self.dispatches == 0 && !(self.class == Class::Ordinary && self.reached)
+    }
+}
+
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Ledger {
     Claim,
--- a/crates/traffic/src/letting_in.rs
+++ b/crates/traffic/src/letting_in.rs
@@ -30,9 +30,6 @@
         desk.arrivals += 1;
         let full = desk.held.len() >= self.timing.function_inbox;
         let low = bound.class == Class::Deferred || bound.player_weight <= 0.0;
-        if tries == 0 {
-            desk.budget.request(self.now);
-        }
         let spent = tries > 0 && bound.class == Class::Ordinary && !desk.budget.try_second(self.now);
         let scope = format!("{}/{}", binding.as_str(), key.as_str());
         let mut hasher = Sha256::new();
--- a/crates/traffic/src/passes.rs
+++ b/crates/traffic/src/passes.rs
@@ -62,6 +62,9 @@
             return;
         }
         let Some(instance) = desk.instances.get_mut(&instance_id) else { return };
+        if task.is_first() {
+            desk.budget.request(now);
+        }
         instance.busy += 1;
         desk.in_flight += 1;
         desk.risk.sent(now, order);
@@ -119,6 +122,11 @@
             (Verdict::NotSent, _) => {
                 if let Some(task) = self.tasks.get_mut(&number) {
                     task.dispatches -= 1;
+                    if task.is_first()
+                        && let Some(desk) = self.desks.get_mut(&name)
+                    {
+                        desk.budget.not_sent();
+                    }
                     task.not_before = now + Duration::from_millis(50);
                 }
                 self.hold(number);
--- a/crates/traffic/tests/lapse.rs
+++ b/crates/traffic/tests/lapse.rs
@@ -95,3 +95,18 @@
     assert_eq!(sent(&home.step(ms(3001), true, handed())), 0, "another home may have run it since");
     assert_eq!(sent(&read(&mut home, 3020, &[7])), 1, "still pending, so it is sent, as a second try");
 }
+
+/// A crowd beyond all that can be run: what is asked and refused earns no second tries.
+#[test]
+fn only_requests_that_were_sent_are_counted_and_each_of_them_once() {
+    let mut home = home();
+    for number in 0..200 {
+        let outputs = home.step(ms(1), true, carry(number));
+        home.step(ms(2), true, granted(&outputs));
+    }
+    let counted = |home: &mut Home| home.status()["functions"][FUNCTION]["requests_10s"].as_u64();
+    assert_eq!(counted(&mut home), Some(0), "none was sent");
+    let sent = sent(&home.step(ms(10), true, handed())) as u64;
+    assert_eq!(counted(&mut home), Some(sent));
+    assert!((1..=8).contains(&sent), "{sent} sent to one instance");
+}
