--- a/crates/traffic/src/home_types.rs
+++ b/crates/traffic/src/home_types.rs
@@ -143,6 +143,13 @@
     pub rank: u32,
 }
 
+impl HomeTask {
+    /// Neither sent from here nor counted among second tries when it came.
+    pub fn is_first(&self) -> bool {
+        self.dispatches == 0 && !(self.class == Class::Ordinary && self.reached)
+    }
+}
+
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Ledger {
     Claim,
--- a/crates/traffic/src/letting_in.rs
+++ b/crates/traffic/src/letting_in.rs
@@ -31,9 +31,6 @@
         desk.arrivals += 1;
         let full = desk.held.len() >= self.timing.function_inbox;
         let last = bound.class == Class::Deferred || bound.player_weight <= 0.0;
-        if tries == 0 {
-            desk.budget.request(self.now);
-        }
         let (keyless, again) = (matches!(bound.class, Class::Ordinary | Class::Single), tries > 0);
         let spent = again && keyless && (bound.class == Class::Single || !desk.budget.try_second(self.now));
         let (scope, digest) = match keyless {
--- a/crates/traffic/src/passes.rs
+++ b/crates/traffic/src/passes.rs
@@ -55,6 +55,9 @@
             return;
         }
         let Some(instance) = desk.instances.get_mut(&instance_id) else { return };
+        if task.is_first() {
+            desk.budget.request(now);
+        }
         instance.busy += 1;
         desk.in_flight += 1;
         desk.risk.sent(now, order);
--- a/crates/traffic/src/verdicts.rs
+++ b/crates/traffic/src/verdicts.rs
@@ -27,6 +27,11 @@
             (Verdict::NotSent | Verdict::Crowded, _) => {
                 task.dispatches -= 1;
                 task.not_before = now;
+                if task.is_first()
+                    && let Some(desk) = self.desks.get_mut(&name)
+                {
+                    desk.budget.not_sent();
+                }
                 let leaves = self.desks.get(&name).is_none_or(|desk| desk.leaving.is_some()) || !self.is_home(&name);
                 if leaves { self.send_back(number) } else { self.hold(number) }
             }
