Run doors, links, dispatcher and plane on one traffic thread

Cause: each task crossed four threads, and every crossing is a wake-up of another thread. Change: one LocalSet for all four, with the same inboxes.

--- a/crates/traffic/src/service.rs
+++ b/crates/traffic/src/service.rs
@@ -1,5 +1,6 @@
-//! A router put together: the follower on the control thread, the plane on the traffic thread,
-//! links, doors, dispatcher and platform on threads of their own, all found by name.
+//! A router put together: the follower on the control thread; doors, links, dispatcher and the plane on
+//! the traffic thread, since each task passes through all of them and a wake-up of another thread costs
+//! more than the work; platform and operations on threads of their own. All are found by name.
 
 use crate::caller_limits::CallerLimits;
 use crate::control_loop::{Control, ControlMsg};
@@ -58,7 +59,6 @@
     let (stop, stopping) = watch::channel(false);
     let pass = PassCell::default();
 
-    let names = directory.clone();
     let myself = Me {
         id: me,
         incarnation,
@@ -66,16 +66,7 @@
         address: settings.address.clone(),
         format: settings.format,
     };
-    thread("links", move || {
-        local(async move { links::start(myself, adopt(peers), links_inbox, deliver(names)).await })
-    })?;
-    let names = directory.clone();
     let (words, door_words) = (dialect.words.clone(), Arc::new(dialect.words));
-    thread("dispatcher", move || {
-        let traffic = find::<TrafficMsg>(&names, "traffic");
-        let report: dispatch::Report = Rc::new(move |report| tell(&traffic, report));
-        local(dispatch::run(words, dispatch_inbox, report));
-    })?;
     let supplier = dialect.supplier;
     let (names, address) = (directory.clone(), settings.platform.clone());
     thread("platform", move || {
@@ -90,7 +81,7 @@
     let limits = caller_limits(&settings);
     let (bounds, bounded) = watch::channel(limits.clone());
     let (own_limits, door_limits) = (limits.clone(), limits.door);
-    let (names, cell) = (directory.clone(), pass.clone());
+    let (link_names, names, cell) = (directory.clone(), directory.clone(), pass.clone());
     let timing = HomeTiming {
         starts_per_second: settings.starts_per_second,
         sample: settings.step,
@@ -98,7 +89,9 @@
         allowances: settings.allowances(),
         ..HomeTiming::default()
     };
-    thread("traffic", move || {
+    let door = Door { traffic: find(&directory, "traffic"), words: door_words, limits: bounded.clone() };
+    let (callers_pages, doors_stop) = (door::router(door), stopping.clone());
+    let traffic_thread = thread("traffic", move || {
         let plane = Plane {
             me,
             begun,
@@ -120,13 +113,15 @@
             done: None,
             counts: BTreeMap::new(),
         };
-        local(plane.run(traffic_inbox));
-    })?;
-    let door = Door { traffic: find(&directory, "traffic"), words: door_words, limits: bounded.clone() };
-    let (callers_pages, doors_stop) = (door::router(door), stopping.clone());
-    let doors_thread = thread("doors", move || {
+        let traffic = find::<TrafficMsg>(&names, "traffic");
+        let report: dispatch::Report = Rc::new(move |report| tell(&traffic, report));
         let limits = move || bounded.borrow().door;
-        local(async move { doors::serve_within(adopt(callers), callers_pages, limits, doors_stop).await })
+        local(async move {
+            spawn_local(links::start(myself, adopt(peers), links_inbox, deliver(link_names)));
+            spawn_local(dispatch::run(words, dispatch_inbox, report));
+            spawn_local(plane.run(traffic_inbox));
+            doors::serve_within(adopt(callers), callers_pages, limits, doors_stop).await;
+        });
     })?;
     let ops_limits = DoorLimits { connections: 64, life: Duration::from_secs(86_400), ..door_limits };
     let kinds = doors::views(doors::Views { shelf: shelved, tokens });
@@ -174,7 +169,7 @@
         });
         control.run(control_inbox, stop).await;
     });
-    let _ = doors_thread.join();
+    let _ = traffic_thread.join();
     event!(stopped);
     Ok(())
 }
