Dial peers when there is something for them, let links go when both sides are quiet

Cause: on a fleet of 79 routers every one dialled every member and greeted it each 4 s, a full mesh of 6,162 held connections, on machines of 0.06 cores and 2 Mbit/s. Ruled out: a wholly new connection for each exchange; a link let go by the side that was dialled (it cannot know whether the other is about to send). Change: LinkOrder::Know names where members are met; a Send to one that is not linked waits while it is dialled; who dialled closes the link after 4 s of quiet both ways, half first, so that what the other sent meanwhile still arrives. Registries stay held (Dial). Buffers of a connection are 16 KB a side instead of 64.

--- a/crates/links/src/service.rs
+++ b/crates/links/src/service.rs
@@ -1,7 +1,8 @@
 //! The service's table of connections and its loops: taking in, dialling with a growing pause,
-//! and carrying out orders. An order for a peer that is not linked is dropped; owners know who is
-//! linked from the events and time out what went unanswered.
+//! and carrying out orders. An order for a peer that is neither linked nor known is dropped; owners
+//! know who is linked from the events and time out what went unanswered.
 
+use crate::demand::{self, Demand};
 use crate::order::{LinkEvent, LinkOrder, Me};
 use crate::stream;
 use events::event;
@@ -38,6 +39,7 @@
     by_address: RefCell<BTreeMap<String, NodeId>>,
     dialled: RefCell<BTreeSet<String>>,
     wanted: RefCell<BTreeSet<String>>,
+    pub demand: RefCell<Demand>,
     next: Cell<u64>,
     open: Cell<usize>,
 }
@@ -60,6 +62,7 @@
         if let Some(address) = &dialled {
             self.by_address.borrow_mut().insert(address.clone(), id);
         }
+        self.demand.borrow_mut().release(id, &sender);
         list.push(Connection { number, incarnation, sender, dialled });
         if news {
             event!(link_up, "{id:016x} at {address}");
@@ -88,10 +91,20 @@
         (self.deliver)(event).await;
     }
 
-    fn send(&self, to: NodeId, message: Message) {
-        if let Some(connection) = self.connections.borrow().get(&to).and_then(|list| list.last())
-            && connection.sender.try_send(message).is_err()
-        {
+    pub fn is_linked(&self, id: NodeId) -> bool {
+        self.connections.borrow().contains_key(&id)
+    }
+
+    /// Whether a connection is held though nothing goes over it.
+    pub fn is_held(&self, dialled: Option<&String>) -> bool {
+        dialled.is_none_or(|address| self.wanted.borrow().contains(address))
+    }
+
+    fn send(self: &Rc<Self>, to: NodeId, message: Message) {
+        let Some(sender) = self.connections.borrow().get(&to).and_then(|list| Some(list.last()?.sender.clone())) else {
+            return demand::send(self, to, message);
+        };
+        if sender.try_send(message).is_err() {
             event!(inbox_full, "outbound frames for {to:016x}");
         }
     }
@@ -110,6 +123,7 @@
         by_address: RefCell::default(),
         dialled: RefCell::default(),
         wanted: RefCell::default(),
+        demand: RefCell::default(),
         next: Cell::new(0),
         open: Cell::new(0),
     });
@@ -123,6 +137,7 @@
                     inner.send(id, message);
                 }
             }
+            LinkOrder::Know { members } => inner.demand.borrow_mut().know(members),
             LinkOrder::Dial { addresses } => {
                 let wanted: BTreeSet<String> = addresses.into_iter().filter(|a| *a != inner.me.address).collect();
                 *inner.wanted.borrow_mut() = wanted.clone();
@@ -170,7 +185,7 @@
     }
 }
 
-fn report(ended: Result<(), FrameFault>, address: &str) {
+pub fn report(ended: Result<(), FrameFault>, address: &str) {
     match ended {
         Err(FrameFault::Connection(_)) | Ok(()) => {}
         Err(fault) => event!(frame_refused, "{address}: {fault}"),
--- a/crates/links/src/stream.rs
+++ b/crates/links/src/stream.rs
@@ -1,12 +1,18 @@
 //! One connection: greetings first, then a reader and a writer side by side. Any frame that
-//! cannot be read ends it. A quiet connection is greeted now and then and cut when it stays silent.
+//! cannot be read ends it. A quiet connection is greeted now and then and cut when it stays silent; one
+//! that was dialled on demand is closed by who dialled it once both sides are quiet. Either side first
+//! finishes what the other may have sent meanwhile.
 
 use crate::order::{LinkEvent, Me};
 use crate::service::Inner;
+use std::cell::Cell;
+use std::io::ErrorKind;
+use std::pin::pin;
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 use tokio::io::{AsyncWriteExt, BufReader, BufWriter};
 use tokio::net::TcpStream;
+use tokio::net::tcp::OwnedWriteHalf;
 use tokio::sync::mpsc;
 use tokio::time::timeout;
 use wire::{Frame, FrameFault, Message, spoken};
@@ -15,7 +21,13 @@
 const QUIET: Duration = Duration::from_secs(4);
 const SILENT: Duration = Duration::from_secs(13);
 const WRITE: Duration = Duration::from_secs(5);
+const LAST: Duration = Duration::from_secs(2);
 const QUEUE: usize = 8192;
+const BUFFER: usize = 16 * 1024;
+
+fn late() -> FrameFault {
+    FrameFault::Connection(ErrorKind::TimedOut.into())
+}
 
 fn frame(me: &Me, message: Message) -> Frame {
     Frame {
@@ -35,41 +47,19 @@
     stream.set_nodelay(true)?;
     let me = inner.me.clone();
     let (read, write) = stream.into_split();
-    let mut read = BufReader::with_capacity(64 * 1024, read);
-    let mut write = BufWriter::with_capacity(64 * 1024, write);
+    let mut read = BufReader::with_capacity(BUFFER, read);
+    let mut write = BufWriter::with_capacity(BUFFER, write);
     wire::write_frame(&mut write, &hello(&me)).await?;
     write.flush().await?;
-    let late = || FrameFault::Connection(std::io::ErrorKind::TimedOut.into());
     let first = timeout(GREETING, wire::read_frame(&me.cluster, &mut read)).await.map_err(|_| late())??;
     let Message::Hello { address } = &first.message else { return Err(FrameFault::Malformed) };
     let (id, incarnation, address) = (first.sender, first.incarnation, address.as_str().to_owned());
     if id == me.id {
         return Ok(());
     }
-    let (sender, mut queue) = mpsc::channel::<Message>(QUEUE);
-    let number = inner.add(id, incarnation, sender, dialled, address);
-    let writer = async {
-        loop {
-            let message = match timeout(QUIET, queue.recv()).await {
-                Ok(Some(message)) => spoken(message, me.format).map(|message| frame(&me, message)),
-                Ok(None) => return Err(late()),
-                Err(_) => Some(hello(&me)),
-            };
-            let send = async {
-                if let Some(message) = message {
-                    wire::write_frame(&mut write, &message).await?;
-                }
-                while let Ok(message) = queue.try_recv() {
-                    if let Some(message) = spoken(message, me.format) {
-                        wire::write_frame(&mut write, &frame(&me, message)).await?;
-                    }
-                }
-                write.flush().await?;
-                Ok::<(), FrameFault>(())
-            };
-            timeout(WRITE, send).await.map_err(|_| late())??;
-        }
-    };
+    let (sender, queue) = mpsc::channel::<Message>(QUEUE);
+    let number = inner.add(id, incarnation, sender, dialled.clone(), address);
+    let heard = Cell::new(Instant::now());
     let reader = async {
         loop {
             let got = timeout(SILENT, wire::read_frame(&me.cluster, &mut read)).await.map_err(|_| late())??;
@@ -77,11 +67,63 @@
                 return Err(FrameFault::Malformed);
             }
             if !matches!(got.message, Message::Hello { .. }) {
+                heard.set(Instant::now());
                 inner.deliver(LinkEvent::Frame { from: id, incarnation, message: got.message }).await;
             }
         }
     };
-    let ended: Result<(), FrameFault> = tokio::select! { end = writer => end, end = reader => end };
+    let idle = || !inner.is_held(dialled.as_ref()) && heard.get().elapsed() >= QUIET;
+    let mut writer = pin!(write_out(&me, &mut write, queue, idle));
+    let mut reader = pin!(reader);
+    let ended = tokio::select! {
+        end = &mut writer => match end {
+            // Closed as idle: the other side may have sent something before it heard of that.
+            Ok(()) => {
+                inner.remove(id, number).await;
+                timeout(LAST, reader).await.unwrap_or(Ok(()))
+            }
+            fault => fault,
+        },
+        end = &mut reader => match end {
+            Err(FrameFault::Connection(fault)) if fault.kind() == ErrorKind::UnexpectedEof => {
+                inner.remove(id, number).await;
+                timeout(LAST, writer).await.unwrap_or(Ok(()))
+            }
+            end => end,
+        },
+    };
     inner.remove(id, number).await;
     ended
 }
+
+/// Ends well when the link is idle, or its queue is closed and written out.
+async fn write_out(
+    me: &Me,
+    write: &mut BufWriter<OwnedWriteHalf>,
+    mut queue: mpsc::Receiver<Message>,
+    idle: impl Fn() -> bool,
+) -> Result<(), FrameFault> {
+    loop {
+        let message = match timeout(QUIET, queue.recv()).await {
+            Ok(Some(message)) => spoken(message, me.format).map(|message| frame(me, message)),
+            Ok(None) => break,
+            Err(_) if idle() => break,
+            Err(_) => Some(hello(me)),
+        };
+        let send = async {
+            if let Some(message) = message {
+                wire::write_frame(write, &message).await?;
+            }
+            while let Ok(message) = queue.try_recv() {
+                if let Some(message) = spoken(message, me.format) {
+                    wire::write_frame(write, &frame(me, message)).await?;
+                }
+            }
+            write.flush().await?;
+            Ok::<(), FrameFault>(())
+        };
+        timeout(WRITE, send).await.map_err(|_| late())??;
+    }
+    timeout(WRITE, write.shutdown()).await.map_err(|_| late())??;
+    Ok(())
+}
--- a/crates/traffic/src/control_loop.rs
+++ b/crates/traffic/src/control_loop.rs
@@ -203,11 +203,15 @@
         }
     }
 
+    /// Registries are held, members are met when there is something for them.
     fn dial(&self) {
-        let members = self.follower.roster().members.iter().map(|line| line.address.as_str().to_owned());
-        let addresses = self.seeds.iter().chain(&self.seats).cloned().chain(members).collect();
-        if self.links.send(LinkOrder::Dial { addresses }).is_err() {
-            event!(inbox_full, "links");
+        let addresses = self.seeds.iter().chain(&self.seats).cloned().collect();
+        let members = self.follower.roster().members.iter();
+        let members = members.map(|line| (line.id, line.address.as_str().to_owned())).collect();
+        for order in [LinkOrder::Dial { addresses }, LinkOrder::Know { members }] {
+            if self.links.send(order).is_err() {
+                event!(inbox_full, "links");
+            }
         }
     }
 
