Bear the loss of two disks: copies, voters and registries follow what may be lost

Cause: registries were three and an acknowledgement wanted two copies, whatever a deployment declares; the grown ones bear the loss of two machines with a disk, which three voters can't. Ruled out: count = 2 in the deploy file (small zones have one disk: the second would be on a machine without); a share of 0.056 of a zone is two machines in zones of 18 to 35 and one in smaller zones. Change: the setting losses (from fault_tolerance.machine_losses). An entry is acknowledged by losses + 1 members; every registry gets a seat among the voters, one at a time, a new machine after 3 s if no seat is free, and a seat empty for 8 s is taken away while 2 x losses + 1 are left. Only seeds found; others join. A joiner waits while a step is pending (a new tail lets none come into force for a while). A joiner whose copy was ready when another had become the tail is told the view again; it asked the old tail for ever. The log kept for those that return is bounded by bytes, the file's cache at 2 MB.

--- a/crates/chain/src/copy.rs
+++ b/crates/chain/src/copy.rs
@@ -4,11 +4,11 @@
 use crate::member::Member;
 use crate::types::{Batch, State, Value};
 use std::time::Duration;
-use wire::{ChainMsg, NodeId, PairLine, Seat, View};
+use wire::{ChainMsg, NodeId, PairLine, Seat};
 
 const PIECE_BYTES: usize = 512 * 1024;
 const PIECE_PAIRS: usize = 4096;
-const RETRY: Duration = Duration::from_millis(500);
+pub(crate) const RETRY: Duration = Duration::from_millis(500);
 const PATIENCE: Duration = Duration::from_secs(5);
 
 pub struct Source {
@@ -17,6 +17,7 @@
     pub state: State,
     pub seq: u64,
     pub starts: Vec<String>,
+    pub asked: Duration,
 }
 
 pub struct Copying {
@@ -63,6 +64,9 @@
         if !self.is_current_tail() || view.chain.as_slice().contains(&seat.id) || !self.may_return(seat.id) {
             return;
         }
+        if self.joins_wait || self.is_bringing_in_other(seat.id) || !self.has_seat_for(&seat) {
+            return;
+        }
         if !ready {
             return self.send(seat.id, ChainMsg::TakeCopy { view: view.number });
         }
@@ -71,7 +75,7 @@
             && view.fresh == 0
             && self.proposal.is_none()
             && self.now >= self.propose_after
-            && let Some(next) = with_joiner(&view, seat)
+            && let Some(next) = self.with_joiner(seat)
         {
             self.propose(next);
         }
@@ -110,12 +114,14 @@
                 state: self.synced_state.clone(),
                 seq: self.synced,
                 starts: vec![String::new()],
+                asked: self.now,
             });
         }
         let Some(source) = self.source.as_mut() else { return };
         if source.joiner != from || (copy != 0 && source.number != copy) {
             return;
         }
+        source.asked = self.now;
         let Some(start) = source.starts.get(piece as usize).cloned() else { return };
         let mut bytes = 0;
         let mut pairs = Vec::new();
@@ -165,6 +171,7 @@
         let pairs = std::mem::take(&mut copying.pairs);
         self.state = pairs.iter().cloned().collect();
         self.log.clear();
+        self.log_bytes = 0;
         self.receipts.clear();
         self.last = seq;
         self.committed = 0;
@@ -210,23 +217,3 @@
         }
     }
 }
-
-fn with_joiner(view: &View, seat: Seat) -> Option<View> {
-    let mut next = view.clone();
-    let mut chain = view.chain.as_slice().to_vec();
-    let mut voters = view.voters.as_slice().to_vec();
-    if let Some(known) = voters.iter_mut().find(|voter| voter.id == seat.id) {
-        known.address = seat.address.clone();
-    } else if voters.len() < 3 {
-        voters.push(seat.clone());
-    } else {
-        let place = voters.iter().position(|voter| !chain.contains(&voter.id))?;
-        voters[place] = seat.clone();
-    }
-    chain.push(seat.id);
-    next.number += 1;
-    next.fresh = seat.id;
-    next.chain = chain.into();
-    next.voters = voters.into();
-    Some(next)
-}
--- a/crates/chain/src/found.rs
+++ b/crates/chain/src/found.rs
@@ -34,6 +34,17 @@
         self
     }
 
+    /// How many registries may lose their disks at once.
+    pub fn bearing(mut self, losses: usize) -> Self {
+        self.losses = losses.max(1);
+        self
+    }
+
+    /// While a joiner would hold up something more pressing, since each becomes the tail.
+    pub fn let_joins_wait(&mut self, wait: bool) {
+        self.joins_wait = wait;
+    }
+
     pub(crate) fn found(&mut self) {
         if self.now < self.asked_at + EVERY || self.last > 0 || !self.may_found() {
             return;
@@ -85,7 +96,9 @@
     }
 
     pub(crate) fn on_decided(&mut self, view: View) {
-        if self.meta.view.number == 0 && self.meta.accepted_ballot == 0 && self.last == 0 {
+        // A view with this one in it was decided after it had said that it holds a copy.
+        let joined = view.chain.iter().any(|id| *id == self.meta.seat.id);
+        if self.meta.view.number == 0 && self.meta.accepted_ballot == 0 && !joined {
             return self.outs.push(Output::Told { view });
         }
         self.adopt(view);
--- a/crates/chain/src/lib.rs
+++ b/crates/chain/src/lib.rs
@@ -9,10 +9,12 @@
 mod member;
 mod register;
 mod returns;
+mod seats;
 mod store;
 mod suffix;
 mod types;
 mod view;
+mod writes;
 
 pub use disk::Disk;
 pub use member::Member;
--- a/crates/chain/src/line.rs
+++ b/crates/chain/src/line.rs
@@ -1,6 +1,6 @@
 //! Entries along the chain: entered at the head, written and synced at each member before they
-//! go on, applied in order, acknowledged by the tail once at least two disks hold them, or the one
-//! there is where a cluster was founded with a single seat.
+//! go on, applied in order, acknowledged by the tail once one disk more holds them than may be lost, or
+//! as many as there are where a cluster was founded with fewer seats.
 
 use crate::member::Member;
 use crate::types::Output;
@@ -42,10 +42,9 @@
             && (self.is_head() || self.fence.is_some_and(|fence| self.synced >= fence))
     }
 
-    /// Whether an entry is kept on two disks, or on the only one there was ever meant to be.
+    /// Whether an entry is kept on one disk more than may be lost, or on all there were ever meant to be.
     fn keeps_copies(&self) -> bool {
-        let view = &self.meta.view;
-        view.chain.as_slice().len() >= view.voters.as_slice().len().min(2)
+        self.meta.view.chain.as_slice().len() >= self.copies()
     }
 
     pub(crate) fn enter_line(&mut self) {
@@ -98,10 +97,9 @@
         }
         self.last = entry.seq;
         self.receipts.insert(entry.seq, (entry.op, effect.receipt));
+        self.log_bytes += entry.body.len();
         self.log.push_back(entry.clone());
-        while self.log.len() > self.timing.log_kept {
-            self.log.pop_front();
-        }
+        self.trim_log();
         self.next.trim_below = self.log.front().map_or(0, |kept| kept.seq);
         self.next.entries.push(entry);
         self.next.last = self.last;
--- a/crates/chain/src/member.rs
+++ b/crates/chain/src/member.rs
@@ -63,6 +63,12 @@
     pub(crate) returns: BTreeMap<NodeId, Return>,
     pub(crate) asked_at: Duration,
     pub(crate) founding: Founding,
+    /// How many disks may be lost at once with all that was acknowledged still kept.
+    pub(crate) losses: usize,
+    pub(crate) joins_wait: bool,
+    /// Who asked to join in no one's place, from when to when.
+    pub(crate) newcomers: BTreeMap<NodeId, (Duration, Duration)>,
+    pub(crate) log_bytes: usize,
 }
 
 impl Member {
@@ -111,7 +117,12 @@
             returns: BTreeMap::new(),
             asked_at: Duration::ZERO,
             founding: Founding::default(),
+            losses: 1,
+            joins_wait: false,
+            newcomers: BTreeMap::new(),
+            log_bytes: 0,
         };
+        member.log_bytes = member.log.iter().map(|entry| entry.body.len()).sum();
         member.next.trim_below = member.log.front().map_or(0, |entry| entry.seq);
         member.heard_from_all();
         member
@@ -209,42 +220,4 @@
         self.seek_to_join();
         self.finish_joining();
     }
-
-    pub(crate) fn keep_meta(&mut self, after: Vec<Output>) {
-        self.next.meta = Some(self.meta.clone());
-        self.next_after.extend(after);
-        self.dirty = true;
-    }
-
-    fn flush(&mut self) {
-        if !self.dirty || self.writing.is_some() {
-            return;
-        }
-        self.dirty = false;
-        self.ticket += 1;
-        self.next.settled = self.settled;
-        let follow = Batch { last: self.last, trim_below: self.next.trim_below, ..Batch::default() };
-        let batch = std::mem::replace(&mut self.next, follow);
-        self.writing = Some(Writing {
-            ticket: self.ticket,
-            up_to: self.last,
-            state: self.state.clone(),
-            after: std::mem::take(&mut self.next_after),
-            begun: self.now,
-            installs: std::mem::take(&mut self.installs),
-        });
-        self.outs.push(Output::Write { ticket: self.ticket, batch });
-    }
-
-    fn written(&mut self, ticket: u64) {
-        let Some(write) = self.writing.take_if(|write| write.ticket == ticket) else { return };
-        self.synced = write.up_to;
-        self.snapshots.push_back((write.up_to, write.state.clone()));
-        self.synced_state = write.state;
-        self.outs.extend(write.after);
-        if write.installs {
-            self.installed();
-        }
-        self.settle();
-    }
 }
--- a/crates/chain/src/register.rs
+++ b/crates/chain/src/register.rs
@@ -46,6 +46,12 @@
         self.send_voters(ChainMsg::Prepare { slot, ballot });
     }
 
+    pub(crate) fn keep_meta(&mut self, after: Vec<Output>) {
+        self.next.meta = Some(self.meta.clone());
+        self.next_after.extend(after);
+        self.dirty = true;
+    }
+
     pub(crate) fn send_voters(&mut self, message: ChainMsg) {
         for seat in self.meta.view.voters.clone().iter() {
             self.send(seat.id, message.clone());
--- /dev/null
+++ b/crates/chain/src/seats.rs
@@ -0,0 +1,97 @@
+//! Who has a seat among the voters. Every registry gets one, so that a majority of voters is a majority of
+//! the machines; there are never fewer than the losses to be borne ask for. A new machine first waits a
+//! little whether it comes in another's place, and a seat that stays empty is taken away.
+
+use crate::copy::RETRY;
+use crate::member::Member;
+use std::time::Duration;
+use wire::{Seat, View};
+
+/// More voters make each decision dearer and bear no more than is asked.
+const MOST: usize = 9;
+const NEWCOMERS: usize = 16;
+/// How long a newcomer waits for another's place while there are seats enough.
+const STANDS: Duration = Duration::from_secs(3);
+const FORGOTTEN: Duration = Duration::from_secs(10);
+const EMPTY: Duration = Duration::from_secs(8);
+
+impl Member {
+    /// As many voters as it takes to have a majority left after the losses to be borne.
+    fn enough(&self) -> usize {
+        self.losses * 2 + 1
+    }
+
+    pub(crate) fn copies(&self) -> usize {
+        self.meta.view.voters.as_slice().len().min(self.losses + 1)
+    }
+
+    /// One joins at a time: what another is being served would be lost by serving the next.
+    pub(crate) fn is_bringing_in_other(&self, id: wire::NodeId) -> bool {
+        let lately = self.source.as_ref().filter(|source| self.now < source.asked + RETRY * 2);
+        let chain = self.meta.view.chain.as_slice();
+        self.meta.view.fresh != 0 || lately.is_some_and(|source| source.joiner != id && !chain.contains(&source.joiner))
+    }
+
+    /// The place among the voters that a joiner takes, which may be one after the last.
+    fn place_of(&self, seat: &Seat) -> usize {
+        let voters = self.meta.view.voters.as_slice();
+        let gone = |voter: &Seat| !self.meta.view.chain.iter().any(|id| *id == voter.id);
+        let known = voters.iter().position(|voter| voter.id == seat.id);
+        let there = || voters.iter().position(|voter| voter.address == seat.address && gone(voter));
+        let spare = || voters.iter().position(gone).filter(|_| voters.len() >= self.enough());
+        known.or_else(there).or_else(spare).unwrap_or(voters.len())
+    }
+
+    pub(crate) fn has_seat_for(&mut self, seat: &Seat) -> bool {
+        let now = self.now;
+        self.newcomers.retain(|_, (_, last)| now < *last + FORGOTTEN);
+        let (place, enough) = (self.place_of(seat), self.enough());
+        let voters = self.meta.view.voters.as_slice();
+        // Its address is another's who is thought to be there: that one is taken out first.
+        let taken = voters.iter().any(|voter| voter.address == seat.address && voter.id != seat.id);
+        match voters.get(place) {
+            Some(_) => true,
+            None if taken || voters.len() >= MOST => false,
+            None if voters.len() < enough => true,
+            None if !self.newcomers.contains_key(&seat.id) && self.newcomers.len() >= NEWCOMERS => false,
+            None => {
+                let (first, last) = self.newcomers.entry(seat.id).or_insert((now, now));
+                *last = now;
+                now >= *first + STANDS
+            }
+        }
+    }
+
+    pub(crate) fn with_joiner(&self, seat: Seat) -> Option<View> {
+        let mut next = self.meta.view.clone();
+        let mut chain = next.chain.into_vec();
+        let mut voters = next.voters.into_vec();
+        let place = self.place_of(&seat);
+        chain.push(seat.id);
+        next.number += 1;
+        next.fresh = seat.id;
+        match place < voters.len() {
+            true => voters[place] = seat,
+            false if voters.len() < MOST => voters.push(seat),
+            false => return None,
+        }
+        next.chain = chain.into();
+        next.voters = voters.into();
+        Some(next)
+    }
+
+    /// The view without a seat that has been empty for long, where there are more than enough.
+    pub(crate) fn without_empty_seat(&self) -> Option<View> {
+        let view = &self.meta.view;
+        let voters = view.voters.as_slice();
+        let silent = |voter: &Seat| self.heard.get(&voter.id).is_none_or(|(heard, _)| self.now > *heard + EMPTY);
+        let empty = |voter: &Seat| !view.chain.iter().any(|id| *id == voter.id) && silent(voter);
+        let place = voters.iter().position(empty).filter(|_| voters.len() > self.enough())?;
+        let mut next = view.clone();
+        let mut voters = next.voters.into_vec();
+        voters.remove(place);
+        next.voters = voters.into();
+        next.number += 1;
+        Some(next)
+    }
+}
--- a/crates/chain/src/store.rs
+++ b/crates/chain/src/store.rs
@@ -12,6 +12,8 @@
 const STATE: TableDefinition<&str, &[u8]> = TableDefinition::new("state");
 const LOG: TableDefinition<u64, &[u8]> = TableDefinition::new("log");
 const RECORD_FORMAT: u16 = 1;
+/// Bytes of the file kept in memory; all that is read again is in the state.
+const CACHE: usize = 2 * 1024 * 1024;
 
 #[derive(DekuRead, DekuWrite)]
 struct MetaRecord {
@@ -55,7 +57,7 @@
         if let Some(base) = path.exists().then(|| ReadOnlyDatabase::open(path).ok()).flatten() {
             kept_meta(&base, cluster)?;
         }
-        Store::begin(Database::create(path)?, cluster, seat)
+        Store::begin(Database::builder().set_cache_size(CACHE).create(path)?, cluster, seat)
     }
 
     /// On a disk of another kind, such as one that loses its power.
--- a/crates/chain/src/suffix.rs
+++ b/crates/chain/src/suffix.rs
@@ -11,6 +11,7 @@
 use wire::{ChainMsg, EntryLine, NodeId};
 
 const MOST_BYTES: usize = 2 * 1024 * 1024;
+const LOG_BYTES: usize = 4 * 1024 * 1024;
 
 fn digest<'a>(entries: impl Iterator<Item = &'a EntryLine>) -> u64 {
     let mut hasher = Sha256::new();
@@ -24,6 +25,16 @@
         (oldest <= seq + 1).then(|| self.log.iter().filter(move |entry| entry.seq > seq))
     }
 
+    /// What is committed every member of the chain has; how much more is kept serves those that return.
+    pub(crate) fn trim_log(&mut self) {
+        while self.log.len() > self.timing.log_kept
+            || (self.log_bytes > LOG_BYTES && self.log.front().is_some_and(|entry| entry.seq <= self.committed))
+        {
+            let Some(entry) = self.log.pop_front() else { return };
+            self.log_bytes -= entry.body.len();
+        }
+    }
+
     /// What the member asks the source for: the entries it missed, or, where it can prove nothing, all.
     pub(crate) fn first_ask(&self) -> ChainMsg {
         let since = self.settled;
@@ -50,7 +61,7 @@
         }
         let copy = self.copy_number();
         let (state, starts) = (self.synced_state.clone(), vec![String::new()]);
-        self.source = Some(Source { number: copy, joiner: from, state, seq: synced, starts });
+        self.source = Some(Source { number: copy, joiner: from, state, seq: synced, starts, asked: self.now });
         self.send(from, ChainMsg::Suffix { copy, entries: missed.into() });
     }
 
--- a/crates/chain/src/view.rs
+++ b/crates/chain/src/view.rs
@@ -139,7 +139,13 @@
         }
         let left: Vec<NodeId> = chain.iter().copied().filter(|id| *id == me || !self.is_suspect(*id)).collect();
         let chosen_mender = left.iter().copied().find(|id| *id != view.fresh);
-        if left.len() == chain.len() || chosen_mender != Some(me) {
+        if chosen_mender != Some(me) {
+            return;
+        }
+        if left.len() == chain.len() {
+            if let Some(next) = self.without_empty_seat() {
+                self.propose(next);
+            }
             return;
         }
         let mut next = view.clone();
@@ -151,14 +157,14 @@
     }
 
     /// A planned stop: names the view without this member, and with it the optimizer's next host,
-    /// while enough are left to keep two copies. It does not ask to join again.
+    /// while enough are left to keep the copies it takes. It does not ask to join again.
     pub(crate) fn leave(&mut self) {
         self.leaving = true;
         let me = self.meta.seat.id;
         let view = &self.meta.view;
         let left: Vec<NodeId> = view.chain.iter().copied().filter(|id| *id != me).collect();
         let chained = left.len() < view.chain.as_slice().len();
-        if !chained || left.len() < 2 || view.fresh != 0 || self.proposal.is_some() {
+        if !chained || left.len() < self.copies().max(2) || view.fresh != 0 || self.proposal.is_some() {
             return;
         }
         let mut next = view.clone();
--- a/crates/chain/tests/net/mod.rs
+++ b/crates/chain/tests/net/mod.rs
@@ -28,6 +28,8 @@
     /// Whom a member has as seeds, if not all others.
     pub seeds: BTreeMap<NodeId, Vec<NodeId>>,
     pub told: BTreeMap<NodeId, Vec<NodeId>>,
+    /// Where a member is met, if not at an address of its own.
+    pub addresses: BTreeMap<NodeId, wire::Text>,
 }
 
 pub fn seat(id: NodeId) -> Seat {
@@ -51,6 +53,7 @@
             next_op: 0,
             seeds: BTreeMap::new(),
             told: BTreeMap::new(),
+            addresses: BTreeMap::new(),
         };
         ids.iter().for_each(|id| net.start(*id));
         net
@@ -62,9 +65,15 @@
 
     /// Starts a member that may found a cluster of so many seats, or none.
     pub fn start_founding(&mut self, id: NodeId, seats: usize) {
+        self.start_bearing(id, seats, 1);
+    }
+
+    /// One that bears so many losses.
+    pub fn start_bearing(&mut self, id: NodeId, seats: usize, losses: usize) {
         let stored = self.disks.entry(id).or_default().clone();
-        let member = Member::new(seat(id), stored, Timing::default(), apply, self.now).founding_with(seats);
-        self.members.insert(id, member);
+        let address = self.addresses.get(&id).cloned().unwrap_or(seat(id).address);
+        let member = Member::new(Seat { id, address }, stored, Timing::default(), apply, self.now);
+        self.members.insert(id, member.founding_with(seats).bearing(losses));
     }
 
     pub fn feed(&mut self, id: NodeId, input: Input) {
--- /dev/null
+++ b/crates/chain/tests/seats.rs
@@ -0,0 +1,109 @@
+//! Clusters that bear the loss of two: founded by three, joined by others until all machines vote; what is
+//! acknowledged is on three disks; a wiped machine takes its own seat again, a dead one's is taken away.
+
+mod net;
+
+use net::{Net, seat};
+use wire::NodeId;
+
+fn grown(count: NodeId) -> Net {
+    let mut net = Net::new(&[]);
+    for id in 1..=count {
+        net.seeds.insert(id, vec![1, 2, 3]);
+        net.start_bearing(id, if id <= 3 { 3 } else { 0 }, 2);
+    }
+    net.pass(20_000);
+    net
+}
+
+fn voters(net: &Net, id: NodeId) -> Vec<NodeId> {
+    let mut voters: Vec<NodeId> = net.members[&id].view().voters.iter().map(|seat| seat.id).collect();
+    voters.sort_unstable();
+    voters
+}
+
+#[test]
+fn three_found_and_the_others_join_until_all_vote() {
+    for count in [5, 6, 8] {
+        let net = grown(count);
+        let mut chain = net.chain(1);
+        chain.sort_unstable();
+        let all: Vec<NodeId> = (1..=count).collect();
+        assert_eq!((chain, voters(&net, 1), voters(&net, count)), (all.clone(), all.clone(), all));
+    }
+}
+
+#[test]
+fn what_was_acknowledged_outlives_any_two_disks() {
+    for lost in [[1, 2], [2, 6], [4, 5], [1, 6]] {
+        let mut net = grown(6);
+        let op = net.enter(1, "kept");
+        net.pass(500);
+        assert!(net.done.contains(&(1, op, true)));
+        for id in lost {
+            net.members.remove(&id);
+            net.disks.remove(&id);
+        }
+        net.pass(3000);
+        // Wiped machines come back under a new name at the address they had.
+        for id in lost {
+            net.addresses.insert(id + 10, seat(id).address);
+            net.seeds.insert(id + 10, vec![1, 2, 3, 4, 5, 6]);
+            net.start_bearing(id + 10, 0, 2);
+        }
+        net.pass(12_000);
+        let left = (1..=6).find(|id| !lost.contains(id)).unwrap();
+        let all: Vec<NodeId> = (1..=6).filter(|id| !lost.contains(id)).chain(lost.map(|id| id + 10)).collect();
+        let mut expected = all.clone();
+        expected.sort_unstable();
+        assert_eq!(voters(&net, left), expected, "lost {lost:?}");
+        assert!(all.iter().all(|id| net.members[id].committed_state().contains_key("kept")), "lost {lost:?}");
+        let op = net.enter(left, "more");
+        net.pass(500);
+        assert!(net.done.contains(&(left, op, true)), "lost {lost:?}");
+    }
+}
+
+#[test]
+fn two_copies_are_not_enough_where_two_may_be_lost() {
+    let mut net = grown(6);
+    for id in [3, 4, 5, 6] {
+        net.members.remove(&id);
+    }
+    net.pass(3000);
+    let op = net.enter(1, "thin");
+    net.pass(3000);
+    assert!(!net.done.contains(&(1, op, true)), "two of six voters acknowledge nothing");
+}
+
+#[test]
+fn a_machine_that_is_gone_loses_its_seat_and_one_in_its_place_gets_it() {
+    let mut net = grown(6);
+    net.members.remove(&4);
+    net.pass(5000);
+    assert_eq!(voters(&net, 1).len(), 6, "it may come back");
+    net.pass(10_000);
+    assert_eq!(voters(&net, 1), vec![1, 2, 3, 5, 6]);
+    net.start_bearing(4, 0, 2);
+    net.pass(10_000);
+    assert_eq!(voters(&net, 1), vec![1, 2, 3, 4, 5, 6]);
+    net.members.remove(&5);
+    net.pass(2000);
+    net.seeds.insert(7, vec![1, 2, 3]);
+    net.start_bearing(7, 0, 2);
+    net.pass(4000);
+    assert_eq!(voters(&net, 1), vec![1, 2, 3, 4, 6, 7], "a new machine sits where one is missing");
+}
+
+#[test]
+fn joiners_wait_while_something_is_more_pressing() {
+    let mut net = Net::founded();
+    net.seeds.insert(4, vec![1, 2, 3]);
+    net.members.values_mut().for_each(|member| member.let_joins_wait(true));
+    net.start_founding(4, 0);
+    net.pass(6000);
+    assert_eq!(net.chain(1), vec![1, 2, 3]);
+    net.members.values_mut().for_each(|member| member.let_joins_wait(false));
+    net.pass(6000);
+    assert_eq!(net.chain(1), vec![1, 2, 3, 4]);
+}
--- a/crates/control/src/following.rs
+++ b/crates/control/src/following.rs
@@ -6,6 +6,9 @@
 use std::time::Duration;
 use wire::HoldMsg;
 
+/// A registry that joins becomes the tail, and a new tail lets no step come into force for a while: one
+/// that is pending goes first, if it can at all.
+const JOINS_WAIT: Duration = Duration::from_secs(4);
 const PUSH_EVERY: Duration = Duration::from_millis(40);
 
 impl Core {
@@ -24,6 +27,9 @@
             }
         }
         self.tick_calls();
+        let pending = keys::number(self.state(), keys::LATEST) > keys::number(self.state(), keys::ACTIVE);
+        let since = self.tail_since.unwrap_or(now);
+        self.member.let_joins_wait(pending && now < since + JOINS_WAIT);
         self.duties();
         self.confirm_renewals();
     }
--- a/crates/control/src/service.rs
+++ b/crates/control/src/service.rs
@@ -109,8 +109,10 @@
         written.send_blocking(ControlMsg::Written(result));
     })
     .map_err(RunFault::Disk)?;
-    let seats = if settings.found { settings.seeds.len() } else { 0 };
-    let member = Member::new(seat, stored, Timing::default(), apply, Duration::ZERO).founding_with(seats);
+    let founds = settings.found && settings.seeds.contains(&settings.address);
+    let seats = if founds { settings.seeds.len() } else { 0 };
+    let member = Member::new(seat, stored, Timing::default(), apply, Duration::ZERO);
+    let member = member.founding_with(seats).bearing(settings.losses);
     let timing = CoreTiming { call: settings.call, ..CoreTiming::for_hold(settings.hold) };
     let core = Core::new(member, timing, incarnation << 20).speaking(settings.format);
     let work = Control {
--- a/crates/control/src/settings.rs
+++ b/crates/control/src/settings.rs
@@ -16,7 +16,8 @@
         address: String = String::new(), address, "IP number and port for heronlink's own processes";
         api: String = String::new(), address, "IP number and port for operators (HTTP/1.1, JSON)";
         bind: String = String::new(), address_or_none, "where to listen for them, if not at that address itself";
-        seeds: Vec<String> = Vec::new(), seeds, "addresses of the registries, own address among them or not; a cluster is founded by all of them, three as a rule";
+        seeds: Vec<String> = Vec::new(), seeds, "addresses of the registries, the same on all; a cluster is founded by all of them, three as a rule, and whoever is not among them joins it";
+        losses: usize = 1, in_range(1, 4), "how many registries may lose their disks at once with all that was acknowledged still kept; the same on every one of them";
         found: bool = true, any, "whether this registry may found a cluster together with the other seeds while all their disks are empty; without, it only ever joins one";
         data: PathBuf = PathBuf::new(), |path: &PathBuf| folder(path), "folder for the data file";
         tokens: Vec<String> = Vec::new(), well_formed, "bearer tokens, tenant=SECRET or *=SECRET, parted by commas";
