--- a/crates/holds/src/roster.rs
+++ b/crates/holds/src/roster.rs
@@ -4,6 +4,7 @@
 //! the hashing, so it has a number of its own, and the oldest that some member knows is in force.
 
 use deku::prelude::*;
+use std::collections::{BTreeMap, BTreeSet};
 use wire::{Capacity, List, NodeId, Text};
 
 /// The newest hashing known here: 1 gives zones and machines equal parts, 2 follows their capacity.
@@ -31,6 +32,13 @@
     pub members: List<MemberLine>,
 }
 
+/// What differs between two rosters: the lines that are new or other, and who is gone.
+#[derive(Clone, Debug, Default, PartialEq, Eq, DekuRead, DekuWrite)]
+pub struct RosterChange {
+    pub lines: List<MemberLine>,
+    pub gone: List<NodeId>,
+}
+
 /// The records of programs that knew only the first hashing.
 #[derive(DekuRead, DekuWrite)]
 struct PlainLine {
@@ -74,11 +82,14 @@
     }
 }
 
-pub fn mix(words: &[&[u8]]) -> u64 {
-    let mut hash: u64 = 0xcbf2_9ce4_8422_2325;
-    for byte in words.iter().flat_map(|word| word.iter().copied().chain([0xff])) {
-        hash = (hash ^ u64::from(byte)).wrapping_mul(0x0000_0100_0000_01b3);
-    }
+const SEED: u64 = 0xcbf2_9ce4_8422_2325;
+
+fn go_on(hash: u64, word: &[u8]) -> u64 {
+    let bytes = word.iter().copied().chain([0xff]);
+    bytes.fold(hash, |hash, byte| (hash ^ u64::from(byte)).wrapping_mul(0x0000_0100_0000_01b3))
+}
+
+fn ended(mut hash: u64) -> u64 {
     hash ^= hash >> 33;
     hash = hash.wrapping_mul(0xff51_afd7_ed55_8ccd);
     hash ^= hash >> 33;
@@ -86,6 +97,10 @@
     hash ^ (hash >> 33)
 }
 
+pub fn mix(words: &[&[u8]]) -> u64 {
+    ended(words.iter().fold(SEED, |hash, word| go_on(hash, word)))
+}
+
 impl Roster {
     /// A record of either shape.
     pub fn read(raw: &[u8]) -> Option<Roster> {
@@ -135,7 +150,8 @@
         if self.members.iter().any(|member| member.hashing < 2) {
             return evenly(&able, function);
         }
-        let score = |id: NodeId, weight: f64| -weight / unit(mix(&[function.as_bytes(), &id.to_le_bytes()])).ln();
+        let name = go_on(SEED, function.as_bytes());
+        let score = |id: NodeId, weight: f64| -weight / unit(ended(go_on(name, &id.to_le_bytes()))).ln();
         let scored = able.into_iter().map(|(member, weight)| (score(member.id, weight), member.id));
         scored.max_by(|a, b| a.0.total_cmp(&b.0).then(a.1.cmp(&b.1))).map(|(_, id)| id)
     }
@@ -160,6 +176,24 @@
     }
 }
 
+impl Roster {
+    pub fn change_since(&self, earlier: &Roster) -> RosterChange {
+        let known: BTreeMap<NodeId, &MemberLine> = earlier.members.iter().map(|line| (line.id, line)).collect();
+        let here: BTreeSet<NodeId> = self.members.iter().map(|line| line.id).collect();
+        let lines: Vec<MemberLine> =
+            self.members.iter().filter(|line| known.get(&line.id) != Some(line)).cloned().collect();
+        let gone: Vec<NodeId> = known.into_keys().filter(|id| !here.contains(id)).collect();
+        RosterChange { lines: lines.into(), gone: gone.into() }
+    }
+
+    pub fn changed(&self, number: u64, change: RosterChange) -> Roster {
+        let mut lines: BTreeMap<NodeId, MemberLine> = self.members.iter().map(|line| (line.id, line.clone())).collect();
+        change.gone.iter().for_each(|id| drop(lines.remove(id)));
+        lines.extend(change.lines.into_vec().into_iter().map(|line| (line.id, line)));
+        Roster { number, members: lines.into_values().collect::<Vec<_>>().into() }
+    }
+}
+
 /// The first hashing: a zone, then a machine within the zone.
 fn evenly(able: &[(&MemberLine, f64)], function: &str) -> Option<NodeId> {
     let zones = able.iter().map(|(member, _)| member.zone.as_str());
--- a/crates/holds/tests/roster.rs
+++ b/crates/holds/tests/roster.rs
@@ -1,4 +1,4 @@
-//! Homes as the roster gives them.
+//! The roster as a list of members with a number: homes picked from it, and what differs between two.
 
 use holds::{HASHING, MemberLine, Roster};
 use std::collections::BTreeMap;
@@ -103,3 +103,17 @@
     let plain = |line: &MemberLine| MemberLine { hashing: 1, capacity: Capacity::default(), ..line.clone() };
     assert_eq!(older.members.iter().cloned().collect::<Vec<_>>(), whole.members.iter().map(plain).collect::<Vec<_>>());
 }
+
+#[test]
+fn a_roster_and_what_changed_make_the_next() {
+    let of = |ids: &[u64]| ids.iter().map(|id| line(*id, 260, 2000)).collect::<Vec<_>>();
+    let first = roster(of(&[1, 2, 3, 5]));
+    let mut lines = of(&[2, 3, 4, 5, 9]);
+    lines[1].leaving = 1;
+    let next = Roster { number: 8, members: lines.into() };
+    let change = next.change_since(&first);
+    let changed: Vec<u64> = change.lines.iter().map(|line| line.id / 7919).collect();
+    assert_eq!((changed, change.gone.as_slice()), (vec![3, 4, 9], &[7919][..]));
+    assert_eq!(first.changed(8, change), next);
+    assert_eq!(Roster::default().changed(8, next.change_since(&Roster::default())), next);
+}
