--- a/crates/traffic/src/inventory.rs
+++ b/crates/traffic/src/inventory.rs
@@ -36,6 +36,13 @@
     missed: Option<Duration>,
 }
 
+impl Inventory {
+    /// How many homes there are, this one and others.
+    pub(crate) fn homes(&self) -> usize {
+        self.turn.len()
+    }
+}
+
 impl Home {
     /// The homes in the order in which they read for all, under a new roster.
     pub(crate) fn inventory_turn(&mut self) {
--- a/crates/traffic/src/scale.rs
+++ b/crates/traffic/src/scale.rs
@@ -33,8 +33,8 @@
         let lasted = self.now.saturating_sub(self.refilled).as_secs_f64();
         self.refilled = self.now;
         self.scaled = self.now;
-        let members = self.roster.members.as_slice().len().max(1) as f64;
-        self.starts_left = (self.starts_left + lasted * self.timing.starts_per_second / members).min(BURST);
+        let homes = self.inventory.homes().max(1) as f64;
+        self.starts_left = (self.starts_left + lasted * self.timing.starts_per_second / homes).min(BURST);
         let overlay = self.timing.overlay;
         let now = self.now;
         self.stopped.retain(|_, at| now < *at + overlay);
