Prove a large fleet without the core through a few who ask a majority; wake when something is due

Cause: without the core each of 79 routers asked 78 others 20 times a second, and dialled them for it; the router's control loop woke 100 times a second with nothing to do. Ruled out: a random majority each (still 80,000 words a second); a longer peer proof (the rule of going back allows 200 ms). Change: above twelve, the four most able machines of the quorum ask a majority in shared rounds for whoever asks them; the safety argument is kept (docs/notes/holds.md). A follower says when it is due next.

--- a/crates/holds/src/follower.rs
+++ b/crates/holds/src/follower.rs
@@ -4,7 +4,7 @@
 
 use crate::fetch::Fetch;
 use crate::parts::Arriving;
-use crate::peers::PeerRound;
+use crate::peers::Peers;
 use crate::roster::{HASHING, Roster};
 use crate::standing::{Standing, StandingEvent, Standings};
 use std::collections::BTreeMap;
@@ -17,6 +17,8 @@
     pub guard: Duration,
     pub renew: Duration,
     pub renew_guarded: Duration,
+    /// Quorums above this many prove one another through a few who ask for all.
+    pub relay_above: usize,
 }
 
 impl Default for FollowerTiming {
@@ -26,6 +28,7 @@
             guard: Duration::from_millis(200),
             renew: Duration::from_millis(250),
             renew_guarded: Duration::from_millis(40),
+            relay_above: 12,
         }
     }
 }
@@ -70,7 +73,7 @@
     pub(crate) next_ask: u64,
     pub(crate) proof: Option<Duration>,
     pub(crate) peer_proof: Option<Duration>,
-    pub(crate) peer_round: Option<PeerRound>,
+    pub(crate) peers: Peers,
     pub(crate) fetch: Option<Fetch>,
     pub(crate) arriving: Option<Arriving>,
     pub(crate) renewed: Option<Duration>,
@@ -109,7 +112,7 @@
             next_ask: first_number(incarnation),
             proof: None,
             peer_proof: None,
-            peer_round: None,
+            peers: Peers::default(),
             fetch: None,
             arriving: None,
             renewed: None,
@@ -208,31 +211,4 @@
         self.next_ask += 1;
         self.next_ask
     }
-
-    /// Said again with each renewal until the roster shows it: a core that is being mended may
-    /// have let the first word fall.
-    fn say_leaving(&mut self) {
-        let shown = self.roster.member(self.me).is_none_or(|line| line.leaving != 0);
-        if self.leaving && !shown {
-            self.tell_registry(None, HoldMsg::Leaving);
-        }
-    }
-
-    fn tick(&mut self) {
-        let now = self.now;
-        let every = if self.is_guarded() { self.timing.renew_guarded } else { self.timing.renew };
-        if self.renewed.is_none_or(|last| now >= last + every) {
-            self.renewed = Some(now);
-            let ask = self.ask_number();
-            self.asks.insert(ask, now);
-            let hold = self.timing.hold;
-            self.asks.retain(|_, asked| now < *asked + hold);
-            let heard = self.tail.filter(|(_, heard)| now < *heard + self.timing.renew * 2).map(|(id, _)| id);
-            let (staged, active, roster) = (self.staged_number(), self.step, self.roster.number);
-            self.say_leaving();
-            self.tell_registry(heard, HoldMsg::Renew { ask, staged, active, roster });
-        }
-        self.tick_parts();
-        self.tick_peers();
-    }
 }
--- a/crates/holds/src/lib.rs
+++ b/crates/holds/src/lib.rs
@@ -10,6 +10,7 @@
 mod sessions;
 mod standing;
 mod steps;
+mod ticks;
 
 pub use follower::{Follower, FollowerInput, FollowerOutput, FollowerTiming, first_number};
 pub use roster::{HASHING, MemberLine, Roster, RosterChange, mix};
--- a/crates/holds/src/parts.rs
+++ b/crates/holds/src/parts.rs
@@ -111,6 +111,13 @@
         asks.into_iter().for_each(|(to, message)| self.tell_registry(Some(to), message));
     }
 
+    pub(crate) fn parts_due(&self) -> Duration {
+        let fetched = self.fetch.as_ref().and_then(|fetch| fetch.parts.as_ref());
+        let due = self.arriving.iter().chain(fetched).map(|it| it.asked + AGAIN).min();
+        let given_up = self.fetch.as_ref().map(|fetch| fetch.moved + self.timing.hold);
+        due.into_iter().chain(given_up).min().unwrap_or(Duration::MAX)
+    }
+
     pub(crate) fn tick_parts(&mut self) {
         let (now, hold) = (self.now, self.timing.hold);
         if self.fetch.as_ref().is_some_and(|fetch| now > fetch.moved + hold) {
--- a/crates/holds/src/peers.rs
+++ b/crates/holds/src/peers.rs
@@ -1,6 +1,10 @@
 //! Proof without the core: a majority of the machines of the active step's quorum say that they
 //! hold nothing newer, staged included. A step can only be activated once a majority of that same
 //! quorum has staged it, so the two majorities share a machine.
+//!
+//! Where the quorum is large, not all ask all: a few able machines ask a majority on behalf of whoever
+//! asks them, in rounds, and each ask is answered by a round begun after it came. Who answered before is
+//! asked first, and a few more than a majority are asked.
 
 use crate::follower::{Follower, FollowerOutput};
 use std::collections::BTreeSet;
@@ -8,32 +12,138 @@
 use wire::{HoldMsg, NodeId};
 
 const EVERY: Duration = Duration::from_millis(50);
+/// Rounds for others begin no sooner after one another, so that many share each.
+const ROUND_EVERY: Duration = Duration::from_millis(30);
+/// How often one is asked to ask for others; a proof lasts 200 ms.
+const RELAY_EVERY: Duration = Duration::from_millis(80);
+/// Another is asked when two asks went unanswered.
+const RELAY_TRIES: u32 = 2;
+const RELAYS: usize = 4;
+const WAITING: usize = 4096;
 
 pub struct PeerRound {
     pub ask: u64,
     pub asked: Duration,
     pub agreeing: BTreeSet<NodeId>,
+    done: bool,
+}
+
+#[derive(Default)]
+pub struct Peers {
+    round: Option<PeerRound>,
+    /// Who answered the last rounds.
+    answering: BTreeSet<NodeId>,
+    /// Where asking went on last time.
+    turn: usize,
+    /// Who asked for a majority, with what ask, and when.
+    waiting: Vec<(NodeId, u64, Duration)>,
+    relayed: Option<(u64, Duration)>,
+    relay: usize,
+    unanswered: u32,
 }
 
 impl Follower {
+    fn wants_peers(&self) -> bool {
+        let core_is_near = self.proof.is_some_and(|asked| self.now < asked + self.timing.hold / 2);
+        !core_is_near && self.answers_peers()
+    }
+
+    fn answers_peers(&self) -> bool {
+        self.ready && self.quorum.contains(&self.me) && !self.is_guarded()
+    }
+
+    fn relays(&self) -> Vec<NodeId> {
+        let able = |id: &NodeId| self.roster.member(*id).map_or(0, |line| line.capacity.processor_milli);
+        let mut relays: Vec<NodeId> = self.quorum.clone();
+        relays.sort_by_cached_key(|id| (std::cmp::Reverse(able(id)), *id));
+        relays.truncate(RELAYS);
+        relays
+    }
+
+    pub(crate) fn peers_due(&self) -> Duration {
+        let near = self.proof.map_or(Duration::ZERO, |asked| asked + self.timing.hold / 2);
+        if !self.answers_peers() || (self.now < near && self.peers.waiting.is_empty()) {
+            return if self.ready { near.max(self.now + EVERY) } else { Duration::MAX };
+        }
+        let idle = self.now + EVERY;
+        let round = self.peers.round.as_ref().map_or(idle, |it| it.asked + if it.done { ROUND_EVERY } else { EVERY });
+        let round = if self.peers.waiting.is_empty() { round.max(idle) } else { round };
+        self.peers.relayed.map_or(round, |(_, asked)| round.min(asked + RELAY_EVERY))
+    }
+
     pub(crate) fn tick_peers(&mut self) {
         let now = self.now;
-        let core_is_near = self.proof.is_some_and(|asked| now < asked + self.timing.hold / 2);
-        let in_quorum = self.quorum.contains(&self.me);
-        if core_is_near || !self.ready || !in_quorum || self.is_guarded() {
-            self.peer_round = None;
+        let wants = self.wants_peers();
+        if !wants {
+            (self.peers.relayed, self.peers.relay, self.peers.unanswered) = (None, 0, 0);
+        }
+        if !self.answers_peers() {
+            self.peers.waiting.clear();
+            self.peers.round = None;
             return;
         }
-        if self.peer_round.as_ref().is_some_and(|round| now < round.asked + EVERY) {
+        self.peers.waiting.retain(|(_, _, asked)| now < *asked + self.timing.guard);
+        let small = self.quorum.len() <= self.timing.relay_above;
+        if wants && !small {
+            self.ask_relay();
+        }
+        if (wants && small) || !self.peers.waiting.is_empty() {
+            self.ask_majority(small);
+        } else {
+            self.peers.round = None;
+        }
+    }
+
+    fn ask_relay(&mut self) {
+        let now = self.now;
+        if self.peers.relayed.is_some_and(|(_, asked)| now < asked + RELAY_EVERY) {
             return;
         }
         let ask = self.ask_number();
-        self.peer_round = Some(PeerRound { ask, asked: now, agreeing: [self.me].into() });
-        for to in self.quorum.clone() {
-            if to != self.me {
-                let message = HoldMsg::PeerAsk { ask, active: self.step };
-                self.outs.push(FollowerOutput::ToPeer { to, message });
-            }
+        self.peers.relayed = Some((ask, now));
+        let relays = self.relays();
+        if self.peers.unanswered >= RELAY_TRIES {
+            (self.peers.relay, self.peers.unanswered) = (self.peers.relay + 1, 0);
+        }
+        self.peers.unanswered += 1;
+        let to = relays[self.peers.relay % relays.len()];
+        if to == self.me {
+            self.collect(to, ask, self.step);
+        } else {
+            self.outs.push(FollowerOutput::ToPeer { to, message: HoldMsg::PeerCollect { ask, active: self.step } });
+        }
+    }
+
+    fn collect(&mut self, from: NodeId, ask: u64, active: u64) {
+        if active == self.step && self.answers_peers() && self.peers.waiting.len() < WAITING {
+            self.peers.waiting.retain(|(known, ..)| *known != from);
+            self.peers.waiting.push((from, ask, self.now));
+            self.ask_majority(false);
+        }
+    }
+
+    /// Begins a round, unless the last is young and still open.
+    fn ask_majority(&mut self, all: bool) {
+        let now = self.now;
+        let every = |round: &PeerRound| if round.done && !all { ROUND_EVERY } else { EVERY };
+        if self.peers.round.as_ref().is_some_and(|round| now < round.asked + every(round)) {
+            return;
+        }
+        let ask = self.ask_number();
+        let others: Vec<NodeId> = self.quorum.iter().copied().filter(|id| *id != self.me).collect();
+        let count =
+            if all { others.len() } else { (self.quorum.len() / 2 + self.quorum.len() / 8 + 1).min(others.len()) };
+        let (known, unknown): (Vec<NodeId>, Vec<NodeId>) =
+            others.iter().copied().partition(|id| self.peers.answering.contains(id));
+        let turn = self.peers.turn % unknown.len().max(1);
+        let asked: Vec<NodeId> =
+            known.iter().chain(&unknown[turn..]).chain(&unknown[..turn]).copied().take(count).collect();
+        self.peers.turn = turn + count.saturating_sub(known.len());
+        self.peers.answering.retain(|id| !asked.contains(id));
+        self.peers.round = Some(PeerRound { ask, asked: now, agreeing: [self.me].into(), done: false });
+        for to in asked {
+            let message = HoldMsg::PeerAsk { ask, active: self.step };
+            self.outs.push(FollowerOutput::ToPeer { to, message });
         }
     }
 
@@ -44,17 +154,43 @@
                 let message = HoldMsg::PeerReceipt { ask, active: self.step, latest };
                 self.outs.push(FollowerOutput::ToPeer { to: from, message });
             }
-            HoldMsg::PeerReceipt { ask, latest, .. } => {
-                let Some(round) = self.peer_round.as_mut().filter(|round| round.ask == ask) else { return };
-                if latest > self.step || !self.quorum.contains(&from) {
-                    return;
-                }
-                round.agreeing.insert(from);
-                if round.agreeing.len() * 2 > self.quorum.len() {
-                    self.peer_proof = self.peer_proof.max(Some(round.asked));
+            HoldMsg::PeerReceipt { ask, latest, .. } => self.on_peer_receipt(from, ask, latest),
+            HoldMsg::PeerCollect { ask, active } => self.collect(from, ask, active),
+            HoldMsg::PeerMajority { ask, active } if active == self.step && !self.is_guarded() => {
+                if let Some((_, asked)) = self.peers.relayed.filter(|(number, _)| *number == ask) {
+                    self.peers.unanswered = 0;
+                    self.peer_proof = self.peer_proof.max(Some(asked));
                 }
             }
             _ => {}
         }
     }
+
+    fn on_peer_receipt(&mut self, from: NodeId, ask: u64, latest: u64) {
+        let guarded = self.is_guarded();
+        let Some(round) = self.peers.round.as_mut().filter(|round| round.ask == ask) else { return };
+        if latest > self.step || !self.quorum.contains(&from) {
+            return;
+        }
+        self.peers.answering.insert(from);
+        round.agreeing.insert(from);
+        if round.agreeing.len() * 2 <= self.quorum.len() || guarded {
+            return;
+        }
+        round.done = true;
+        let asked = round.asked;
+        self.peer_proof = self.peer_proof.max(Some(asked));
+        let active = self.step;
+        for (to, ask, _) in self.peers.waiting.extract_if(.., |(_, _, came)| *came <= asked).collect::<Vec<_>>() {
+            let message = HoldMsg::PeerMajority { ask, active };
+            if to == self.me {
+                self.peers.unanswered = 0;
+            } else {
+                self.outs.push(FollowerOutput::ToPeer { to, message });
+            }
+        }
+        if !self.peers.waiting.is_empty() {
+            self.ask_majority(false);
+        }
+    }
 }
--- /dev/null
+++ b/crates/holds/src/ticks.rs
@@ -0,0 +1,54 @@
+//! What a follower does as time goes on: it renews, and asks again for what stays away; and when that is
+//! due next, so that its owner need not wake it in between.
+
+use crate::follower::Follower;
+use std::time::Duration;
+use wire::{HoldMsg, NodeId};
+
+/// While no registry is known to be the tail, all are asked, and not as often.
+const ASK_ALL: Duration = Duration::from_millis(100);
+
+impl Follower {
+    /// Said again with each renewal until the roster shows it: a core that is being mended may
+    /// have let the first word fall.
+    pub(crate) fn say_leaving(&mut self) {
+        let shown = self.roster.member(self.me).is_none_or(|line| line.leaving != 0);
+        if self.leaving && !shown {
+            self.tell_registry(None, HoldMsg::Leaving);
+        }
+    }
+
+    /// The registry that proved lately, and how soon the next renewal is due: asking all of them costs more.
+    fn renewing(&self) -> (Option<NodeId>, Duration) {
+        let heard = self.tail.filter(|(_, heard)| self.now < *heard + self.timing.renew * 2).map(|(id, _)| id);
+        match (self.is_guarded(), heard) {
+            (false, _) => (heard, self.timing.renew),
+            (true, Some(_)) => (heard, self.timing.renew_guarded),
+            (true, None) => (heard, ASK_ALL.min(self.timing.renew)),
+        }
+    }
+
+    /// The moment of the next tick that does something, as far as is known now.
+    pub fn due(&self) -> Duration {
+        let renewal = self.renewed.map_or(self.now, |last| last + self.renewing().1);
+        let parts = self.parts_due();
+        renewal.min(parts).min(self.peers_due())
+    }
+
+    pub(crate) fn tick(&mut self) {
+        let now = self.now;
+        let (heard, every) = self.renewing();
+        if self.renewed.is_none_or(|last| now >= last + every) {
+            self.renewed = Some(now);
+            let ask = self.ask_number();
+            self.asks.insert(ask, now);
+            let hold = self.timing.hold;
+            self.asks.retain(|_, asked| now < *asked + hold);
+            let (staged, active, roster) = (self.staged_number(), self.step, self.roster.number);
+            self.say_leaving();
+            self.tell_registry(heard, HoldMsg::Renew { ask, staged, active, roster });
+        }
+        self.tick_parts();
+        self.tick_peers();
+    }
+}
--- a/crates/sim/src/router_node.rs
+++ b/crates/sim/src/router_node.rs
@@ -90,7 +90,9 @@
         node.base = self.now;
         node.frozen_until = Duration::ZERO;
         node.leaving_since = None;
-        let timing = FollowerTiming::default();
+        // On some seeds even a small fleet proves itself through relays.
+        let relay_above = if self.seed & 4 != 0 { 2 } else { 12 };
+        let timing = FollowerTiming { relay_above, ..FollowerTiming::default() };
         node.machines = Some(Machines {
             follower: Follower::new(node.id, life, &node.address, node.zone, "", timing).able_to_carry(capacity(n)),
             front: Front::new(node.id, life, FrontLimits::default()),
@@ -175,9 +177,7 @@
     pub fn to_router(&mut self, n: usize, from: NodeId, _incarnation: u64, message: Message) {
         let now = self.router_now(n);
         match message {
-            Message::Hold(message @ (HoldMsg::PeerAsk { .. } | HoldMsg::PeerReceipt { .. })) => {
-                self.follow(n, FollowerInput::Peer { from, message })
-            }
+            Message::Hold(message) if message.is_from_peer() => self.follow(n, FollowerInput::Peer { from, message }),
             Message::Hold(message @ (HoldMsg::EnterReceipt { .. } | HoldMsg::ReadReceipt { .. })) => {
                 self.turn(n, Turn::Home(HomeInput::Ledger { message }))
             }
--- a/crates/traffic/src/control_loop.rs
+++ b/crates/traffic/src/control_loop.rs
@@ -15,7 +15,9 @@
 use tokio::sync::{oneshot, watch};
 use wire::{HoldMsg, Message, NodeId};
 
+/// Ticks come when something is due, no closer together than the first and no further apart than the other.
 const TICK: Duration = Duration::from_millis(10);
+const TICK_IDLE: Duration = Duration::from_millis(250);
 const LASTED: Duration = Duration::from_millis(400);
 const NEAR: Duration = Duration::from_millis(2500);
 const LAST_CALLS: Duration = Duration::from_millis(700);
@@ -48,13 +50,13 @@
 impl Control {
     pub async fn run(mut self, mut inbox: Inbox<ControlMsg>, stop: watch::Sender<bool>) {
         self.dial();
-        let mut ticks = tokio::time::interval(TICK);
-        ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+        let mut ticked = Instant::now();
         let mut leaving: Option<(Instant, oneshot::Receiver<()>)> = None;
         loop {
             tokio::select! {
                 biased;
-                _ = ticks.tick() => {
+                _ = tokio::time::sleep_until(self.wake(ticked, leaving.is_some()).into()) => {
+                    ticked = Instant::now();
                     self.feed(FollowerInput::Tick);
                     self.tell_core();
                     self.tell_standing();
@@ -87,6 +89,12 @@
         }
     }
 
+    fn wake(&self, ticked: Instant, leaving: bool) -> Instant {
+        let soon = leaving || self.standing != self.standing_told;
+        let due = if soon { ticked + TICK * 2 } else { self.begun + self.follower.due() };
+        due.clamp(ticked + TICK, ticked + TICK_IDLE)
+    }
+
     fn follow_seeds(&mut self, told: Result<Vec<String>, String>) {
         match told {
             Ok(seeds) => {
@@ -106,7 +114,7 @@
     fn link_event(&mut self, event: LinkEvent) {
         match event {
             LinkEvent::Frame { from, message: Message::Hold(message), .. } => {
-                let peer = matches!(message, HoldMsg::PeerAsk { .. } | HoldMsg::PeerReceipt { .. });
+                let peer = message.is_from_peer();
                 if peer {
                     return self.feed(FollowerInput::Peer { from, message });
                 }
--- a/crates/wire/src/hold.rs
+++ b/crates/wire/src/hold.rs
@@ -67,6 +67,12 @@
     /// Asks for the part at an offset; number 0 for whichever step is active.
     #[deku(id = "21")]
     PartAsk { ask: u64, whole: u8, number: u64, offset: u32 },
+    /// Asks a peer to ask a majority of the quorum of the active step.
+    #[deku(id = "23")]
+    PeerCollect { ask: u64, active: u64 },
+    /// A majority of that step's quorum held nothing newer, asked after the ask.
+    #[deku(id = "24")]
+    PeerMajority { ask: u64, active: u64 },
     /// What differs in the roster from the one under an earlier number, packed; from none where it is 0.
     #[deku(id = "22")]
     RosterChange { since: u64, number: u64, size: u32, body: Blob },
@@ -74,3 +80,11 @@
     #[deku(id = "30")]
     Enrol { address: Text, zone: Text, ops: Text, hashing: u8, capacity: Capacity },
 }
+
+impl HoldMsg {
+    /// Said among routers, not by a registry.
+    pub fn is_from_peer(&self) -> bool {
+        use HoldMsg::{PeerAsk, PeerCollect, PeerMajority, PeerReceipt};
+        matches!(self, PeerAsk { .. } | PeerReceipt { .. } | PeerCollect { .. } | PeerMajority { .. })
+    }
+}
--- a/crates/wire/src/spoken.rs
+++ b/crates/wire/src/spoken.rs
@@ -18,7 +18,13 @@
         Message::Hold(HoldMsg::PartAsk { ask, whole, offset: 0, .. }) if whole != 0 => {
             Message::Hold(HoldMsg::FetchAll { ask, from: Text::default() })
         }
-        Message::Hold(HoldMsg::PartAsk { .. } | HoldMsg::Part { .. } | HoldMsg::RosterChange { .. }) => return None,
+        Message::Hold(
+            HoldMsg::PartAsk { .. }
+            | HoldMsg::Part { .. }
+            | HoldMsg::RosterChange { .. }
+            | HoldMsg::PeerCollect { .. }
+            | HoldMsg::PeerMajority { .. },
+        ) => return None,
         message => message,
     };
     let message = match message {
