Leave a book as it is under a step that changes none; look seldom while nothing waits

Ruled out: an incremental book, since revisions are few and the cost was in steps that change nothing. Change: such a step is told alone; declared resources and views are kept only where tokens are; sleeping functions are left out of the status page; the plane looks ten times a second while nothing waits.

--- a/crates/bindings/src/book.rs
+++ b/crates/bindings/src/book.rs
@@ -66,7 +66,6 @@
         let mut bindings: BTreeMap<String, FunctionBinding> = BTreeMap::new();
         for (key, value) in pairs {
             let Some((kind, name)) = key.split_once('/') else { continue };
-            book.raw.insert(key.to_owned(), value.to_vec());
             match Kind::from_word(kind) {
                 Some(Kind::FunctionBinding) => put(&mut bindings, name, value),
                 Some(Kind::WeightSheet) => put(&mut read.sheets, name, value),
@@ -98,6 +97,12 @@
         book
     }
 
+    /// Keeps the resources as they were declared as well, for those who are to show them.
+    pub fn showing<'a>(mut self, pairs: impl Iterator<Item = (&'a str, &'a [u8])>) -> Book {
+        self.raw = pairs.map(|(key, value)| (key.to_owned(), value.to_vec())).collect();
+        self
+    }
+
     fn bind(&mut self, read: &Read, name: String, binding: &FunctionBinding) {
         if binding.class == Class::Deferred {
             self.deferred.insert(name.clone());
@@ -135,7 +140,7 @@
     pub fn bounds(&self) -> Option<&CallerBounds> {
         self.bounds.as_ref()
     }
-    /// The resources as they were declared, by kind/tenant/name.
+    /// The resources as they were declared, where they are kept, by kind/tenant/name.
     pub fn declared(&self) -> impl Iterator<Item = (&str, &[u8])> {
         self.raw.iter().map(|(key, value)| (key.as_str(), value.as_slice()))
     }
--- a/crates/doors/src/tokens.rs
+++ b/crates/doors/src/tokens.rs
@@ -38,6 +38,11 @@
         Tokens { list: split.map(|(tenant, secret)| (Sha256::digest(secret).into(), tenant.to_owned())).collect() }
     }
 
+    /// Without any, nobody can read a view.
+    pub fn is_empty(&self) -> bool {
+        self.list.is_empty()
+    }
+
     /// The tokens given as a setting and those of a file, one to a line; blank lines and those that
     /// begin with `#` are passed over. A fault never tells a secret.
     pub fn read(given: &[String], file: &Path) -> Result<Tokens, TokensFault> {
--- a/crates/traffic/src/control_loop.rs
+++ b/crates/traffic/src/control_loop.rs
@@ -9,7 +9,6 @@
 use holds::{Follower, FollowerInput, FollowerOutput, Standing};
 use kernel::{Inbox, Post};
 use links::{LinkEvent, LinkOrder};
-use serde_json::json;
 use std::collections::BTreeSet;
 use std::time::{Duration, Instant};
 use tokio::sync::{oneshot, watch};
@@ -45,6 +44,10 @@
     pub stood_at: Instant,
     pub view: watch::Sender<String>,
     pub grace: Duration,
+    /// The revision of the book that traffic has.
+    pub booked: Option<u64>,
+    /// Whether somebody may read views of what was declared.
+    pub viewed: bool,
 }
 
 impl Control {
@@ -149,8 +152,14 @@
                 FollowerOutput::ToPeer { to, message } => self.send(to, message),
                 FollowerOutput::Activated { step, revision } => {
                     event!(step_activated, "step {step} revision {revision}");
-                    let book = Book::build(step, revision, self.follower.pairs());
-                    self.tell(TrafficMsg::Book(Box::new(book)));
+                    if self.booked == Some(revision) {
+                        self.tell(TrafficMsg::Step(step));
+                    } else {
+                        self.booked = Some(revision);
+                        let book = Book::build(step, revision, self.follower.pairs());
+                        let book = if self.viewed { book.showing(self.follower.pairs()) } else { book };
+                        self.tell(TrafficMsg::Book(Box::new(book)));
+                    }
                     self.show();
                 }
                 FollowerOutput::Rostered { .. } => {
@@ -222,25 +231,4 @@
             }
         }
     }
-
-    fn show(&self) {
-        let roster = self.follower.roster();
-        let members: Vec<_> = roster
-            .members
-            .iter()
-            .map(|line| json!({"id": format!("{:016x}", line.id), "address": line.address.as_str(), "zone": line.zone.as_str(), "leaving": line.leaving != 0}))
-            .collect();
-        let page = json!({
-            "program": "router", "id": format!("{:016x}", self.follower.me()),
-            "revision": self.follower.revision(), "step": self.follower.step_number(),
-            "staged": self.follower.staged_number(), "roster": roster.number, "members": members,
-            "standing": format!("{:?}", self.standing), "tail": self.follower.tail().map(|id| format!("{id:016x}")),
-        });
-        self.view.send_if_modified(|old| {
-            let text = page.to_string();
-            let differs = *old != text;
-            *old = text;
-            differs
-        });
-    }
 }
--- a/crates/traffic/src/home.rs
+++ b/crates/traffic/src/home.rs
@@ -150,6 +150,11 @@
         self.tasks.values().all(|task| !task.caller) && self.running.is_empty() && self.asks.is_empty()
     }
 
+    /// Whether some task waits here for anything but the answer of the instance it was sent to.
+    pub fn waits(&self) -> bool {
+        self.tasks.len() > self.running.len() || !self.asks.is_empty()
+    }
+
     pub(crate) fn number(&mut self) -> u64 {
         self.next += 1;
         self.next
--- a/crates/traffic/src/plane.rs
+++ b/crates/traffic/src/plane.rs
@@ -21,20 +21,36 @@
 use wire::{CarryMsg, DeferredRecord, HoldMsg, Message, NodeId, StoredAnswer};
 
 const TICK: Duration = Duration::from_millis(20);
+/// Between two looks while nothing waits here; what comes in is worked at once all the same.
+const CALM_TICK: Duration = Duration::from_millis(100);
 const SHOW: Duration = Duration::from_millis(500);
 const STATUS_BIT: u64 = 1 << 62;
 
 pub enum TrafficMsg {
-    Task { call: Call, reply: oneshot::Sender<Reply> },
-    Status { id: String, reply: oneshot::Sender<Reply> },
+    Task {
+        call: Call,
+        reply: oneshot::Sender<Reply>,
+    },
+    Status {
+        id: String,
+        reply: oneshot::Sender<Reply>,
+    },
     Link(LinkEvent),
     Dispatcher(DispatchReport),
     Platform(SupplyReport),
     Book(Box<Book>),
+    /// A later step under which the book stays as it is.
+    Step(u64),
     Roster(Box<Roster>),
-    Core { tail: Option<NodeId>, near: bool, registries: Vec<NodeId> },
+    Core {
+        tail: Option<NodeId>,
+        near: bool,
+        registries: Vec<NodeId>,
+    },
     Lapsed,
-    Leave { done: oneshot::Sender<()> },
+    Leave {
+        done: oneshot::Sender<()>,
+    },
 }
 
 pub struct Plane {
@@ -48,7 +64,8 @@
     pub platform: Post<SupplyOrder>,
     pub view: watch::Sender<String>,
     pub limits: (CallerLimits, watch::Sender<CallerLimits>),
-    pub shelving: Shelving,
+    /// Kept where somebody may read it.
+    pub shelving: Option<Shelving>,
     pub step: u64,
     pub tail: Option<NodeId>,
     pub registries: Vec<NodeId>,
@@ -75,13 +92,14 @@
 
 impl Plane {
     pub async fn run(mut self, mut inbox: Inbox<TrafficMsg>) {
-        let mut ticks = tokio::time::interval(TICK);
-        ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+        let tick = tokio::time::sleep(TICK);
+        tokio::pin!(tick);
+        let mut calm = false;
         let mut shown = Instant::now();
         loop {
             tokio::select! {
                 biased;
-                _ = ticks.tick() => {
+                () = &mut tick => {
                     self.turn(Turn::Front(FrontInput::Tick));
                     self.turn(Turn::Home(HomeInput::Tick));
                     let now = self.begun.elapsed();
@@ -90,9 +108,17 @@
                         && let Some(done) = self.done.take() {
                         let _ = done.send(());
                     }
+                    calm = self.done.is_none() && !self.front.waits() && !self.home.waits();
+                    tick.as_mut().reset(tokio::time::Instant::now() + if calm { CALM_TICK } else { TICK });
                 }
                 message = inbox.next() => match message {
-                    Some(message) => self.take(message),
+                    Some(message) => {
+                        self.take(message);
+                        if calm && (self.front.waits() || self.home.waits()) {
+                            calm = false;
+                            tick.as_mut().reset(tokio::time::Instant::now() + TICK);
+                        }
+                    }
                     None => return,
                 },
             }
@@ -104,7 +130,9 @@
                 status["outcomes"] = serde_json::json!(self.counts);
                 status["inbox"] = inbox.depth().into();
                 self.view.send_replace(status.to_string());
-                self.shelving.show(&self.home);
+                if let Some(shelving) = &mut self.shelving {
+                    shelving.show(&self.home);
+                }
             }
         }
     }
@@ -154,12 +182,15 @@
             TrafficMsg::Book(book) => {
                 self.step = book.step;
                 let book = Rc::new(*book);
-                self.shelving.book(book.clone());
+                if let Some(shelving) = &mut self.shelving {
+                    shelving.book(book.clone());
+                }
                 let (own, limits) = &self.limits;
                 limits.send_replace(own.within(book.bounds()));
                 self.turn(Turn::Home(HomeInput::Book { book: book.clone() }));
                 self.turn(Turn::Front(FrontInput::Book { book }));
             }
+            TrafficMsg::Step(step) => self.step = step,
             TrafficMsg::Roster(roster) => {
                 let roster = Rc::new(*roster);
                 self.turn(Turn::Home(HomeInput::Roster { roster: roster.clone() }));
--- a/crates/traffic/src/service.rs
+++ b/crates/traffic/src/service.rs
@@ -55,6 +55,7 @@
     let (view, shown) = watch::channel(String::from("{}"));
     let (control_view, control_shown) = watch::channel(String::from("{}"));
     let tokens = Tokens::read(&settings.tokens, &settings.tokens_file)?;
+    let viewed = !tokens.is_empty();
     let (shelf, shelved) = watch::channel(Shelf::new(incarnation));
     let (stop, stopping) = watch::channel(false);
     let pass = PassCell::default();
@@ -103,7 +104,7 @@
             platform: find(&names, "platform"),
             view,
             limits: (own_limits, bounds),
-            shelving: Shelving::new(shelf),
+            shelving: viewed.then(|| Shelving::new(shelf)),
             step: 0,
             tail: None,
             registries: Vec::new(),
@@ -154,6 +155,8 @@
         stood_at: begun,
         view: control_view,
         grace: settings.grace,
+        booked: None,
+        viewed,
     };
     let post = find::<ControlMsg>(&directory, "control");
     local(async move {
--- a/crates/traffic/src/status.rs
+++ b/crates/traffic/src/status.rs
@@ -46,6 +46,9 @@
         let mut functions = serde_json::Map::new();
         for (name, desk) in &mut self.desks {
             let (requests, seconds) = desk.budget.counts(now);
+            if !desk.is_awake() && (requests, seconds) == (0, 0) && desk.adopting.is_none() && desk.leaving.is_none() {
+                continue;
+            }
             functions.insert(
                 name.clone(),
                 json!({
