Beat only fronts whose tasks a home has

Cause: 79 fronts carrying 2.5 tasks a second to each of six homes were beaten for three seconds after each. Change: a home beats fronts whose tasks are open there; a front takes a home as silent that was not heard for 350 ms since the first carry after it was last heard, and goes on as soon as it hears it.

--- a/crates/traffic/src/home.rs
+++ b/crates/traffic/src/home.rs
@@ -40,7 +40,6 @@
     pub(crate) gave_way: Duration,
     pub(crate) tuned: (u64, Vec<TunedLine>),
     pub(crate) beaten: Duration,
-    pub(crate) fronts: BTreeMap<NodeId, Duration>,
     pub(crate) kept_at: Duration,
     pub(crate) kept: BTreeMap<String, Kept>,
     pub(crate) no_growth: Duration,
@@ -80,7 +79,6 @@
             gave_way: Duration::ZERO,
             tuned: (0, Vec::new()),
             beaten: Duration::ZERO,
-            fronts: BTreeMap::new(),
             kept_at: Duration::ZERO,
             kept: BTreeMap::new(),
             no_growth: Duration::ZERO,
@@ -97,12 +95,8 @@
         self.now = now;
         self.may_serve = may_serve;
         match input {
-            HomeInput::Carry { from, message: carry @ CarryMsg::Carry { .. } } => {
-                self.fronts.insert(from, now);
-                self.let_in(from, carry)
-            }
+            HomeInput::Carry { from, message: carry @ CarryMsg::Carry { .. } } => self.let_in(from, carry),
             HomeInput::Carry { from, message: CarryMsg::Watch } => {
-                self.fronts.insert(from, now);
                 if may_serve {
                     self.outs.push(HomeOutput::Carry { to: from, message: CarryMsg::Beat });
                 }
--- a/crates/traffic/src/keeping.rs
+++ b/crates/traffic/src/keeping.rs
@@ -7,7 +7,6 @@
 use crate::home_types::{HomeOutput, HomeTask, Ledger, Place};
 use crate::instance::{Instance, InstanceEvent, Pending, Phase};
 use crate::starting::look_limit;
-use crate::watching::BEATEN;
 use std::collections::BTreeSet;
 use std::time::Duration;
 use wire::{CarryMsg, HomeTable, NodeId, SlotLine, Text};
@@ -60,14 +59,15 @@
         })
     }
 
-    /// Beats to the fronts that carried lately, and to those that count on beats, while this home may serve, and tables to those who keep them.
+    /// Beats to the fronts whose tasks are here, and to those that count on beats, while this home may
+    /// serve, and tables to those who keep them.
     pub(crate) fn keeping_pass(&mut self) {
         let now = self.now;
         if self.may_serve && now >= self.beaten + BEAT {
             self.beaten = now;
-            self.fronts.retain(|_, at| now < *at + BEATEN);
             let older = self.roster.members.iter().filter(|line| line.hashing < 2).map(|line| line.id);
-            let fronts: BTreeSet<NodeId> = self.fronts.keys().copied().chain(older).collect();
+            let waiting = self.tasks.values().filter(|task| task.caller).map(|task| task.id.from);
+            let fronts: BTreeSet<NodeId> = waiting.chain(older).collect();
             let others = fronts.into_iter().filter(|id| *id != self.me);
             self.outs.extend(others.map(|to| HomeOutput::Carry { to, message: CarryMsg::Beat }));
         }
--- a/crates/traffic/src/watching.rs
+++ b/crates/traffic/src/watching.rs
@@ -1,32 +1,29 @@
-//! Whether a home is there to be carried to. A home beats the fronts that carried to it lately, and any
-//! frame of its counts as a beat. One that nobody beat lately is good until it has been silent for a
-//! while after a carry; one found silent, or not linked yet, is asked to beat until it is heard.
+//! Whether a home is there to be carried to. While a home has tasks of a front it beats that front, and
+//! any frame of its counts as a beat; so one not heard for a while since a carry is silent. Nothing
+//! more is carried there, and it is asked to beat, as is one not linked yet, until it is heard.
 
 use crate::front::Front;
 use crate::front_types::{FrontOutput, Stage};
 use std::time::Duration;
 use wire::{CarryMsg, NodeId};
 
-/// A home not heard for so long is carried nothing more, so that only what it had before is in doubt.
+/// A home not heard for so long after a carry is carried nothing more, so that only what it had before
+/// is in doubt.
 const QUIET: Duration = Duration::from_millis(350);
-/// How long after the last carry beats are counted on; homes go on a little longer.
-const COUNTED_ON: Duration = Duration::from_secs(2);
-pub(crate) const BEATEN: Duration = Duration::from_secs(3);
 const ASK_AGAIN: Duration = Duration::from_millis(100);
 
 #[derive(Clone, Copy, Default)]
 pub(crate) struct Watched {
-    heard: Duration,
-    carried: Option<Duration>,
-    silent: bool,
+    /// When it was first carried something since it was last heard.
+    unheard: Option<Duration>,
     asked: Option<Duration>,
 }
 
 impl Front {
     pub(crate) fn heard(&mut self, home: NodeId) {
-        let now = self.now;
-        if let Some(watched) = self.watched.get_mut(&home) {
-            (watched.heard, watched.silent, watched.asked) = (now, false, None);
+        let known = self.watched.get_mut(&home).map(std::mem::take);
+        if known.is_some_and(|watched| watched.asked.is_some()) {
+            self.attempt_waiting(home);
         }
     }
 
@@ -37,13 +34,8 @@
         }
         let (now, linked) = (self.now, self.linked.contains(&home));
         let watched = self.watched.entry(home).or_default();
-        let beaten = watched.carried.is_some_and(|at| now < at + COUNTED_ON);
-        if !beaten && !watched.silent {
-            watched.heard = now;
-        }
-        watched.silent = now > watched.heard + QUIET;
-        if linked && !watched.silent {
-            watched.carried = Some(now);
+        if linked && watched.unheard.is_none_or(|at| now <= at + QUIET) {
+            watched.unheard.get_or_insert(now);
             return true;
         }
         if watched.asked.is_none_or(|at| now >= at + ASK_AGAIN) {
