--- a/crates/chain/src/copy.rs
+++ b/crates/chain/src/copy.rs
@@ -57,6 +57,7 @@
     }
 
     pub(crate) fn on_join_ask(&mut self, seat: Seat, ready: bool, copy: u64) {
+        self.note_newcomer(seat.id);
         let view = self.meta.view.clone();
         if !self.is_current_tail() && self.is_chained() && !view.chain.as_slice().contains(&seat.id) {
             return self.send(seat.id, ChainMsg::Decided { view });
--- a/crates/chain/src/seats.rs
+++ b/crates/chain/src/seats.rs
@@ -5,7 +5,7 @@
 use crate::copy::RETRY;
 use crate::member::Member;
 use std::time::Duration;
-use wire::{Seat, View};
+use wire::{NodeId, Seat, View};
 
 /// More voters make each decision dearer and bear no more than is asked.
 const MOST: usize = 9;
@@ -26,7 +26,7 @@
     }
 
     /// One joins at a time: what another is being served would be lost by serving the next.
-    pub(crate) fn is_bringing_in_other(&self, id: wire::NodeId) -> bool {
+    pub(crate) fn is_bringing_in_other(&self, id: NodeId) -> bool {
         let lately = self.source.as_ref().filter(|source| self.now < source.asked + RETRY * 2);
         let chain = self.meta.view.chain.as_slice();
         self.meta.view.fresh != 0 || lately.is_some_and(|source| source.joiner != id && !chain.contains(&source.joiner))
@@ -42,9 +42,16 @@
         known.or_else(there).or_else(spare).unwrap_or(voters.len())
     }
 
-    pub(crate) fn has_seat_for(&mut self, seat: &Seat) -> bool {
+    /// Every member notes who asks, so that whoever is the tail by then knows how long it has waited.
+    pub(crate) fn note_newcomer(&mut self, id: NodeId) {
         let now = self.now;
         self.newcomers.retain(|_, (_, last)| now < *last + FORGOTTEN);
+        if self.newcomers.len() < NEWCOMERS || self.newcomers.contains_key(&id) {
+            self.newcomers.entry(id).or_insert((now, now)).1 = now;
+        }
+    }
+
+    pub(crate) fn has_seat_for(&self, seat: &Seat) -> bool {
         let (place, enough) = (self.place_of(seat), self.enough());
         let voters = self.meta.view.voters.as_slice();
         // Its address is another's who is thought to be there: that one is taken out first.
@@ -53,12 +60,7 @@
             Some(_) => true,
             None if taken || voters.len() >= MOST => false,
             None if voters.len() < enough => true,
-            None if !self.newcomers.contains_key(&seat.id) && self.newcomers.len() >= NEWCOMERS => false,
-            None => {
-                let (first, last) = self.newcomers.entry(seat.id).or_insert((now, now));
-                *last = now;
-                now >= *first + STANDS
-            }
+            None => self.newcomers.get(&seat.id).is_some_and(|(first, _)| self.now >= *first + STANDS),
         }
     }
 
