Read configurations off the registry's control thread; renew proofs and quorums less in large fleets

Cause: a step that came into force held up each registry's control thread for 0.1 to 0.3 s (book, kinds), and with it beats and proofs, also steps of the quorum alone; 79 routers renewed 25 times a second each while a step was staged, and every machine's restart staged one. Change: the optimizer's thread reads the configuration, and puts only what is other on the shelf; a step of the same revision is not read again, by routers neither. Links run on the control thread.

--- a/crates/control/src/control_loop.rs
+++ b/crates/control/src/control_loop.rs
@@ -5,16 +5,14 @@
 use crate::keys;
 use crate::optimizer::OptimizerMsg;
 use crate::service::ControlMsg;
-use bindings::Book;
 use chain::Disk;
-use doors::Shelf;
 use events::event;
 use kernel::{Inbox, Post, wait_for_signal};
 use links::{LinkEvent, LinkOrder};
 use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
 use tokio::sync::{oneshot, watch};
-use wire::{Message, TunedLine, View};
+use wire::{Message, View};
 
 const TICK: Duration = Duration::from_millis(10);
 const LEAVE: Duration = Duration::from_millis(800);
@@ -28,8 +26,8 @@
     pub calls: BTreeMap<u64, oneshot::Sender<ApiReply>>,
     pub next_call: u64,
     pub view: watch::Sender<String>,
-    pub shelf: watch::Sender<Shelf>,
-    pub tuned: (u64, Vec<TunedLine>),
+    /// The revision the optimizer was last told of.
+    pub revision: Option<u64>,
     pub shown: Instant,
     pub seeds: Vec<String>,
     /// Registries that a seed told of while this one is empty.
@@ -82,11 +80,6 @@
                 event!(disk_fault, "{fault}");
                 Some(CoreInput::DiskFault)
             }
-            ControlMsg::Tuned { fence, lines } => {
-                self.tuned = (fence, lines);
-                self.show_kinds();
-                None
-            }
             ControlMsg::Seeds(Ok(seeds)) => {
                 event!(settings_taken, "seeds {}", seeds.join(","));
                 self.seeds = seeds;
@@ -160,27 +153,26 @@
                 CoreOutput::Installed { missed: None } => event!(copy_installed),
                 CoreOutput::Activated { step } => {
                     event!(step_activated, "step {step}");
-                    let prefix = keys::ACTIVE_PAIRS;
-                    let pairs = keys::with_prefix(self.core.state(), prefix).map(|(k, v)| (&k[prefix.len()..], &v[..]));
-                    let book = Box::new(Book::build(step, 0, pairs));
-                    let _ = self.optimizer.send(OptimizerMsg::Book { book });
-                    self.show_kinds();
+                    self.tell_active(step);
                 }
             }
         }
     }
 
-    /// The kinds as this registry holds them, with what is tuned beside what was declared.
-    fn show_kinds(&mut self) {
-        let state = self.core.state();
+    /// A step of the quorum alone changes nothing that is read from the configuration.
+    fn tell_active(&mut self, step: u64) {
+        let (state, prefix) = (self.core.state(), keys::ACTIVE_PAIRS);
         let revision = keys::number(state, keys::ACTIVE_REVISION);
-        let prefix = keys::ACTIVE_PAIRS;
-        let pairs = keys::with_prefix(state, prefix).map(|(key, value)| (&key[prefix.len()..], &value[..]));
-        let items = doors::kinds(pairs, self.tuned.0, &self.tuned.1);
-        self.shelf.send_if_modified(|shelf| {
-            let put = items.iter().fold(false, |any, (key, value)| shelf.put(key, revision, value) || any);
-            shelf.keep_only(revision, |key| items.contains_key(key)) || put
-        });
+        if self.revision == Some(revision) {
+            return;
+        }
+        let pairs =
+            keys::with_prefix(state, prefix).map(|(key, value)| (key[prefix.len()..].to_owned(), value.clone()));
+        let active = OptimizerMsg::Active { step, revision, pairs: pairs.collect() };
+        match self.optimizer.send(active) {
+            Ok(()) => self.revision = Some(revision),
+            Err(_) => event!(inbox_full, "optimizer"),
+        }
     }
 
     fn show(&mut self) {
--- a/crates/control/src/duties.rs
+++ b/crates/control/src/duties.rs
@@ -10,6 +10,8 @@
 use wire::NodeId;
 
 const EVERY: Duration = Duration::from_millis(50);
+/// In a fleet of more, a change of a few machines in the quorum can wait.
+const MANY: usize = 12;
 
 impl Core {
     pub(crate) fn duties(&mut self) {
@@ -69,8 +71,15 @@
         }
         let active = keys::number(self.state(), keys::ACTIVE);
         let latest = keys::number(self.state(), keys::LATEST);
-        let calm = self.now >= self.members_since.1 + self.timing.calm;
-        if calm && active == latest && !members.is_empty() && keys::quorum(self.state(), active) != members {
+        let quorum = keys::quorum(self.state(), active);
+        if active != latest || members.is_empty() || quorum == members {
+            return;
+        }
+        // Each renewal has every router prove itself five times as often for a while.
+        let known = members.iter().filter(|id| quorum.contains(id)).count();
+        let few = known * 4 >= members.len().max(quorum.len()) * 3 && members.len() > MANY;
+        let calm = if few { self.timing.calm * 5 } else { self.timing.calm };
+        if self.now >= self.members_since.1 + calm {
             self.enter_duty(Duty::Quorum, &Command::Quorum { after: latest, members: members.into() });
         }
     }
--- a/crates/control/src/optimizer.rs
+++ b/crates/control/src/optimizer.rs
@@ -1,19 +1,23 @@
 //! The optimizer's thread, which no heartbeat waits for. Every registry keeps the samples, so that a
-//! moved duty has history.
+//! moved duty has history. What a configuration means is read here too, as it takes long where it is large:
+//! the book for plans, and the kinds as they are shown, with what is tuned beside what was declared.
 
 use crate::planner::Planner;
-use crate::service::ControlMsg;
 use bindings::Book;
+use chain::Value;
+use doors::Shelf;
 use events::event;
 use kernel::{Inbox, Post};
 use links::LinkOrder;
 use scaler::Optimizer;
+use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
+use tokio::sync::watch;
 use wire::{Message, NodeId, PlanMsg, View};
 
 pub enum OptimizerMsg {
     Frame { from: NodeId, message: PlanMsg },
-    Book { book: Box<Book> },
+    Active { step: u64, revision: u64, pairs: BTreeMap<String, Value> },
     Viewed { view: View },
 }
 
@@ -24,7 +28,7 @@
     pub fits: f64,
     pub plans: bool,
     pub tuning: bool,
-    pub control: Post<ControlMsg>,
+    pub shelf: watch::Sender<Shelf>,
     pub links: Post<LinkOrder>,
 }
 
@@ -32,10 +36,15 @@
     let begun = Instant::now();
     let mut planner = Planner::new(host.tuning, Optimizer::new(host.step, host.fits));
     let mut told = (0, 0);
+    let mut active = (0, BTreeMap::new());
     while let Some(message) = inbox.next_blocking() {
         match message {
             OptimizerMsg::Viewed { view } => planner.viewed(view),
-            OptimizerMsg::Book { book } => planner.book(&book),
+            OptimizerMsg::Active { step, revision, pairs } => {
+                planner.book(&Book::build(step, revision, pairs.iter().map(|(key, raw)| (key.as_str(), &raw[..]))));
+                let before = std::mem::replace(&mut active, (revision, pairs)).1;
+                show(&host.shelf, &active, &before, &planner);
+            }
             OptimizerMsg::Frame { message: PlanMsg::Ask { .. }, .. } if !host.plans => {}
             OptimizerMsg::Frame { from, message } => {
                 let tunes = matches!(message, PlanMsg::Measures { .. } | PlanMsg::Tuned { .. });
@@ -51,9 +60,27 @@
                 let (fence, lines) = planner.in_force();
                 if tunes && (!lines.is_empty() || told != (fence, lines.len())) {
                     told = (fence, lines.len());
-                    host.control.send_blocking(ControlMsg::Tuned { fence, lines: lines.to_vec() });
+                    show(&host.shelf, &active, &active.1, &planner);
                 }
             }
         }
     }
 }
+
+/// Puts the kinds that are other than before, and those that are tuned, in their place on the shelf.
+fn show(
+    shelf: &watch::Sender<Shelf>,
+    (revision, pairs): &(u64, BTreeMap<String, Value>),
+    before: &BTreeMap<String, Value>,
+    planner: &Planner,
+) {
+    let (fence, tuned) = planner.in_force();
+    let sheets: Vec<String> = tuned.iter().map(|line| format!("weight-sheets/{}", line.function.as_str())).collect();
+    let fresh = |(key, raw): &(&String, &Value)| before.get(*key) != Some(*raw) || sheets.contains(*key);
+    let changed = pairs.iter().filter(fresh).map(|(key, raw)| (key.as_str(), &raw[..]));
+    let items = doors::kinds(changed, fence, tuned);
+    shelf.send_if_modified(|shelf| {
+        let put = items.iter().fold(false, |any, (key, value)| shelf.put(key, *revision, value) || any);
+        shelf.keep_only(*revision, |key| pairs.contains_key(key) || items.contains_key(key)) || put
+    });
+}
--- a/crates/control/src/service.rs
+++ b/crates/control/src/service.rs
@@ -1,4 +1,4 @@
-//! A registry put together: links, disk, API and optimizer on threads of their own, the core on
+//! A registry put together: disk, API and optimizer on threads of their own, the core and its links on
 //! the control thread. Services find each other's inboxes by name.
 
 use crate::api::{self, Api};
@@ -25,13 +25,12 @@
 use std::thread::JoinHandle;
 use std::time::{Duration, Instant};
 use tokio::sync::{oneshot, watch};
-use wire::{Message, Seat, TunedLine};
+use wire::{Message, Seat};
 
 pub enum ControlMsg {
     Link(LinkEvent),
     Written(Result<u64, StoreFault>),
     Call { call: ApiCall, reply: oneshot::Sender<ApiReply> },
-    Tuned { fence: u64, lines: Vec<TunedLine> },
     Seeds(Result<Vec<String>, String>),
     Stop,
 }
@@ -72,7 +71,6 @@
         address: settings.address.clone(),
         format: settings.format,
     };
-    thread("links", move || local(run_links(names, myself, peers, links_inbox)))?;
     let control = find::<ControlMsg>(&directory, "control");
     let tokens = Tokens::read(&settings.tokens, &settings.tokens_file)?;
     let (shelf, shelved) = watch::channel(Shelf::new(incarnation));
@@ -100,7 +98,7 @@
         fits: settings.fits,
         plans: settings.plans,
         tuning: settings.tuning,
-        control: control.clone(),
+        shelf,
         links: find(&directory, "links"),
     };
     thread("optimizer", move || optimizer::run(host, optimizer_inbox))?;
@@ -123,8 +121,7 @@
         calls: BTreeMap::new(),
         next_call: 0,
         view,
-        shelf,
-        tuned: (0, Vec::new()),
+        revision: None,
         shown: Instant::now(),
         seeds: settings.seeds.clone(),
         told: Vec::new(),
@@ -136,6 +133,8 @@
                 post.send_waiting(ControlMsg::Seeds(told)).await;
             }));
         }
+        // On the same thread: between threads each frame costs a wake-up each way.
+        tokio::task::spawn_local(run_links(names, myself, peers, links_inbox));
         work.run(control, control_inbox).await
     });
     let _ = stop.send(true);
--- a/crates/holds/src/follower.rs
+++ b/crates/holds/src/follower.rs
@@ -17,7 +17,9 @@
     pub guard: Duration,
     pub renew: Duration,
     pub renew_guarded: Duration,
-    /// Quorums above this many prove one another through a few who ask for all.
+    /// The same in a fleet that is not small: the tail answers them all.
+    pub renew_guarded_many: Duration,
+    /// Fleets above this many are not small; they prove one another through a few who ask for all.
     pub relay_above: usize,
 }
 
@@ -28,6 +30,7 @@
             guard: Duration::from_millis(200),
             renew: Duration::from_millis(250),
             renew_guarded: Duration::from_millis(40),
+            renew_guarded_many: Duration::from_millis(80),
             relay_above: 12,
         }
     }
--- a/crates/holds/src/ticks.rs
+++ b/crates/holds/src/ticks.rs
@@ -23,6 +23,9 @@
         let heard = self.tail.filter(|(_, heard)| self.now < *heard + self.timing.renew * 2).map(|(id, _)| id);
         match (self.is_guarded(), heard) {
             (false, _) => (heard, self.timing.renew),
+            (true, Some(_)) if self.roster.members.as_slice().len() > self.timing.relay_above => {
+                (heard, self.timing.renew_guarded_many)
+            }
             (true, Some(_)) => (heard, self.timing.renew_guarded),
             (true, None) => (heard, ASK_ALL.min(self.timing.renew)),
         }
--- a/crates/traffic/src/control_loop.rs
+++ b/crates/traffic/src/control_loop.rs
@@ -9,7 +9,6 @@
 use holds::{Follower, FollowerInput, FollowerOutput, Standing};
 use kernel::{Inbox, Post};
 use links::{LinkEvent, LinkOrder};
-use serde_json::json;
 use std::collections::BTreeSet;
 use std::time::{Duration, Instant};
 use tokio::sync::{oneshot, watch};
@@ -45,6 +44,8 @@
     pub stood_at: Instant,
     pub view: watch::Sender<String>,
     pub grace: Duration,
+    /// As it was last told to the traffic thread.
+    pub book: Option<Book>,
 }
 
 impl Control {
@@ -149,7 +150,7 @@
                 FollowerOutput::ToPeer { to, message } => self.send(to, message),
                 FollowerOutput::Activated { step, revision } => {
                     event!(step_activated, "step {step} revision {revision}");
-                    let book = Book::build(step, revision, self.follower.pairs());
+                    let book = self.book_of(step, revision);
                     self.tell(TrafficMsg::Book(Box::new(book)));
                     self.show();
                 }
@@ -174,6 +175,14 @@
         }
     }
 
+    /// A step of the quorum alone changes nothing else: what was read then is as good.
+    fn book_of(&mut self, step: u64, revision: u64) -> Book {
+        let known = self.book.take().filter(|book| book.revision == revision);
+        let mut book = known.unwrap_or_else(|| Book::build(step, revision, self.follower.pairs()));
+        book.step = step;
+        self.book.insert(book).clone()
+    }
+
     /// Tells of a standing once it has lasted; each step in force loses the proof for a moment.
     fn tell_standing(&mut self) {
         if self.standing == self.standing_told || self.stood_at.elapsed() < LASTED {
@@ -222,25 +231,4 @@
             }
         }
     }
-
-    fn show(&self) {
-        let roster = self.follower.roster();
-        let members: Vec<_> = roster
-            .members
-            .iter()
-            .map(|line| json!({"id": format!("{:016x}", line.id), "address": line.address.as_str(), "zone": line.zone.as_str(), "leaving": line.leaving != 0}))
-            .collect();
-        let page = json!({
-            "program": "router", "id": format!("{:016x}", self.follower.me()),
-            "revision": self.follower.revision(), "step": self.follower.step_number(),
-            "staged": self.follower.staged_number(), "roster": roster.number, "members": members,
-            "standing": format!("{:?}", self.standing), "tail": self.follower.tail().map(|id| format!("{id:016x}")),
-        });
-        self.view.send_if_modified(|old| {
-            let text = page.to_string();
-            let differs = *old != text;
-            *old = text;
-            differs
-        });
-    }
 }
--- a/crates/traffic/src/lib.rs
+++ b/crates/traffic/src/lib.rs
@@ -7,6 +7,7 @@
 mod budget;
 mod caller_limits;
 mod control_loop;
+mod control_view;
 mod desk;
 mod dialect;
 mod door;
--- a/crates/traffic/src/service.rs
+++ b/crates/traffic/src/service.rs
@@ -154,6 +154,7 @@
         stood_at: begun,
         view: control_view,
         grace: settings.grace,
+        book: None,
     };
     let post = find::<ControlMsg>(&directory, "control");
     local(async move {
