--- a/crates/traffic/src/control_view.rs
+++ b/crates/traffic/src/control_view.rs
@@ -1,4 +1,4 @@
-//! What the control thread shows of itself on the operations port.
+//! The page on which a router shows what it holds of the configuration and the roster.
 
 use crate::control_loop::Control;
 use serde_json::json;
@@ -6,9 +6,8 @@
 impl Control {
     pub(crate) fn show(&self) {
         let roster = self.follower.roster();
-        let members: Vec<_> = roster
-            .members
-            .iter()
+        let members = roster.members.iter();
+        let members: Vec<_> = members
             .map(|line| json!({"id": format!("{:016x}", line.id), "address": line.address.as_str(), "zone": line.zone.as_str(), "leaving": line.leaving != 0}))
             .collect();
         let page = json!({
