--- a/crates/scaler/src/player.rs
+++ b/crates/scaler/src/player.rs
@@ -1,6 +1,6 @@
 //! The serving side of one function: plays desired[elapsed / step], asks again when the plan has
-//! run out, retries once, and on failure holds the count or starts one under demand. Two small
-//! exceptions: held tasks with nothing running or starting start one at once, which is
+//! run out, retries once, and on failure holds the count or starts one under demand. Three small
+//! exceptions: a plan meets live load by not being played below what that takes; held tasks with nothing running or starting start one at once, which is
 //! kept while they wait, and held tasks
 //! beyond what the played step can serve ask for a new plan early, at most once a second.
 
@@ -36,6 +36,8 @@
     pub max: u32,
     pub fixed: Option<u32>,
     pub may_ask: bool,
+    /// How many the load just now takes; a plan made of older samples is not played below it.
+    pub live: u32,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -79,7 +81,7 @@
 
     /// Says what the count should be now, and whether a plan is to be asked for under `ask`.
     pub fn step(&mut self, now: Duration, ask: u64, situation: Situation, timing: &PlayerTiming) -> Verdict {
-        let Situation { running, starting, held, in_flight, capacity, min, max, fixed, may_ask } = situation;
+        let Situation { running, starting, held, in_flight, capacity, min, max, fixed, may_ask, live } = situation;
         if let Some(count) = fixed {
             return Verdict { desired: count, ask: false };
         }
@@ -111,7 +113,7 @@
         let demand = held + in_flight > 0;
         let desired = played.unwrap_or_else(|| fallback(count, demand, min, max));
         let woken = if held > 0 { desired.max(1) } else { desired };
-        Verdict { desired: woken.clamp(min.min(max), max), ask: asks }
+        Verdict { desired: woken.max(live).clamp(min.min(max), max), ask: asks }
     }
 
     /// Takes a plan asked for under `ask`, unless a later host has already been heard.
--- a/crates/traffic/src/desk.rs
+++ b/crates/traffic/src/desk.rs
@@ -3,6 +3,7 @@
 use crate::allowances::Allowances;
 use crate::budget::Budget;
 use crate::instance::{Instance, Phase};
+use crate::load::Load;
 use crate::risk::Risk;
 use bindings::Function;
 use scaler::Player;
@@ -26,6 +27,7 @@
     pub begun: Option<BTreeSet<String>>,
     pub leaving: Option<(NodeId, Duration)>,
     pub arrivals: u32,
+    pub load: Load,
     pub answered: u32,
     pub answer_time: Duration,
     pub mean_time: Duration,
@@ -66,6 +68,7 @@
             begun: None,
             leaving: None,
             arrivals: 0,
+            load: Load::default(),
             answered: 0,
             answer_time: Duration::ZERO,
             mean_time: Duration::ZERO,
--- a/crates/traffic/src/estimate.rs
+++ b/crates/traffic/src/estimate.rs
@@ -24,7 +24,7 @@
     }
 
     /// What an answer takes; before the first one, a part of the aim.
-    fn answer_mean(&self) -> Duration {
+    pub fn answer_mean(&self) -> Duration {
         let guess = || self.function.aim.map_or(Duration::ZERO, |aim| aim / 4);
         if self.mean_time.is_zero() { guess() } else { self.mean_time }
     }
--- a/crates/traffic/src/lib.rs
+++ b/crates/traffic/src/lib.rs
@@ -26,6 +26,7 @@
 mod keeping;
 mod ledger;
 mod letting_in;
+mod load;
 mod ops;
 mod pass_cell;
 mod passes;
--- a/crates/traffic/src/scale.rs
+++ b/crates/traffic/src/scale.rs
@@ -59,6 +59,7 @@
                 continue;
             }
             desk.grow_back(now);
+            desk.load.pass(now, desk.arrivals);
             let (ready, starting) = (desk.count(Phase::Ready), desk.count(Phase::Starting));
             let held =
                 desk.held.iter().filter(|n| self.tasks.get(n).is_some_and(|t| now >= t.not_before)).count() as u32;
@@ -72,6 +73,7 @@
                 max: desk.function.max,
                 fixed: desk.function.fixed,
                 may_ask: asks_left > 0,
+                live: desk.live(),
             };
             let before = desk.player.fallbacks;
             let verdict = desk.player.step(now, ask, situation, &self.timing.player);
