Meet live load at once, and take nothing back sooner than a start takes

A plan is made of samples of whole seconds and played for four; three-sample means see a third of a crowd. And each swing of the plan took instances back while they were still starting, to start them again a moment later.

Change: a plan is not played below what the arrivals of the last second and the tasks held take, and an instance is taken back only once fewer were wanted for as long as a start takes.

--- a/crates/traffic/src/desk.rs
+++ b/crates/traffic/src/desk.rs
@@ -3,7 +3,7 @@
 use crate::allowances::Allowances;
 use crate::budget::Budget;
 use crate::instance::{Instance, Phase};
-use crate::load::Load;
+use crate::load::{Load, Peak};
 use crate::risk::Risk;
 use bindings::Function;
 use scaler::Player;
@@ -28,6 +28,7 @@
     pub leaving: Option<(NodeId, Duration)>,
     pub arrivals: u32,
     pub load: Load,
+    pub peak: Peak,
     pub answered: u32,
     pub answer_time: Duration,
     pub mean_time: Duration,
@@ -69,6 +70,7 @@
             leaving: None,
             arrivals: 0,
             load: Load::default(),
+            peak: Peak::default(),
             answered: 0,
             answer_time: Duration::ZERO,
             mean_time: Duration::ZERO,
--- a/crates/traffic/src/scale.rs
+++ b/crates/traffic/src/scale.rs
@@ -73,7 +73,7 @@
                 max: desk.function.max,
                 fixed: desk.function.fixed,
                 may_ask: asks_left > 0,
-                live: desk.live(),
+                live: desk.live(now),
             };
             let before = desk.player.fallbacks;
             let verdict = desk.player.step(now, ask, situation, &self.timing.player);
@@ -94,13 +94,14 @@
                 self.outs.push(HomeOutput::PlanAsk { message });
             }
             let count = ready + starting;
+            let kept = desk.peak.pass(now, desk.desired, desk.function.boot);
             let willing = now >= desk.refused_until && (held > 0 || now >= desk.holds_back);
             let may_grow = count == 0 || now >= self.no_growth;
             if desk.desired > count && willing && may_grow {
                 let waking = held > 0 && count == 0;
                 wanting.push((waking, desk.function.player_weight, desk.desired - count, name));
-            } else if desk.desired < count {
-                self.drain(&name, count - self.desks[&name].desired);
+            } else if kept < count {
+                self.drain(&name, count - kept);
             }
         }
         self.stop_drained();
