--- a/crates/traffic/src/handover.rs
+++ b/crates/traffic/src/handover.rs
@@ -12,7 +12,7 @@
 use wire::CarryMsg;
 
 const REPEAT: Duration = Duration::from_millis(200);
-const FOREIGN_ON_CRASH: Duration = Duration::from_millis(1000);
+const FOREIGN_ON_CRASH: Duration = Duration::from_millis(400);
 
 impl Home {
     /// Opens and closes desks so that they are those of the book's functions homed here.
@@ -111,7 +111,7 @@
             {
                 desk.adopting = None;
                 for instance in desk.instances.values_mut() {
-                    instance.allowed = 1;
+                    instance.allowed = (desk.function.instance_limit / 2).max(1);
                     instance.allowed_at = now;
                     instance.foreign = 1;
                     instance.foreign_until = now + FOREIGN_ON_CRASH / 2;
