--- a/crates/traffic/src/desk.rs
+++ b/crates/traffic/src/desk.rs
@@ -3,7 +3,7 @@
 use crate::allowances::Allowances;
 use crate::budget::Budget;
 use crate::instance::{Instance, Phase};
-use crate::load::{Load, Peak};
+use crate::load::{Load, Peak, Usual};
 use crate::risk::Risk;
 use bindings::Function;
 use scaler::Player;
@@ -29,6 +29,7 @@
     pub arrivals: u32,
     pub load: Load,
     pub peak: Peak,
+    pub usual: Usual,
     pub answered: u32,
     pub answer_time: Duration,
     pub mean_time: Duration,
@@ -71,6 +72,7 @@
             arrivals: 0,
             load: Load::default(),
             peak: Peak::default(),
+            usual: Usual::default(),
             answered: 0,
             answer_time: Duration::ZERO,
             mean_time: Duration::ZERO,
@@ -119,7 +121,7 @@
 
     pub fn took(&mut self, time: Duration) {
         self.answered += 1;
-        self.answer_time += time;
+        self.answer_time += self.usual.bound(time);
         self.mean_time = if self.mean_time.is_zero() { time } else { (self.mean_time * 7 + time) / 8 };
     }
 
--- a/crates/traffic/src/load.rs
+++ b/crates/traffic/src/load.rs
@@ -2,10 +2,14 @@
 //! slots that it keeps in use. A plan is made of whole samples and lags behind a crowd by some of them.
 
 use crate::desk::Desk;
+use crate::instance::Phase;
 use std::collections::VecDeque;
 use std::time::Duration;
 
 const KEPT: Duration = Duration::from_secs(1);
+/// How far the usual time follows in one pass, ten to a second.
+const RISE: f64 = 1.02;
+const FALL: f64 = 0.9;
 const LEAST: Duration = Duration::from_millis(300);
 
 /// Arrivals by the pass that counted them.
@@ -54,13 +58,33 @@
     }
 }
 
+/// What an answer takes when nothing is wrong. It follows the mean of late slowly upwards: tasks that
+/// stand still because something they call is away would else call for instances without end.
+#[derive(Default)]
+pub struct Usual {
+    time: Duration,
+}
+
+impl Usual {
+    pub fn pass(&mut self, mean: Duration) {
+        let (least, most) = (self.time.mul_f64(FALL), self.time.mul_f64(RISE));
+        self.time = if self.time.is_zero() { mean } else { mean.clamp(least, most) };
+    }
+
+    /// A time that an answer took, as far as it says what an answer takes.
+    pub fn bound(&self, took: Duration) -> Duration {
+        if self.time.is_zero() { took } else { took.min(self.time * 3) }
+    }
+}
+
 impl Desk {
     /// The instances that the arrivals of the last second and what is held take, if what is held is
-    /// to be worked off within a second.
+    /// to be worked off within a second; no more than twice what is ready, until that is.
     pub fn live(&self, now: Duration) -> u32 {
-        let mean = self.answer_mean().as_secs_f64();
+        let mean = if self.usual.time.is_zero() { self.answer_mean() } else { self.usual.time };
         let tasks = self.load.rate(now) + self.held.len() as f64;
-        let slots = tasks * mean;
-        if tasks == 0.0 { 0 } else { (slots / self.capacity()).ceil() as u32 }
+        let wanted = (tasks * mean.as_secs_f64() / self.capacity()).ceil() as u32;
+        let most = self.count(Phase::Ready).max(1) * 2;
+        if tasks == 0.0 { 0 } else { wanted.min(most) }
     }
 }
--- a/crates/traffic/src/scale.rs
+++ b/crates/traffic/src/scale.rs
@@ -60,6 +60,7 @@
             }
             desk.grow_back(now);
             desk.load.pass(now, desk.arrivals);
+            desk.usual.pass(desk.mean_time);
             let (ready, starting) = (desk.count(Phase::Ready), desk.count(Phase::Starting));
             let held =
                 desk.held.iter().filter(|n| self.tasks.get(n).is_some_and(|t| now >= t.not_before)).count() as u32;
