--- a/crates/dispatch/src/connection.rs
+++ b/crates/dispatch/src/connection.rs
@@ -12,6 +12,8 @@
 use tokio::time::timeout;
 
 /// How long bytes after an answer are waited for, where no id tells whose they are.
+/// An instance whose machine is gone or cut off says nothing, and was not heard to have taken the task.
+const PATIENCE: Duration = Duration::from_millis(2000);
 const AFTER: Duration = Duration::from_millis(40);
 const READ: usize = 8 * 1024;
 
@@ -62,6 +64,7 @@
     pub async fn open(address: &str, open: Open) -> io::Result<Connection> {
         let stream = TcpStream::connect(address).await?;
         stream.set_nodelay(true)?;
+        kernel::give_up_after(&stream, PATIENCE)?;
         Ok(Connection { stream, open, used: Instant::now() })
     }
 
--- a/crates/links/src/service.rs
+++ b/crates/links/src/service.rs
@@ -20,7 +20,7 @@
 
 const CONNECTIONS: usize = 1024;
 const PAUSE_MAX_MS: u64 = 800;
-const CONNECT: Duration = Duration::from_secs(2);
+const CONNECT: Duration = Duration::from_millis(900);
 
 pub type Deliver = Rc<dyn Fn(LinkEvent) -> Pin<Box<dyn Future<Output = ()>>>>;
 
--- a/crates/links/src/stream.rs
+++ b/crates/links/src/stream.rs
@@ -12,6 +12,8 @@
 use wire::{Frame, FrameFault, Message, spoken};
 
 const GREETING: Duration = Duration::from_secs(3);
+/// Beats and proofs go over a link in use several times in this time.
+const PATIENCE: Duration = Duration::from_millis(1500);
 const QUIET: Duration = Duration::from_secs(4);
 const SILENT: Duration = Duration::from_secs(13);
 const WRITE: Duration = Duration::from_secs(5);
@@ -33,6 +35,7 @@
 
 pub async fn run(inner: Rc<Inner>, stream: TcpStream, dialled: Option<String>) -> Result<(), FrameFault> {
     stream.set_nodelay(true)?;
+    kernel::give_up_after(&stream, PATIENCE)?;
     let me = inner.me.clone();
     let (read, write) = stream.into_split();
     let mut read = BufReader::with_capacity(64 * 1024, read);
--- a/crates/traffic/src/load.rs
+++ b/crates/traffic/src/load.rs
@@ -79,12 +79,12 @@
 
 impl Desk {
     /// The instances that the arrivals of the last second and what is held take, if what is held is
-    /// to be worked off within a second; no more than twice what is ready, until that is.
+    /// to be worked off within a second; little more than twice what is ready, until that is.
     pub fn live(&self, now: Duration) -> u32 {
         let mean = if self.usual.time.is_zero() { self.answer_mean() } else { self.usual.time };
         let tasks = self.load.rate(now) + self.held.len() as f64;
         let wanted = (tasks * mean.as_secs_f64() / self.capacity()).ceil() as u32;
-        let most = self.count(Phase::Ready).max(1) * 2;
+        let most = self.count(Phase::Ready) * 2 + 2;
         if tasks == 0.0 { 0 } else { wanted.min(most) }
     }
 }
