--- a/crates/traffic/src/load.rs
+++ b/crates/traffic/src/load.rs
@@ -8,7 +8,7 @@
 
 const KEPT: Duration = Duration::from_secs(1);
 /// How far the usual time follows in one pass, ten to a second.
-const RISE: f64 = 1.02;
+const RISE: f64 = 1.12;
 const FALL: f64 = 0.9;
 const LEAST: Duration = Duration::from_millis(300);
 
