Let the tasks with the least time left go first among those of one rank

Cause: a call made by a running task waited behind tasks that had come after its parent, while its parent kept a slot: in a crowd, slots were full of tasks that waited for slots.

Change: held tasks are ordered by rank, then by when they must be done; a call ends at its parent's deadline, so it goes first. Nothing needs to tell a call from another request.

--- a/crates/traffic/src/holding.rs
+++ b/crates/traffic/src/holding.rs
@@ -1,4 +1,6 @@
-//! Holding tasks until an instance has room, those of lower rank first, and refusing early what
+//! Holding tasks until an instance has room, those of lower rank first and among them those that must
+//! be done soonest: a call by a running task has less time left than what came after that task, and
+//! so what has begun is finished before more is begun. And refusing early what
 //! could not be served while it is worth much, with an estimate of when it could be.
 
 use crate::home::Home;
@@ -19,10 +21,11 @@
         let now = self.now;
         let Some(task) = self.tasks.get_mut(&number) else { return };
         task.place = Place::Held;
-        let (rank, refusable, left) = (task.rank, task.stored.is_none() && !task.reached, task.due.saturating_sub(now));
+        let (order, refusable) = ((task.rank, task.due), task.stored.is_none() && !task.reached);
+        let left = task.due.saturating_sub(now);
         let aim = task.aim.filter(|aim| now <= task.arrived + *aim / EARLY);
         let Some(desk) = self.desks.get_mut(&task.function) else { return };
-        let before = |held: &&u64| self.tasks.get(held).is_some_and(|task| task.rank <= rank);
+        let before = |held: &&u64| self.tasks.get(held).is_some_and(|task| (task.rank, task.due) <= order);
         let ahead = desk.held.iter().take_while(before).count();
         let wait = desk.expected_wait(now, ahead);
         desk.held.insert(ahead, number);
