--- a/crates/traffic/src/load.rs
+++ b/crates/traffic/src/load.rs
@@ -78,6 +78,11 @@
 }
 
 impl Desk {
+    /// What an answer can be expected to take.
+    pub fn expected_time(&self) -> Duration {
+        if self.usual.time.is_zero() { self.answer_mean() } else { self.usual.time.min(self.answer_mean()) }
+    }
+
     /// The instances that the arrivals of the last second and what is held take, if what is held is
     /// to be worked off within a second; little more than twice what is ready, until that is.
     pub fn live(&self, now: Duration) -> u32 {
--- a/crates/traffic/src/passes.rs
+++ b/crates/traffic/src/passes.rs
@@ -13,7 +13,6 @@
         if !self.may_serve {
             return;
         }
-        let now = self.now;
         let names: Vec<String> =
             self.desks.iter().filter(|(_, desk)| !desk.held.is_empty()).map(|(name, _)| name.clone()).collect();
         for name in names {
@@ -24,20 +23,39 @@
             if desk.leaving.is_some() || desk.adopting.is_some() {
                 continue;
             }
-            for number in desk.held.iter().copied().collect::<Vec<u64>>() {
-                let may_go = |task: &&HomeTask| task.place == Place::Held && now >= task.not_before;
-                let Some(desk) = self.desks.get_mut(&name) else { break };
-                let Some(task) = self.tasks.get(&number).filter(may_go) else { continue };
-                if !desk.risk.may_send(now) {
-                    break;
-                }
-                let Some(roomiest) = desk.roomiest(now) else { break };
-                let Some(selected) = other_than(desk, now, &task.avoid, roomiest) else { continue };
+            while let Some((number, selected)) = self.next_to_send(&name) {
                 self.dispatch(number, &name, selected);
             }
         }
     }
 
+    /// The task that goes next and the instance it goes to: first those that can still be answered
+    /// within their aim, since one that is late already loses nothing more until its time runs out.
+    fn next_to_send(&mut self, name: &str) -> Option<(u64, String)> {
+        let now = self.now;
+        let desk = self.desks.get_mut(name)?;
+        if !desk.risk.may_send(now) {
+            return None;
+        }
+        let roomiest = desk.roomiest(now)?;
+        let may_go = |task: &&HomeTask| task.place == Place::Held && now >= task.not_before;
+        let (tasks, expected) = (&self.tasks, desk.expected_time());
+        let mut late = None;
+        for number in &desk.held {
+            let Some(task) = tasks.get(number).filter(may_go) else { continue };
+            let in_aim = task.aim.is_none_or(|aim| now + expected <= task.arrived + aim);
+            if !in_aim && late.is_some() {
+                continue;
+            }
+            let Some(selected) = other_than(desk, now, &task.avoid, roomiest.clone()) else { continue };
+            if in_aim {
+                return Some((*number, selected));
+            }
+            late = Some((*number, selected));
+        }
+        late
+    }
+
     fn dispatch(&mut self, number: u64, name: &str, instance_id: String) {
         let now = self.now;
         let order = self.number();
