Send first what can still meet its aim, and calls of running tasks before it

Cause: in a crowd all that is held grows old together; with the oldest first, each answer is late for as long as the crowd lasts, though one that is late loses nothing more by waiting on.

Ruled out: aims alone.

Change: a task that came with less time than its binding gives, as a call of a running task does, goes first, then those that can meet their aim, then the late; each group by when it must be done.

--- a/crates/traffic/src/home_types.rs
+++ b/crates/traffic/src/home_types.rs
@@ -141,6 +141,8 @@
     pub reached: bool,
     /// Lower goes first.
     pub rank: u32,
+    /// It came with less time than its binding gives: a call of a running task, or a caller's further try.
+    pub inherits: bool,
 }
 
 impl HomeTask {
--- a/crates/traffic/src/keeper.rs
+++ b/crates/traffic/src/keeper.rs
@@ -112,6 +112,7 @@
                 avoid: String::new(),
                 reached: true,
                 rank: crate::holding::LAST,
+                inherits: false,
             };
             self.tasks.insert(number, task);
             self.hold(number);
--- a/crates/traffic/src/letting_in.rs
+++ b/crates/traffic/src/letting_in.rs
@@ -61,6 +61,7 @@
             avoid: String::new(),
             reached: again && keyless,
             rank: if last { LAST } else { bound.rank },
+            inherits: left_ms + left_ms / 8 < bound.deadline_ms,
         };
         self.tasks.insert(number, record);
         if full {
--- a/crates/traffic/src/passes.rs
+++ b/crates/traffic/src/passes.rs
@@ -30,7 +30,8 @@
     }
 
     /// The task that goes next and the instance it goes to: first those that can still be answered
-    /// within their aim, since one that is late already loses nothing more until its time runs out.
+    /// within their aim, since one that is late already loses nothing more until its time runs out; and calls of tasks
+    /// that are running, which keep a slot meanwhile.
     fn next_to_send(&mut self, name: &str) -> Option<(u64, String)> {
         let now = self.now;
         let desk = self.desks.get_mut(name)?;
@@ -43,7 +44,7 @@
         let mut late = None;
         for number in &desk.held {
             let Some(task) = tasks.get(number).filter(may_go) else { continue };
-            let in_aim = task.aim.is_none_or(|aim| now + expected <= task.arrived + aim);
+            let in_aim = task.inherits || task.aim.is_none_or(|aim| now + expected <= task.arrived + aim);
             if !in_aim && late.is_some() {
                 continue;
             }
--- /dev/null
+++ b/crates/traffic/tests/order.rs
@@ -0,0 +1,62 @@
+//! Who goes first where slots are few: what can still meet its aim before what is late already, and
+//! before both the calls of tasks that are running.
+
+mod common;
+
+use common::ME;
+use common::supplied::{FUNCTION, Supplied, six_workers};
+use std::rc::Rc;
+use traffic::{HomeInput, HomeOutput, Verdict};
+use wire::{CarryMsg, RequestHead};
+
+fn carry(home: &mut Supplied, task: u64, left_ms: u32) {
+    let message = CarryMsg::Carry {
+        task,
+        function: FUNCTION.into(),
+        binding: FUNCTION.into(),
+        left_ms,
+        tries: 0,
+        respond_async: 0,
+        key: format!("a-{task}").as_str().into(),
+        head: wire::to_bytes(&RequestHead::default()).into(),
+        body: task.to_le_bytes().to_vec().into(),
+    };
+    home.feed(HomeInput::Carry { from: ME, message });
+}
+
+/// The tasks sent since the last look, by the number in their body, and the order's own number.
+fn sent(home: &mut Supplied) -> Vec<(u64, u64)> {
+    let outputs = std::mem::take(&mut home.others).into_iter();
+    let orders = outputs.filter_map(|output| match output {
+        HomeOutput::Dispatch(order) => Some(order),
+        _ => None,
+    });
+    let task = |body: Vec<u8>| u64::from_le_bytes(body.try_into().expect("eight bytes"));
+    orders.map(|order| (task(order.body), order.number)).collect()
+}
+
+#[test]
+fn calls_of_running_tasks_go_first_then_what_can_meet_its_aim_then_what_is_late() {
+    let mut home = Supplied::new(1, six_workers());
+    let binding: &[u8] =
+        br#"{"route":"/t/f","function":"f","class":"ordinary","memory_mb":512,"min":1,"max":1,"aim_ms":1200}"#;
+    let book = bindings::Book::build(2, 2, [("function-bindings/t/f", binding)].into_iter());
+    home.feed(HomeInput::Book { book: Rc::new(book) });
+    home.pass(100);
+    let nonce = home.starts[0].nonce.clone();
+    home.accepted(&nonce, "i1");
+    home.probed("i1", true);
+    carry(&mut home, 1, 4000);
+    let mut last = sent(&mut home);
+    assert_eq!(last.iter().map(|(task, _)| *task).collect::<Vec<_>>(), [1]);
+    carry(&mut home, 2, 4000);
+    home.pass(1300);
+    carry(&mut home, 3, 4000);
+    carry(&mut home, 4, 2600);
+    for expected in [4, 3, 2] {
+        let verdict = Verdict::Whole { status: 200, head: Vec::new(), body: Vec::new(), turned_away: false };
+        home.feed(HomeInput::Dispatched { number: last[0].1, verdict });
+        last = sent(&mut home);
+        assert_eq!(last.iter().map(|(task, _)| *task).collect::<Vec<_>>(), [expected]);
+    }
+}
