--- a/crates/control/src/keys.rs
+++ b/crates/control/src/keys.rs
@@ -48,7 +48,7 @@
 }
 
 pub fn members(state: &State) -> Vec<MemberLine> {
-    with_prefix(state, MEMBERS).filter_map(|(_, raw)| wire::from_bytes(raw)).collect()
+    with_prefix(state, MEMBERS).filter_map(|(_, raw)| MemberLine::read(raw)).collect()
 }
 
 pub fn incarnations(state: &State) -> BTreeMap<NodeId, u64> {
@@ -59,6 +59,15 @@
     Roster { number: number(state, ROSTER), members: members(state).into() }
 }
 
+pub fn items(state: &State, prefix: &str) -> Vec<ItemLine> {
+    let item = |(key, value): (&String, &Value)| ItemLine {
+        key: key[prefix.len()..].into(),
+        gone: 0,
+        value: value.to_vec().into(),
+    };
+    with_prefix(state, prefix).map(item).collect()
+}
+
 /// Up to about a mebibyte of pairs below a prefix from a key on, and the key to go on from.
 pub fn page(state: &State, prefix: &str, from: &str, strip: bool) -> (Vec<ItemLine>, String) {
     let mut items = Vec::new();
--- a/crates/holds/src/follower.rs
+++ b/crates/holds/src/follower.rs
@@ -3,12 +3,13 @@
 //! when it was asked, so a frozen or late router can only be too careful.
 
 use crate::fetch::Fetch;
+use crate::parts::Arriving;
 use crate::peers::PeerRound;
-use crate::roster::Roster;
+use crate::roster::{HASHING, Roster};
 use crate::standing::{Standing, StandingEvent, Standings};
 use std::collections::BTreeMap;
 use std::time::Duration;
-use wire::{HoldMsg, NodeId, StepLine, Text};
+use wire::{Capacity, HoldMsg, NodeId, StepLine};
 
 #[derive(Clone, Debug)]
 pub struct FollowerTiming {
@@ -50,7 +51,7 @@
 
 pub struct Follower {
     pub(crate) me: NodeId,
-    pub(crate) joining: (Text, Text, Text),
+    pub(crate) joining: HoldMsg,
     pub(crate) timing: FollowerTiming,
     pub(crate) now: Duration,
     pub(crate) outs: Vec<FollowerOutput>,
@@ -71,6 +72,7 @@
     pub(crate) peer_proof: Option<Duration>,
     pub(crate) peer_round: Option<PeerRound>,
     pub(crate) fetch: Option<Fetch>,
+    pub(crate) arriving: Option<Arriving>,
     pub(crate) renewed: Option<Duration>,
     pub(crate) joined: Option<Duration>,
     standings: Standings,
@@ -85,9 +87,10 @@
 
 impl Follower {
     pub fn new(me: NodeId, incarnation: u64, address: &str, zone: &str, ops: &str, timing: FollowerTiming) -> Self {
+        let (address, zone, ops) = (address.into(), zone.into(), ops.into());
         Follower {
             me,
-            joining: (address.into(), zone.into(), ops.into()),
+            joining: HoldMsg::Enrol { address, zone, ops, hashing: HASHING, capacity: Capacity::default() },
             timing,
             now: Duration::ZERO,
             outs: Vec::new(),
@@ -108,6 +111,7 @@
             peer_proof: None,
             peer_round: None,
             fetch: None,
+            arriving: None,
             renewed: None,
             joined: None,
             standings: Standings::default(),
@@ -115,6 +119,14 @@
         }
     }
 
+    /// What this machine can carry, as it is told on joining.
+    pub fn able_to_carry(mut self, able: Capacity) -> Self {
+        if let HoldMsg::Enrol { capacity, .. } = &mut self.joining {
+            *capacity = able;
+        }
+        self
+    }
+
     pub fn pairs(&self) -> impl Iterator<Item = (&str, &[u8])> {
         self.pairs.iter().map(|(key, value)| (key.as_str(), value.as_slice()))
     }
@@ -220,9 +232,7 @@
             self.say_leaving();
             self.tell_registry(heard, HoldMsg::Renew { ask, staged, active, roster });
         }
-        if self.fetch.as_ref().is_some_and(|fetch| now > fetch.moved + self.timing.hold) {
-            self.fetch = None;
-        }
+        self.tick_parts();
         self.tick_peers();
     }
 }
