Give a home that begins anew the workers at once

Cause: after a herd was killed, homes ordered starts on no worker for two seconds and were refused. The reader's look at the workers was thrown away when it came back before that at the list, and the others were told of changes alone.

Change: workers that are read are kept, and go out with the first whole list; who knows none reads them.

--- a/crates/traffic/src/inventory.rs
+++ b/crates/traffic/src/inventory.rs
@@ -75,7 +75,8 @@
         }
         let calm = now > self.inventory.changed + CHANGES_LAST;
         let every = if calm { WORKERS_SELDOM } else { WORKERS_SOON };
-        if for_all && pause(self.inventory.workers_ordered, every) {
+        let unknown = !self.workers.are_known() && pause(self.inventory.workers_ordered, OWN_PAUSE);
+        if unknown || for_all && pause(self.inventory.workers_ordered, every) {
             self.inventory.workers_ordered = Some(now);
             self.outs.push(HomeOutput::Supply(SupplyOrder::Workers));
         }
@@ -109,10 +110,11 @@
         self.workers_listed(lines, asked);
         let number = self.number();
         let inventory = &mut self.inventory;
-        let Some((from, since)) = inventory.source else { return };
         let differs = changed(&inventory.workers, &workers).map(worker_record).collect::<Vec<_>>();
         let workers_gone = gone(&inventory.workers, &workers);
         (inventory.workers, inventory.workers_asked) = (workers, asked);
+        // Before the first list is read there is nobody to tell a difference from: it goes out with that.
+        let Some((from, since)) = inventory.source else { return };
         if from == self.me {
             inventory.source = Some((from, number));
             let workers_read = 1;
--- a/crates/traffic/src/placing.rs
+++ b/crates/traffic/src/placing.rs
@@ -63,6 +63,10 @@
 
     /// Where the next instance goes, given the workers and zones that the function's others are on.
     /// Where none has room by the list, the emptiest is asked all the same: the list may be behind.
+    pub fn are_known(&self) -> bool {
+        self.lines.is_some()
+    }
+
     pub fn select(
         &self,
         now: Duration,
