--- a/crates/traffic/src/front.rs
+++ b/crates/traffic/src/front.rs
@@ -117,9 +117,7 @@
             Some(key) => format!("k-{key}"),
             None => format!("a-{:x}-{:x}-{task:x}", self.me, self.incarnation),
         };
-        let aim = self.book.as_ref().and_then(|book| book.find_route(&call.host, &call.path)?.1.aim_ms);
-        let patience =
-            aim.map_or(Duration::MAX, |aim| self.now + PATIENCE_LEAST.max(Duration::from_millis(aim.into()) / 4));
+        let patience = self.patience(&call);
         let record = Record {
             ask,
             carry: 0,
@@ -142,6 +140,15 @@
         self.attempt(task);
     }
 
+    /// How long a task may wait here before its caller is told to come back. A call of a running task
+    /// waits on: who made it does not come back, and what has run of its parent would be lost.
+    fn patience(&self, call: &Call) -> Duration {
+        let binding = self.book.as_ref().and_then(|book| book.find_route(&call.host, &call.path)).map(|found| found.1);
+        let inherits = |most: u32| call.deadline.is_some_and(|left| left < Duration::from_millis(most.into()) * 7 / 8);
+        let aim = binding.filter(|binding| !inherits(binding.deadline_ms)).and_then(|binding| binding.aim_ms);
+        aim.map_or(Duration::MAX, |aim| self.now + PATIENCE_LEAST.max(Duration::from_millis(aim.into()) / 4))
+    }
+
     /// Up to twice as long, so that those told so together come back one by one.
     pub(crate) fn spread(&self, seed: u64, least: Duration) -> Duration {
         least + least * (dice(seed) >> 54) as u32 / 1024
--- a/crates/traffic/src/front_passes.rs
+++ b/crates/traffic/src/front_passes.rs
@@ -34,6 +34,12 @@
         over.into_iter().for_each(|task| self.answer(task, unknown()));
     }
 
+    /// When a home that fell silent can be expected to be there again, or another in its place.
+    fn back_in(&self, function: &str) -> Duration {
+        let silent = self.roster.home(function).and_then(|home| self.silent_since(home));
+        silent.map_or(SOON, |since| (since + self.limits.back).saturating_sub(self.now).max(SOON / 2))
+    }
+
     pub(crate) fn pass(&mut self) {
         let now = self.now;
         let tasks: Vec<u64> = self.table.keys().copied().collect();
@@ -45,7 +51,8 @@
                     let reply = if record.doubt {
                         unknown()
                     } else {
-                        Reply::own(503, Some(Outcome::NotRun), "not run in time").again(self.spread(task, SOON))
+                        let again = self.back_in(&record.function);
+                        Reply::own(503, Some(Outcome::NotRun), "not run in time").again(self.spread(task, again))
                     };
                     self.answer(task, reply);
                 }
--- a/crates/traffic/src/front_types.rs
+++ b/crates/traffic/src/front_types.rs
@@ -60,6 +60,8 @@
     pub per_tenant: usize,
     pub margin: Duration,
     pub slack: Duration,
+    /// From a home's last beat until it or another is home again, as a rule.
+    pub back: Duration,
 }
 
 impl Default for FrontLimits {
@@ -69,6 +71,7 @@
             per_tenant: 2048,
             margin: Duration::from_millis(150),
             slack: Duration::from_millis(400),
+            back: Duration::from_millis(2200),
         }
     }
 }
--- a/crates/traffic/src/holding.rs
+++ b/crates/traffic/src/holding.rs
@@ -23,7 +23,7 @@
         task.place = Place::Held;
         let (order, refusable) = ((task.rank, task.due), task.stored.is_none() && !task.reached);
         let left = task.due.saturating_sub(now);
-        let aim = task.aim.filter(|aim| now <= task.arrived + *aim / EARLY);
+        let aim = task.aim.filter(|aim| !task.inherits && now <= task.arrived + *aim / EARLY);
         let Some(desk) = self.desks.get_mut(&task.function) else { return };
         let before = |held: &&u64| self.tasks.get(held).is_some_and(|task| (task.rank, task.due) <= order);
         let ahead = desk.held.iter().take_while(before).count();
--- a/crates/traffic/src/service.rs
+++ b/crates/traffic/src/service.rs
@@ -31,6 +31,9 @@
 use tokio::task::spawn_local;
 use wire::{HoldMsg, Message, NodeId};
 
+/// From a lapse until the next home has looked at what runs.
+const TAKING_OVER: Duration = Duration::from_millis(400);
+
 pub fn run(settings: RouterEnv, dialect: Dialect) -> Result<(), RunFault> {
     let begun = Instant::now();
     let incarnation = rand::random::<u64>() >> 8;
@@ -82,6 +85,8 @@
     let (bounds, bounded) = watch::channel(limits.clone());
     let (own_limits, door_limits) = (limits.clone(), limits.door);
     let (link_names, names, cell) = (directory.clone(), directory.clone(), pass.clone());
+    let back = settings.hold + settings.hold / 6 + TAKING_OVER;
+    let front_limits = FrontLimits { back, ..FrontLimits::default() };
     let timing = HomeTiming {
         starts_per_second: settings.starts_per_second,
         sample: settings.step,
@@ -96,7 +101,7 @@
             me,
             begun,
             pass: cell,
-            front: Front::new(me, incarnation, FrontLimits::default()),
+            front: Front::new(me, incarnation, front_limits),
             home: Home::new(me, incarnation, timing),
             links: find(&names, "links"),
             dispatcher: find(&names, "dispatcher"),
--- a/crates/traffic/src/watching.rs
+++ b/crates/traffic/src/watching.rs
@@ -53,6 +53,11 @@
         false
     }
 
+    /// When a home was last heard that is silent now.
+    pub(crate) fn silent_since(&self, home: NodeId) -> Option<Duration> {
+        self.watched.get(&home).filter(|watched| watched.silent).map(|watched| watched.heard)
+    }
+
     /// The link a first task waited for is up.
     pub(crate) fn attempt_waiting(&mut self, home: NodeId) {
         if !self.watched.contains_key(&home) {
