Count as risk only what an instance has not yet borne for this home

Cause: after a crash the next home has four tasks at risk at once for five seconds and a half, so that what was held meanwhile is worked off at hardly more than it arrives; late until then.

Ruled out: a shorter time of risk (it broke the strict test before), trusting a kept table's counts.

Change: a send to an instance that has answered this home with as many tasks on it counts against all that is known, no longer against the part for a home that knows nothing. One turn-away undoes that.

--- a/crates/traffic/src/budget.rs
+++ b/crates/traffic/src/budget.rs
@@ -70,8 +70,12 @@
             self.be_careful(now);
         }
     }
+    /// Room by all that is known here, as if nobody else had been home lately.
+    pub fn known_room(&mut self, now: Duration, most: Most) -> usize {
+        most.known.saturating_sub(self.all.count(now))
+    }
     pub fn room(&mut self, now: Duration, most: Most) -> usize {
-        let room = most.known.saturating_sub(self.all.count(now));
+        let room = self.known_room(now, most);
         let own = most.at_first.saturating_sub(self.own.count(now));
         if now < self.careful_until { room.min(own) } else { room }
     }
--- a/crates/traffic/src/desk.rs
+++ b/crates/traffic/src/desk.rs
@@ -145,6 +145,7 @@
         if let Some(instance) = self.instances.get_mut(id) {
             instance.allowed = (instance.busy.min(limit) / 2).max(1);
             instance.allowed_at = now;
+            instance.proven = 0;
             instance.paused_until = now + Duration::from_millis(400);
         }
     }
--- a/crates/traffic/src/home.rs
+++ b/crates/traffic/src/home.rs
@@ -28,7 +28,7 @@
     pub(crate) desks: BTreeMap<String, Desk>,
     pub(crate) asks: BTreeMap<u64, LedgerAsk>,
     pub(crate) plan_asks: BTreeMap<u64, String>,
-    pub(crate) running: BTreeMap<u64, (u64, String, String, Duration)>,
+    pub(crate) running: BTreeMap<u64, (u64, String, String, Duration, u32)>,
     pub(crate) stopped: BTreeMap<String, Duration>,
     pub(crate) unbound: BTreeMap<String, Duration>,
     pub(crate) finished: BTreeMap<String, Duration>,
--- a/crates/traffic/src/instance.rs
+++ b/crates/traffic/src/instance.rs
@@ -93,6 +93,8 @@
     pub stop_again: Duration,
     pub lost: Option<Duration>,
     pub listed: bool,
+    /// The most tasks that it had at once, all from this home, and answered.
+    pub proven: u32,
 }
 
 impl Instance {
@@ -115,12 +117,13 @@
             stop_again: now,
             lost: None,
             listed: false,
+            proven: 0,
         }
     }
 
     /// One that was just wished for, with nothing known of it but the nonce.
     pub fn wished(now: Duration) -> Instance {
-        Instance { pending: Some(Pending::handed(now)), ..Instance::new(now, "") }
+        Instance { pending: Some(Pending::handed(now)), proven: u32::MAX, ..Instance::new(now, "") }
     }
 
     pub fn take(&mut self, event: InstanceEvent) {
--- a/crates/traffic/src/passes.rs
+++ b/crates/traffic/src/passes.rs
@@ -35,10 +35,11 @@
     fn next_to_send(&mut self, name: &str) -> Option<(u64, String)> {
         let now = self.now;
         let desk = self.desks.get_mut(name)?;
-        if !desk.risk.may_send(now) {
+        let roomiest = desk.roomiest(now)?;
+        let proven = desk.instances.get(&roomiest).is_some_and(|instance| instance.busy < instance.proven);
+        if !desk.risk.may_send(now, proven) {
             return None;
         }
-        let roomiest = desk.roomiest(now)?;
         let may_go = |task: &&HomeTask| task.place == Place::Held && now >= task.not_before;
         let (tasks, expected) = (&self.tasks, desk.expected_time());
         let mut late = None;
@@ -78,8 +79,9 @@
             desk.budget.request(now);
         }
         instance.busy += 1;
+        let level = instance.busy;
         desk.in_flight += 1;
-        desk.risk.sent(now, order);
+        desk.risk.sent(now, order, level <= instance.proven);
         desk.held.retain(|held| *held != number);
         task.dispatches += 1;
         task.place = Place::Running { number: order };
@@ -88,7 +90,7 @@
         } else {
             self.timing.deferred_limit
         };
-        self.running.insert(order, (number, name.to_owned(), instance_id.clone(), now));
+        self.running.insert(order, (number, name.to_owned(), instance_id.clone(), now, level));
         self.outs.push(HomeOutput::Dispatch(DispatchOrder {
             number: order,
             instance: instance_id,
--- a/crates/traffic/src/risk.rs
+++ b/crates/traffic/src/risk.rs
@@ -17,7 +17,7 @@
 pub struct Risk {
     most: Most,
     turned: Spent,
-    sent: BTreeMap<u64, Duration>,
+    sent: BTreeMap<u64, (Duration, bool)>,
     usual: Duration,
     looked: Duration,
 }
@@ -57,19 +57,23 @@
     fn look(&mut self, now: Duration) {
         let (usual, stopped) = (self.usual, now > self.looked + STOPPED);
         if stopped {
-            self.sent.values_mut().for_each(|at| *at = now);
+            self.sent.values_mut().for_each(|(at, _)| *at = now);
         }
         self.looked = now;
-        self.sent.retain(|_, at| now < *at + usual);
+        self.sent.retain(|_, (at, _)| now < *at + usual);
     }
 
-    pub fn may_send(&mut self, now: Duration) -> bool {
+    /// `proven`: the instance has answered this home with as many tasks on it. While the home is careful,
+    /// only the others count against the part it may spend without knowing what the one before spent.
+    pub fn may_send(&mut self, now: Duration, proven: bool) -> bool {
         self.look(now);
-        self.sent.len() < self.turned.room(now, self.most)
+        let unproven = self.sent.values().filter(|(_, proven)| !proven).count();
+        let known = self.sent.len() < self.turned.known_room(now, self.most);
+        known && (proven || unproven < self.turned.room(now, self.most))
     }
 
-    pub fn sent(&mut self, now: Duration, order: u64) {
-        self.sent.insert(order, now);
+    pub fn sent(&mut self, now: Duration, order: u64, proven: bool) {
+        self.sent.insert(order, (now, proven));
     }
 
     pub fn ended(&mut self, now: Duration, order: u64, begun: Duration, turned_away: bool) {
--- a/crates/traffic/src/verdicts.rs
+++ b/crates/traffic/src/verdicts.rs
@@ -18,8 +18,8 @@
 impl Home {
     pub(crate) fn dispatched(&mut self, order: u64, verdict: Verdict) {
         let now = self.now;
-        let Some((number, name, instance_id, begun)) = self.running.remove(&order) else { return };
-        self.note(&name, &instance_id, order, begun, &verdict);
+        let Some((number, name, instance_id, begun, level)) = self.running.remove(&order) else { return };
+        self.note(&name, &instance_id, order, (begun, level), &verdict);
         let Some(task) = self.tasks.get_mut(&number) else { return };
         let class = task.class;
         task.avoid = instance_id;
@@ -82,7 +82,7 @@
     }
 
     /// What the desk learns of its instance from a verdict.
-    fn note(&mut self, name: &str, instance_id: &str, order: u64, begun: Duration, verdict: &Verdict) {
+    fn note(&mut self, name: &str, instance_id: &str, order: u64, (begun, level): (Duration, u32), verdict: &Verdict) {
         let now = self.now;
         let Some(desk) = self.desks.get_mut(name) else { return };
         let turned_away =
@@ -93,6 +93,7 @@
             instance.busy = instance.busy.saturating_sub(1);
             instance.used = now;
             match verdict {
+                Verdict::Whole { .. } if !turned_away => instance.proven = instance.proven.max(level),
                 Verdict::NotSent | Verdict::Crowded => instance.paused_until = now + PAUSE,
                 Verdict::InDoubt { late: true, .. } => {
                     instance.foreign = if now < instance.foreign_until { instance.foreign + 1 } else { 1 };
--- a/crates/traffic/tests/budget.rs
+++ b/crates/traffic/tests/budget.rs
@@ -74,8 +74,8 @@
                 crashed = true;
                 risk = Risk::new(now, &Allowances::default());
             }
-            if now > Duration::from_secs(4) && risk.may_send(now) {
-                risk.sent(now, order);
+            if now > Duration::from_secs(4) && risk.may_send(now, false) {
+                risk.sent(now, order, false);
                 open.push((now + Duration::from_millis(dice.random_range(1..20)), order, now));
             }
         }
