Wait for the table of the home between, however long it was one

Cause, found by reading: a home that had lapsed ended its wait for a table after a second and a half, also while it had no hold; back after a longer cut it went on by its old table and counts, careful only for what was left of the window since the lapse. A home that was named again while it still finished its last tasks went on likewise, though another was home in between. Ruled out that the roster prevents it: the first keeps its desk while it hears nothing, the second keeps it until its tasks have ended.

Change: without a hold the wait does not run; a desk that is home again begins anew; a wait that ends without a table leaves the home careful from then on.

Seen: two tests in traffic/tests/lapse.rs failed before and pass now.

--- a/crates/traffic/src/handover.rs
+++ b/crates/traffic/src/handover.rs
@@ -26,7 +26,8 @@
                 Some(desk) => {
                     desk.function = function.clone();
                     if mine && desk.leaving.is_some() {
-                        desk.leaving = None;
+                        (desk.leaving, desk.taken) = (None, self.roster.number);
+                        desk.begin_anew(now);
                     }
                 }
                 None if mine => {
@@ -88,10 +89,16 @@
     pub(crate) fn handover_pass(&mut self) {
         let now = self.now;
         for desk in self.desks.values_mut() {
+            if desk.adopting.is_some() && !self.may_serve {
+                desk.adopting = Some((now, false));
+                continue;
+            }
             if let Some((since, listed)) = desk.adopting
                 && ((listed && now > since + FOREIGN_ON_CRASH / 2) || now > since + self.timing.adopt)
             {
                 desk.adopting = None;
+                desk.risk.be_careful(now);
+                desk.budget.be_careful(now);
                 for instance in desk.instances.values_mut() {
                     instance.allowed = 1;
                     instance.allowed_at = now;
--- a/crates/traffic/tests/lapse.rs
+++ b/crates/traffic/tests/lapse.rs
@@ -13,9 +13,9 @@
     Duration::from_millis(millis)
 }
 
-fn alone(number: u64) -> HomeInput {
+fn only(number: u64, id: u64) -> HomeInput {
     let (address, zone, ops) = ("".into(), "a".into(), "".into());
-    let line = MemberLine { id: ME, incarnation: 1, address, zone, ops, leaving: 0 };
+    let line = MemberLine { id, incarnation: 1, address, zone, ops, leaving: 0 };
     HomeInput::Roster { roster: Roster { number, members: vec![line].into() }.into() }
 }
 
@@ -24,7 +24,7 @@
     let book = bindings::Book::build(1, 1, [("function-bindings/t/f", binding)].into_iter());
     let mut home = Home::new(ME, 1, HomeTiming::default());
     home.step(ms(0), true, HomeInput::Book { book: std::rc::Rc::new(book) });
-    home.step(ms(0), true, alone(1));
+    home.step(ms(0), true, only(1, ME));
     home.step(ms(0), true, HomeInput::Core { near: true });
     home
 }
@@ -110,3 +110,32 @@
     assert_eq!(counted(&mut home), Some(sent));
     assert!((1..=8).contains(&sent), "{sent} sent to one instance");
 }
+
+/// Cut off for longer than an adoption lasts, it does not go on by itself once its hold is back.
+#[test]
+fn a_home_without_a_hold_waits_for_the_table_of_the_home_between_however_long() {
+    let mut home = home();
+    home.step(ms(3000), false, HomeInput::Lapsed);
+    for at in (3020..9000).step_by(20) {
+        home.step(ms(at), false, HomeInput::Tick);
+    }
+    home.step(ms(9000), true, HomeInput::Tick);
+    assert_eq!(home.status()["functions"][FUNCTION]["adopting"].as_bool(), Some(true));
+    for at in (9020..10_700).step_by(20) {
+        home.step(ms(at), true, HomeInput::Tick);
+    }
+    assert_eq!(home.status()["functions"][FUNCTION]["adopting"].as_bool(), Some(false), "at the latest");
+}
+
+/// It is home again before it has finished: another was home in between and has counts of its own.
+#[test]
+fn a_home_that_is_home_again_while_it_leaves_begins_anew() {
+    let mut home = home();
+    let outputs = home.step(ms(1), true, carry(7));
+    home.step(ms(2), true, granted(&outputs));
+    assert_eq!(sent(&home.step(ms(3), true, handed())), 1);
+    home.step(ms(2000), true, only(2, OTHER));
+    home.step(ms(2100), true, only(3, ME));
+    assert_eq!(home.status()["functions"][FUNCTION]["adopting"].as_bool(), Some(true));
+    assert_eq!(sent(&home.step(ms(2200), true, HomeInput::Tick)), 0);
+}
