Count what a later table tells beyond the first

Cause: on a planned move the next home begins at once from the copy it kept; the table handed over a quarter of a second later only told of instances, since the counts were taken but once, and so did its repeats while the old home ended its last tasks. Ruled out: the window, a lapse, the careful part (each home kept to its own).

Change: what a later table tells beyond what was told before is counted as well.

--- a/crates/traffic/src/budget.rs
+++ b/crates/traffic/src/budget.rs
@@ -70,6 +70,10 @@
             self.be_careful(now);
         }
     }
+    /// Another home told more than it had before.
+    pub fn learn(&mut self, now: Duration, more: usize) {
+        self.all.insert(now, more);
+    }
     pub fn room(&mut self, now: Duration, most: Most) -> usize {
         let room = most.known.saturating_sub(self.all.count(now));
         let own = most.at_first.saturating_sub(self.own.count(now));
@@ -153,6 +157,11 @@
         self.seconds.be_careful(now);
     }
 
+    /// The home before told of more second tries than it had.
+    pub fn learn(&mut self, now: Duration, more: u32) {
+        self.seconds.learn(now, more.min(20_000) as usize);
+    }
+
     /// The home before told its counts at a moment; of the requests it is not known when they came.
     pub fn take_over(&mut self, now: Duration, at: Duration, requests: u32, seconds: u32, whole: bool) {
         let (requests, seconds) = (requests.min(20_000) as usize, seconds.min(20_000) as usize);
--- a/crates/traffic/src/desk.rs
+++ b/crates/traffic/src/desk.rs
@@ -23,6 +23,7 @@
     pub in_flight: u32,
     pub adopting: Option<(Duration, bool)>,
     pub taken: u64,
+    pub told: (u32, u32),
     pub begun: Option<BTreeSet<String>>,
     pub leaving: Option<(NodeId, Duration)>,
     pub arrivals: u32,
@@ -62,6 +63,7 @@
             in_flight: 0,
             adopting: Some((now, false)),
             taken: roster,
+            told: (0, 0),
             begun: None,
             leaving: None,
             arrivals: 0,
@@ -84,7 +86,7 @@
     pub fn begin_anew(&mut self, now: Duration) {
         self.risk.be_careful(now);
         self.budget.be_careful(now);
-        (self.adopting, self.begun, self.read_at) = (Some((now, false)), None, None);
+        (self.adopting, self.told, self.begun, self.read_at) = (Some((now, false)), (0, 0), None, None);
     }
 
     /// Tasks an instance is planned for, by the usage in force.
--- a/crates/traffic/src/keeping.rs
+++ b/crates/traffic/src/keeping.rs
@@ -143,7 +143,11 @@
             desk.risk.take_over(now, at, table.turned);
             let begun = table.begun.iter().map(|id| id.as_str().to_owned());
             desk.begun = (table.begun_whole != 0).then(|| begun.collect::<BTreeSet<String>>());
+        } else {
+            desk.budget.learn(now, table.seconds.saturating_sub(desk.told.0));
+            desk.risk.learn(now, table.turned.saturating_sub(desk.told.1));
         }
+        desk.told = (desk.told.0.max(table.seconds), desk.told.1.max(table.turned));
         for slot in table.slots.into_vec() {
             let id = slot.instance.as_str();
             if self.stopped.contains_key(id) || self.leaving.contains_key(id) {
--- a/crates/traffic/src/risk.rs
+++ b/crates/traffic/src/risk.rs
@@ -45,6 +45,11 @@
         self.turned.take_over(now, at, turned.min(64) as usize, false);
     }
 
+    /// The home before told of more than it had.
+    pub fn learn(&mut self, now: Duration, more: u32) {
+        self.turned.learn(now, more.min(64) as usize);
+    }
+
     pub fn turned(&mut self, now: Duration) -> usize {
         self.turned.count(now)
     }
--- a/crates/traffic/tests/keeping.rs
+++ b/crates/traffic/tests/keeping.rs
@@ -151,3 +151,17 @@
             || dispatched(&home.step(ms(8200), true, HomeInput::Carry { from: OTHER, message: task(9) }))
     );
 }
+
+/// On a planned move it may begin from the copy it kept before the leaving home's own table is there.
+#[test]
+fn what_a_later_table_tells_beyond_the_copy_counts_too() {
+    let mut home = after_the_crash(Some(table(1, 1, "i1")));
+    let CarryMsg::Table { table: mut whole } = table(2, 0, "i1") else { panic!("a table") };
+    let turned = |home: &mut Home| home.status()["functions"][FUNCTION]["turned_away_5s"].as_u64();
+    for (at, told, wanted) in [(2100, 5, 5), (2300, 7, 7), (2500, 7, 7)] {
+        whole.turned = told;
+        home.step(ms(at), true, HomeInput::Carry { from: OTHER, message: CarryMsg::Table { table: whole.clone() } });
+        assert_eq!(turned(&mut home), Some(wanted), "at {at} ms");
+    }
+    assert!(!dispatched(&home.step(ms(2600), true, HomeInput::Carry { from: OTHER, message: task(7) })));
+}
