--- a/crates/traffic/tests/lapse.rs
+++ b/crates/traffic/tests/lapse.rs
@@ -3,7 +3,7 @@
 mod common;
 
 use common::{ME, OTHER, ms, roster};
-use traffic::{Home, HomeInput, HomeOutput, HomeTiming};
+use traffic::{Home, HomeInput, HomeOutput, HomeTiming, Verdict};
 use wire::{CarryMsg, HoldMsg, HomeTable, ItemLine, RequestHead, SlotLine, StoredTask};
 
 const FUNCTION: &str = "t/f";
@@ -99,3 +99,54 @@
     assert_eq!(counted(&mut home), Some(sent));
     assert!((1..=8).contains(&sent), "{sent} sent to one instance");
 }
+
+/// Cut off for longer than an adoption lasts, it does not go on by itself once its hold is back.
+#[test]
+fn a_home_without_a_hold_waits_for_the_table_of_the_home_between_however_long() {
+    let mut home = home();
+    home.step(ms(3000), false, HomeInput::Lapsed);
+    for at in (3020..9000).step_by(20) {
+        home.step(ms(at), false, HomeInput::Tick);
+    }
+    home.step(ms(9000), true, HomeInput::Tick);
+    assert_eq!(home.status()["functions"][FUNCTION]["adopting"].as_bool(), Some(true));
+    for at in (9020..10_700).step_by(20) {
+        home.step(ms(at), true, HomeInput::Tick);
+    }
+    assert_eq!(home.status()["functions"][FUNCTION]["adopting"].as_bool(), Some(false), "at the latest");
+}
+
+/// It is home again before it has finished: another was home in between and has counts of its own.
+#[test]
+fn a_home_that_is_home_again_while_it_leaves_begins_anew() {
+    let mut home = home();
+    let outputs = home.step(ms(1), true, carry(7));
+    home.step(ms(2), true, granted(&outputs));
+    assert_eq!(sent(&home.step(ms(3), true, handed())), 1);
+    home.step(ms(2000), true, HomeInput::Roster { roster: roster(2, &[OTHER]) });
+    home.step(ms(2100), true, HomeInput::Roster { roster: roster(3, &[ME]) });
+    assert_eq!(home.status()["functions"][FUNCTION]["adopting"].as_bool(), Some(true));
+    assert_eq!(sent(&home.step(ms(2200), true, HomeInput::Tick)), 0);
+}
+
+/// Its answer is known, but the store may not have heard of it when the next home reads.
+#[test]
+fn what_is_still_being_finished_is_told_as_sent() {
+    let mut home = home();
+    let outputs = home.step(ms(1), true, carry(7));
+    home.step(ms(2), true, granted(&outputs));
+    let outputs = home.step(ms(3), true, handed());
+    let order = outputs.iter().find_map(|output| match output {
+        HomeOutput::Dispatch(order) => Some(order.number),
+        _ => None,
+    });
+    read(&mut home, 20, &[]);
+    let verdict = Verdict::Whole { status: 200, head: Vec::new(), body: Vec::new(), turned_away: false };
+    home.step(ms(50), true, HomeInput::Dispatched { number: order.expect("sent"), verdict });
+    let outputs = home.step(ms(60), true, HomeInput::Roster { roster: roster(2, &[OTHER]) });
+    let told = outputs.iter().any(|output| {
+        matches!(output, HomeOutput::Carry { message: CarryMsg::Table { table }, .. }
+            if table.begun_whole != 0 && table.begun.as_slice().len() == 1)
+    });
+    assert!(told, "{outputs:?}");
+}
