--- a/crates/traffic/src/service.rs
+++ b/crates/traffic/src/service.rs
@@ -58,6 +58,7 @@
     let (view, shown) = watch::channel(String::from("{}"));
     let (control_view, control_shown) = watch::channel(String::from("{}"));
     let tokens = Tokens::read(&settings.tokens, &settings.tokens_file)?;
+    let viewed = !tokens.is_empty();
     let (shelf, shelved) = watch::channel(Shelf::new(incarnation));
     let (stop, stopping) = watch::channel(false);
     let pass = PassCell::default();
@@ -108,7 +109,7 @@
             platform: find(&names, "platform"),
             view,
             limits: (own_limits, bounds),
-            shelving: Shelving::new(shelf),
+            shelving: viewed.then(|| Shelving::new(shelf)),
             step: 0,
             tail: None,
             registries: Vec::new(),
@@ -159,6 +160,8 @@
         stood_at: begun,
         view: control_view,
         grace: settings.grace,
+        booked: None,
+        viewed,
     };
     let post = find::<ControlMsg>(&directory, "control");
     local(async move {
