--- a/crates/traffic/src/desk.rs
+++ b/crates/traffic/src/desk.rs
@@ -3,6 +3,7 @@
 use crate::allowances::Allowances;
 use crate::budget::Budget;
 use crate::instance::{Instance, Phase};
+use crate::load::{Load, Peak, Usual};
 use crate::risk::Risk;
 use bindings::Function;
 use scaler::Player;
@@ -23,9 +24,13 @@
     pub in_flight: u32,
     pub adopting: Option<(Duration, bool)>,
     pub taken: u64,
+    pub told: (u32, u32),
     pub begun: Option<BTreeSet<String>>,
     pub leaving: Option<(NodeId, Duration)>,
     pub arrivals: u32,
+    pub load: Load,
+    pub peak: Peak,
+    pub usual: Usual,
     pub answered: u32,
     pub answer_time: Duration,
     pub mean_time: Duration,
@@ -63,9 +68,13 @@
             in_flight: 0,
             adopting: Some((now, false)),
             taken: roster,
+            told: (0, 0),
             begun: None,
             leaving: None,
             arrivals: 0,
+            load: Load::default(),
+            peak: Peak::default(),
+            usual: Usual::default(),
             answered: 0,
             answer_time: Duration::ZERO,
             mean_time: Duration::ZERO,
@@ -97,7 +106,7 @@
     pub fn begin_anew(&mut self, now: Duration) {
         self.risk.be_careful(now);
         self.budget.be_careful(now);
-        (self.adopting, self.begun, self.read_at) = (Some((now, false)), None, None);
+        (self.adopting, self.told, self.begun, self.read_at) = (Some((now, false)), (0, 0), None, None);
     }
 
     /// Tasks an instance is planned for, by the usage in force.
@@ -114,7 +123,7 @@
 
     pub fn took(&mut self, time: Duration) {
         self.answered += 1;
-        self.answer_time += time;
+        self.answer_time += self.usual.bound(time);
         self.mean_time = if self.mean_time.is_zero() { time } else { (self.mean_time * 7 + time) / 8 };
     }
 
@@ -138,6 +147,7 @@
         if let Some(instance) = self.instances.get_mut(id) {
             instance.allowed = (instance.busy.min(limit) / 2).max(1);
             instance.allowed_at = now;
+            instance.proven = 0;
             instance.paused_until = now + Duration::from_millis(400);
         }
     }
--- a/crates/traffic/src/handover.rs
+++ b/crates/traffic/src/handover.rs
@@ -12,7 +12,7 @@
 use wire::CarryMsg;
 
 const REPEAT: Duration = Duration::from_millis(200);
-const FOREIGN_ON_CRASH: Duration = Duration::from_millis(1000);
+const FOREIGN_ON_CRASH: Duration = Duration::from_millis(400);
 
 impl Home {
     /// Opens and closes desks so that they are those of the book's functions homed here.
@@ -28,7 +28,8 @@
                 Some(desk) => {
                     desk.function = function.clone();
                     if mine && desk.leaving.is_some() {
-                        desk.leaving = None;
+                        (desk.leaving, desk.taken) = (None, self.roster.number);
+                        desk.begin_anew(now);
                     }
                 }
                 None if mine => {
@@ -106,12 +107,18 @@
     pub(crate) fn handover_pass(&mut self) {
         let now = self.now;
         for desk in self.desks.values_mut() {
+            if desk.adopting.is_some() && !self.may_serve {
+                desk.adopting = Some((now, false));
+                continue;
+            }
             if let Some((since, listed)) = desk.adopting
                 && ((listed && now > since + FOREIGN_ON_CRASH / 2) || now > since + self.timing.adopt)
             {
                 desk.adopting = None;
+                desk.risk.be_careful(now);
+                desk.budget.be_careful(now);
                 for instance in desk.instances.values_mut() {
-                    instance.allowed = 1;
+                    instance.allowed = (desk.function.instance_limit / 2).max(1);
                     instance.allowed_at = now;
                     instance.foreign = 1;
                     instance.foreign_until = now + FOREIGN_ON_CRASH / 2;
