--- a/crates/traffic/src/front.rs
+++ b/crates/traffic/src/front.rs
@@ -59,11 +59,6 @@
         }
     }
 
-    /// Whether some task waits to be carried.
-    pub fn waits(&self) -> bool {
-        self.table.values().any(|record| record.stage == Stage::Waiting)
-    }
-
     pub fn depth(&self) -> usize {
         self.table.len()
     }
--- a/crates/traffic/src/front_passes.rs
+++ b/crates/traffic/src/front_passes.rs
@@ -12,6 +12,11 @@
 }
 
 impl Front {
+    /// Whether some task waits to be carried.
+    pub fn waits(&self) -> bool {
+        self.table.values().any(|record| record.stage == Stage::Waiting)
+    }
+
     /// The home was lost with tasks on it: what they came to is in doubt. They are tried on with the
     /// next home, which knows from the ledger or the budget whether it may run them; what may run
     /// only once, and stands in no ledger, is not tried on: its caller is told at once.
--- a/crates/traffic/src/watching.rs
+++ b/crates/traffic/src/watching.rs
@@ -45,9 +45,9 @@
         false
     }
 
-    /// When a home was last heard that is silent now.
+    /// From when on a home that is silent now was not heard.
     pub(crate) fn silent_since(&self, home: NodeId) -> Option<Duration> {
-        self.watched.get(&home).filter(|watched| watched.silent).map(|watched| watched.heard)
+        self.watched.get(&home)?.unheard.filter(|at| self.now > *at + QUIET)
     }
 
     /// The link a first task waited for is up.
