Let a newcomer say how long it has waited for a seat

Change: JoinAsk tells the time waited in a field that was always 0. Seen: eight join within 9 s in tests.

--- a/crates/chain/src/copy.rs
+++ b/crates/chain/src/copy.rs
@@ -44,11 +44,15 @@
             }
             return;
         }
+        if self.is_chained() {
+            self.seeking = None;
+        }
         if self.is_chained() || self.faulted || self.leaving || now < self.asked_at + RETRY {
             return;
         }
         self.asked_at = now;
-        let message = ChainMsg::JoinAsk { seat: self.meta.seat.clone(), ready: 0, seq: 0 };
+        let waited = (now - *self.seeking.get_or_insert(now)).as_millis() as u64;
+        let message = ChainMsg::JoinAsk { seat: self.meta.seat.clone(), ready: 0, seq: waited };
         if self.meta.view.number == 0 {
             self.outs.push(crate::Output::SendSeeds { message });
         } else {
@@ -57,7 +61,7 @@
     }
 
     pub(crate) fn on_join_ask(&mut self, seat: Seat, ready: bool, copy: u64) {
-        self.note_newcomer(seat.id);
+        self.note_newcomer(seat.id, Duration::from_millis(if ready { 0 } else { copy }));
         let view = self.meta.view.clone();
         if !self.is_current_tail() && self.is_chained() && !view.chain.as_slice().contains(&seat.id) {
             return self.send(seat.id, ChainMsg::Decided { view });
--- a/crates/chain/src/member.rs
+++ b/crates/chain/src/member.rs
@@ -66,6 +66,8 @@
     /// How many disks may be lost at once with all that was acknowledged still kept.
     pub(crate) losses: usize,
     pub(crate) joins_wait: bool,
+    /// Since when it asks to join.
+    pub(crate) seeking: Option<Duration>,
     /// Who asked to join in no one's place, from when to when.
     pub(crate) newcomers: BTreeMap<NodeId, (Duration, Duration)>,
     pub(crate) log_bytes: usize,
@@ -120,6 +122,7 @@
             losses: 1,
             joins_wait: false,
             newcomers: BTreeMap::new(),
+            seeking: None,
             log_bytes: 0,
         };
         member.log_bytes = member.log.iter().map(|entry| entry.body.len()).sum();
--- a/crates/chain/src/seats.rs
+++ b/crates/chain/src/seats.rs
@@ -42,12 +42,13 @@
         known.or_else(there).or_else(spare).unwrap_or(voters.len())
     }
 
-    /// Every member notes who asks, so that whoever is the tail by then knows how long it has waited.
-    pub(crate) fn note_newcomer(&mut self, id: NodeId) {
+    /// Who asks says how long it has waited, since whoever is the tail now may not have heard it before.
+    pub(crate) fn note_newcomer(&mut self, id: NodeId, waited: Duration) {
         let now = self.now;
         self.newcomers.retain(|_, (_, last)| now < *last + FORGOTTEN);
         if self.newcomers.len() < NEWCOMERS || self.newcomers.contains_key(&id) {
-            self.newcomers.entry(id).or_insert((now, now)).1 = now;
+            let (first, last) = self.newcomers.entry(id).or_insert((now, now));
+            (*first, *last) = ((*first).min(now.saturating_sub(waited)), now);
         }
     }
 
--- a/crates/chain/tests/seats.rs
+++ b/crates/chain/tests/seats.rs
@@ -12,7 +12,7 @@
         net.seeds.insert(id, vec![1, 2, 3]);
         net.start_bearing(id, if id <= 3 { 3 } else { 0 }, 2);
     }
-    net.pass(20_000);
+    net.pass(9000);
     net
 }
 
