--- a/crates/traffic/src/control_loop.rs
+++ b/crates/traffic/src/control_loop.rs
@@ -44,8 +44,10 @@
     pub stood_at: Instant,
     pub view: watch::Sender<String>,
     pub grace: Duration,
-    /// As it was last told to the traffic thread.
-    pub book: Option<Book>,
+    /// The revision of the book that traffic has.
+    pub booked: Option<u64>,
+    /// Whether somebody may read views of what was declared.
+    pub viewed: bool,
 }
 
 impl Control {
@@ -150,8 +152,14 @@
                 FollowerOutput::ToPeer { to, message } => self.send(to, message),
                 FollowerOutput::Activated { step, revision } => {
                     event!(step_activated, "step {step} revision {revision}");
-                    let book = self.book_of(step, revision);
-                    self.tell(TrafficMsg::Book(Box::new(book)));
+                    if self.booked == Some(revision) {
+                        self.tell(TrafficMsg::Step(step));
+                    } else {
+                        self.booked = Some(revision);
+                        let book = Book::build(step, revision, self.follower.pairs());
+                        let book = if self.viewed { book.showing(self.follower.pairs()) } else { book };
+                        self.tell(TrafficMsg::Book(Box::new(book)));
+                    }
                     self.show();
                 }
                 FollowerOutput::Rostered { .. } => {
@@ -175,14 +183,6 @@
         }
     }
 
-    /// A step of the quorum alone changes nothing else: what was read then is as good.
-    fn book_of(&mut self, step: u64, revision: u64) -> Book {
-        let known = self.book.take().filter(|book| book.revision == revision);
-        let mut book = known.unwrap_or_else(|| Book::build(step, revision, self.follower.pairs()));
-        book.step = step;
-        self.book.insert(book).clone()
-    }
-
     /// Tells of a standing once it has lasted; each step in force loses the proof for a moment.
     fn tell_standing(&mut self) {
         if self.standing == self.standing_told || self.stood_at.elapsed() < LASTED {
--- a/crates/traffic/src/home.rs
+++ b/crates/traffic/src/home.rs
@@ -28,7 +28,7 @@
     pub(crate) desks: BTreeMap<String, Desk>,
     pub(crate) asks: BTreeMap<u64, LedgerAsk>,
     pub(crate) plan_asks: BTreeMap<u64, String>,
-    pub(crate) running: BTreeMap<u64, (u64, String, String, Duration)>,
+    pub(crate) running: BTreeMap<u64, (u64, String, String, Duration, u32)>,
     pub(crate) stopped: BTreeMap<String, Duration>,
     pub(crate) unbound: BTreeMap<String, Duration>,
     pub(crate) finished: BTreeMap<String, Duration>,
@@ -150,6 +150,11 @@
         self.tasks.values().all(|task| !task.caller) && self.running.is_empty() && self.asks.is_empty()
     }
 
+    /// Whether some task waits here for anything but the answer of the instance it was sent to.
+    pub fn waits(&self) -> bool {
+        self.tasks.len() > self.running.len() || !self.asks.is_empty()
+    }
+
     pub(crate) fn number(&mut self) -> u64 {
         self.next += 1;
         self.next
--- a/crates/traffic/src/keeping.rs
+++ b/crates/traffic/src/keeping.rs
@@ -30,8 +30,8 @@
     pub(crate) fn table_of(&mut self, name: &str, kept: bool) -> Option<HomeTable> {
         let now = self.now;
         let sent = |task: &&HomeTask| task.function == name && task.dispatches > 0;
-        let begun: Vec<Text> =
-            self.tasks.values().filter(sent).filter_map(|task| task.stored.as_deref()).map(Text::from).collect();
+        let begun = self.tasks.values().filter(sent).filter_map(|task| task.stored.as_deref()).map(Text::from);
+        let begun: Vec<Text> = begun.chain(self.being_finished(name)).collect();
         let desk = self.desks.get_mut(name)?;
         let (requests, seconds) = desk.budget.told(now);
         let known = |instance: &Instance| matches!(instance.phase(), Phase::Ready | Phase::Starting);
@@ -149,7 +149,11 @@
             desk.risk.take_over(now, at, table.turned);
             let begun = table.begun.iter().map(|id| id.as_str().to_owned());
             desk.begun = (table.begun_whole != 0).then(|| begun.collect::<BTreeSet<String>>());
+        } else {
+            desk.budget.learn(now, table.seconds.saturating_sub(desk.told.0));
+            desk.risk.learn(now, table.turned.saturating_sub(desk.told.1));
         }
+        desk.told = (desk.told.0.max(table.seconds), desk.told.1.max(table.turned));
         for slot in table.slots.into_vec() {
             let id = slot.instance.as_str();
             if self.stopped.contains_key(id) || self.leaving.contains_key(id) {
--- /dev/null
+++ b/crates/traffic/src/load.rs
@@ -0,0 +1,95 @@
+//! The load on a function just now: what arrived within about the last second and what is held, as the
+//! slots that it keeps in use. A plan is made of whole samples and lags behind a crowd by some of them.
+
+use crate::desk::Desk;
+use crate::instance::Phase;
+use std::collections::VecDeque;
+use std::time::Duration;
+
+const KEPT: Duration = Duration::from_secs(1);
+/// How far the usual time follows in one pass, ten to a second.
+const RISE: f64 = 1.12;
+const FALL: f64 = 0.9;
+const LEAST: Duration = Duration::from_millis(300);
+
+/// Arrivals by the pass that counted them.
+#[derive(Default)]
+pub struct Load {
+    passes: VecDeque<(Duration, u32)>,
+    counted: u32,
+    total: u32,
+}
+
+impl Load {
+    /// `arrivals` goes up with each task and back to zero with each sample.
+    pub fn pass(&mut self, now: Duration, arrivals: u32) {
+        let news = if arrivals >= self.counted { arrivals - self.counted } else { arrivals };
+        self.counted = arrivals;
+        if news > 0 {
+            self.passes.push_back((now, news));
+            self.total += news;
+        }
+        while let Some((_, old)) = self.passes.pop_front_if(|(at, _)| now >= *at + KEPT) {
+            self.total -= old;
+        }
+    }
+
+    /// Tasks a second.
+    pub fn rate(&self, now: Duration) -> f64 {
+        let since = self.passes.front().map_or(KEPT, |(at, _)| now.saturating_sub(*at));
+        f64::from(self.total) / since.clamp(LEAST, KEPT).as_secs_f64()
+    }
+}
+
+/// The most that was wanted within the time a start takes: an instance taken back sooner would have
+/// to be started again by the next swing.
+#[derive(Default)]
+pub struct Peak {
+    count: u32,
+    at: Duration,
+}
+
+impl Peak {
+    pub fn pass(&mut self, now: Duration, wanted: u32, boot: Duration) -> u32 {
+        if wanted >= self.count || now > self.at + boot {
+            (self.count, self.at) = (wanted, now);
+        }
+        self.count
+    }
+}
+
+/// What an answer takes when nothing is wrong. It follows the mean of late slowly upwards: tasks that
+/// stand still because something they call is away would else call for instances without end.
+#[derive(Default)]
+pub struct Usual {
+    time: Duration,
+}
+
+impl Usual {
+    pub fn pass(&mut self, mean: Duration) {
+        let (least, most) = (self.time.mul_f64(FALL), self.time.mul_f64(RISE));
+        self.time = if self.time.is_zero() { mean } else { mean.clamp(least, most) };
+    }
+
+    /// A time that an answer took, as far as it says what an answer takes.
+    pub fn bound(&self, took: Duration) -> Duration {
+        if self.time.is_zero() { took } else { took.min(self.time * 3) }
+    }
+}
+
+impl Desk {
+    /// What an answer can be expected to take.
+    pub fn expected_time(&self) -> Duration {
+        if self.usual.time.is_zero() { self.answer_mean() } else { self.usual.time.min(self.answer_mean()) }
+    }
+
+    /// The instances that the arrivals of the last second and what is held take, if what is held is
+    /// to be worked off within a second; little more than twice what is ready, until that is.
+    pub fn live(&self, now: Duration) -> u32 {
+        let mean = if self.usual.time.is_zero() { self.answer_mean() } else { self.usual.time };
+        let tasks = self.load.rate(now) + self.held.len() as f64;
+        let wanted = (tasks * mean.as_secs_f64() / self.capacity()).ceil() as u32;
+        let most = self.count(Phase::Ready) * 2 + 2;
+        if tasks == 0.0 { 0 } else { wanted.min(most) }
+    }
+}
--- a/crates/traffic/src/scale.rs
+++ b/crates/traffic/src/scale.rs
@@ -33,8 +33,8 @@
         let lasted = self.now.saturating_sub(self.refilled).as_secs_f64();
         self.refilled = self.now;
         self.scaled = self.now;
-        let members = self.roster.members.as_slice().len().max(1) as f64;
-        self.starts_left = (self.starts_left + lasted * self.timing.starts_per_second / members).min(BURST);
+        let homes = self.inventory.homes().max(1) as f64;
+        self.starts_left = (self.starts_left + lasted * self.timing.starts_per_second / homes).min(BURST);
         let overlay = self.timing.overlay;
         let now = self.now;
         self.stopped.retain(|_, at| now < *at + overlay);
@@ -60,6 +60,8 @@
                 continue;
             }
             desk.grow_back(now);
+            desk.load.pass(now, desk.arrivals);
+            desk.usual.pass(desk.mean_time);
             let (ready, starting) = (desk.count(Phase::Ready), desk.count(Phase::Starting));
             let held =
                 desk.held.iter().filter(|n| self.tasks.get(n).is_some_and(|t| now >= t.not_before)).count() as u32;
@@ -73,6 +75,7 @@
                 max: desk.function.max,
                 fixed: desk.function.fixed,
                 may_ask: asks_left > 0,
+                live: desk.live(now),
             };
             let before = desk.player.fallbacks;
             let verdict = desk.player.step(now, ask, situation, &self.timing.player);
@@ -93,13 +96,15 @@
                 self.outs.push(HomeOutput::PlanAsk { message });
             }
             let count = ready + starting;
+            let kept = desk.peak.pass(now, desk.desired, desk.function.boot);
             let willing = now >= desk.refused_until && (held > 0 || now >= desk.holds_back);
             let may_grow = count == 0 || now >= self.no_growth;
             if desk.desired > count && willing && may_grow {
                 let waking = held > 0 && count == 0;
-                wanting.push((waking, desk.function.player_weight, desk.desired - count, name));
-            } else if desk.desired < count {
-                self.drain(&name, count - self.desks[&name].desired);
+                let more = if now < self.no_growth { 1 } else { desk.desired - count };
+                wanting.push((waking, desk.function.player_weight, more, name));
+            } else if kept < count {
+                self.drain(&name, count - kept);
             }
         }
         self.stop_drained();
--- a/crates/traffic/src/service.rs
+++ b/crates/traffic/src/service.rs
@@ -31,6 +31,9 @@
 use tokio::task::spawn_local;
 use wire::{HoldMsg, Message, NodeId};
 
+/// From a lapse until the next home has looked at what runs.
+const TAKING_OVER: Duration = Duration::from_millis(400);
+
 pub fn run(settings: RouterEnv, dialect: Dialect) -> Result<(), RunFault> {
     let begun = Instant::now();
     let incarnation = rand::random::<u64>() >> 8;
@@ -55,6 +58,7 @@
     let (view, shown) = watch::channel(String::from("{}"));
     let (control_view, control_shown) = watch::channel(String::from("{}"));
     let tokens = Tokens::read(&settings.tokens, &settings.tokens_file)?;
+    let viewed = !tokens.is_empty();
     let (shelf, shelved) = watch::channel(Shelf::new(incarnation));
     let (stop, stopping) = watch::channel(false);
     let pass = PassCell::default();
@@ -82,6 +86,8 @@
     let (bounds, bounded) = watch::channel(limits.clone());
     let (own_limits, door_limits) = (limits.clone(), limits.door);
     let (link_names, names, cell) = (directory.clone(), directory.clone(), pass.clone());
+    let back = settings.hold + settings.hold / 6 + TAKING_OVER;
+    let front_limits = FrontLimits { back, ..FrontLimits::default() };
     let timing = HomeTiming {
         starts_per_second: settings.starts_per_second,
         sample: settings.step,
@@ -96,14 +102,14 @@
             me,
             begun,
             pass: cell,
-            front: Front::new(me, incarnation, FrontLimits::default()),
+            front: Front::new(me, incarnation, front_limits),
             home: Home::new(me, incarnation, timing),
             links: find(&names, "links"),
             dispatcher: find(&names, "dispatcher"),
             platform: find(&names, "platform"),
             view,
             limits: (own_limits, bounds),
-            shelving: Shelving::new(shelf),
+            shelving: viewed.then(|| Shelving::new(shelf)),
             step: 0,
             tail: None,
             registries: Vec::new(),
@@ -154,7 +160,8 @@
         stood_at: begun,
         view: control_view,
         grace: settings.grace,
-        book: None,
+        booked: None,
+        viewed,
     };
     let post = find::<ControlMsg>(&directory, "control");
     local(async move {
