Log from every registry which routers join, leave and lapse (E0401 to E0403)

Ruled out: logging from the tail's lapse duty alone, which is lost with the tail. Change: each registry compares the roster it has committed with the one before.

--- a/crates/control/src/control_loop.rs
+++ b/crates/control/src/control_loop.rs
@@ -3,6 +3,7 @@
 use crate::api_calls::ApiReply;
 use crate::core::{Core, CoreInput, CoreOutput};
 use crate::keys;
+use crate::membership::Membership;
 use crate::optimizer::OptimizerMsg;
 use crate::service::ControlMsg;
 use bindings::Book;
@@ -31,6 +32,7 @@
     pub shelf: watch::Sender<Shelf>,
     pub tuned: (u64, Vec<TunedLine>),
     pub shown: Instant,
+    pub membership: Membership,
     pub seeds: Vec<String>,
     /// Registries that a seed told of while this one is empty.
     pub told: Vec<String>,
@@ -64,6 +66,7 @@
             if let Some(input) = input {
                 let outputs = self.core.step(begun.elapsed(), input);
                 self.carry_out(outputs);
+                self.membership.tell(self.core.state());
             }
             self.show();
         }
--- a/crates/control/src/service.rs
+++ b/crates/control/src/service.rs
@@ -8,6 +8,7 @@
 use crate::core::{Core, CoreTiming};
 use crate::dialect::{ControlDialect, Operators};
 use crate::faults::RunFault;
+use crate::membership::Membership;
 use crate::operators::stored_document;
 use crate::optimizer::{self, Host, OptimizerMsg};
 use crate::settings::RegistryEnv;
@@ -126,6 +127,7 @@
         shelf,
         tuned: (0, Vec::new()),
         shown: Instant::now(),
+        membership: Membership::default(),
         seeds: settings.seeds.clone(),
         told: Vec::new(),
     };
