Begin hollow: a core and a few real routers among hollow nodes in one process

Hollow nodes run the follower and the home over the product's own links; relays count frames by kind from their first bytes. Ruled out: a full mesh of hollow nodes at 430 (369 thousand sockets, 20 thousand are allowed here).

--- /dev/null
+++ b/crates/hollow/src/assign.rs
@@ -0,0 +1,96 @@
+//! Which function is home where, worked out once for all nodes of a ward. Each router of the product
+//! works it out for itself; what that costs is measured apart (`hollow homes`), and four hundred
+//! times over one process could not bear it.
+
+use crate::node::NodeInput;
+use crate::town::Town;
+use crate::ward::Shared;
+use bindings::Book;
+use holds::Roster;
+use std::collections::BTreeMap;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+use supply::{Listing, SupplyReport};
+use wire::NodeId;
+
+const LOOK: Duration = Duration::from_millis(250);
+const CALM: Duration = Duration::from_millis(750);
+const LIST: Duration = Duration::from_secs(1);
+
+/// The newest roster and step any node of the ward has.
+pub fn newest(shared: &Shared) -> (u64, u64) {
+    let nodes = shared.nodes.borrow();
+    let each = nodes.values().map(|node| {
+        let node = node.borrow();
+        (node.follower.roster().number, node.follower.step_number())
+    });
+    each.fold((0, 0), |(roster, step), (r, s)| (roster.max(r), step.max(s)))
+}
+
+pub async fn run(shared: Rc<Shared>) {
+    let mut seen = ((0, 0), Instant::now());
+    let mut listed = Instant::now();
+    let mut homes: BTreeMap<NodeId, Vec<String>> = BTreeMap::new();
+    loop {
+        tokio::time::sleep(LOOK).await;
+        let newest = newest(&shared);
+        if newest != seen.0 {
+            seen = (newest, Instant::now());
+        }
+        if newest != shared.assigned.get() && seen.1.elapsed() >= CALM && newest.0 > 0 && newest.1 > 0 {
+            homes = assign(&shared, newest);
+            shared.assigned.set(newest);
+        }
+        if listed.elapsed() >= LIST {
+            listed = Instant::now();
+            list(&shared, &homes);
+        }
+    }
+}
+
+fn assign(shared: &Shared, newest: (u64, u64)) -> BTreeMap<NodeId, Vec<String>> {
+    let nodes: Vec<_> = shared.nodes.borrow().values().cloned().collect();
+    let roster = nodes.iter().find(|node| node.borrow().follower.roster().number == newest.0);
+    let source = nodes.iter().find(|node| node.borrow().follower.step_number() == newest.1);
+    let (Some(roster), Some(source)) = (roster, source) else { return BTreeMap::new() };
+    let roster: Rc<Roster> = Rc::new(roster.borrow().follower.roster().clone());
+    let source = source.borrow();
+    let (revision, mut parts) = (source.follower.revision(), BTreeMap::<NodeId, Vec<(&str, &[u8])>>::new());
+    let mut homes: BTreeMap<NodeId, Vec<String>> = BTreeMap::new();
+    for (key, value) in source.follower.pairs() {
+        let Some(name) = key.strip_prefix("function-bindings/") else { continue };
+        let Some(home) = roster.home(name) else { continue };
+        parts.entry(home).or_default().push((key, value));
+        homes.entry(home).or_default().push(name.to_owned());
+    }
+    let books: BTreeMap<NodeId, Rc<Book>> = parts
+        .into_iter()
+        .map(|(id, pairs)| (id, Rc::new(Book::build(newest.1, revision, pairs.into_iter()))))
+        .collect();
+    drop(source);
+    for node in nodes {
+        let id = node.borrow().follower.me();
+        let book = books.get(&id).cloned().unwrap_or_default();
+        give(shared, &node, NodeInput::Assigned { roster: roster.clone(), book });
+    }
+    homes
+}
+
+/// Tells each node which instances the awake functions homed there have, as the platform's list would.
+fn list(shared: &Shared, homes: &BTreeMap<NodeId, Vec<String>>) {
+    let nodes: Vec<_> = shared.nodes.borrow().values().cloned().collect();
+    for node in nodes {
+        let id = node.borrow().follower.me();
+        let numbers = homes.get(&id).into_iter().flatten().filter_map(|name| Town::number(name));
+        let instances = numbers.flat_map(|number| shared.plan.town.lines(number)).collect();
+        let report = SupplyReport::Listed { listing: Listing { instances }, asked: Instant::now() };
+        give(shared, &node, NodeInput::Listed { report });
+    }
+}
+
+/// What a node returns to these two goes out with its next tick's, a hundredth of a second later.
+fn give(shared: &Shared, node: &Rc<std::cell::RefCell<crate::node::Node>>, input: NodeInput) {
+    let mut node = node.borrow_mut();
+    let outputs = node.step(shared.begun.elapsed(), input);
+    node.keep(outputs);
+}
--- /dev/null
+++ b/crates/hollow/src/fleet.rs
@@ -0,0 +1,312 @@
+//! A hollow fleet put together: relays first, then the registries, the configuration, the real
+//! routers and the wards. Dropping it ends everything it started.
+
+use crate::line::Order;
+use crate::node::identity;
+use crate::proc::Usage;
+use crate::processes::{CLUSTER, Drawn, Process, REGISTRIES, TOKEN, address, listeners, registry, router, zone};
+use crate::relay::Relays;
+use crate::tally::Tally;
+use crate::ward::{self, NodeMsg, Plan, Seat, WardOrder, WardView};
+use crate::yardstub::{self, Asked};
+use heron::{Answer, Call, ask};
+use hyper::Method;
+use kernel::{Inbox, Post, adopt, inbox, local, thread};
+use serde_json::Value;
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::TcpListener;
+use std::path::Path;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::thread::JoinHandle;
+use std::time::{Duration, Instant};
+use tokio::sync::oneshot;
+use tokio::time::sleep;
+
+const PATIENCE: Duration = Duration::from_secs(400);
+const PAUSE: Duration = Duration::from_millis(20);
+
+pub struct RelayView {
+    pub tally: Tally,
+    pub lists: u64,
+    pub list_bytes: u64,
+}
+
+pub struct Fleet {
+    pub processes: Vec<Process>,
+    wards: Vec<Post<WardOrder>>,
+    relays: Option<Post<oneshot::Sender<RelayView>>>,
+    threads: Vec<JoinHandle<()>>,
+    pub hollow: usize,
+    pub total: usize,
+    pub ward_of: Vec<(usize, usize)>,
+    pub zones: Vec<String>,
+}
+
+pub fn on_thread<F: FnOnce() + Send + 'static>(name: &str, work: F) -> Result<JoinHandle<()>, String> {
+    thread(name, work).map_err(|fault| fault.to_string())
+}
+
+impl Drop for Fleet {
+    fn drop(&mut self) {
+        self.processes.clear();
+        self.wards.clear();
+        self.relays = None;
+        for thread in self.threads.drain(..) {
+            let _ = thread.join();
+        }
+    }
+}
+
+impl Fleet {
+    pub async fn start(order: &Order, nodes: usize, folder: &Path) -> Result<Fleet, String> {
+        let routers = order.routers;
+        let hollow = nodes - routers;
+        let (open, listeners) = listen_all(hollow, routers)?;
+        let Open { drawn, relayed, platform } = open;
+        let seeds: Vec<String> = drawn[..REGISTRIES].iter().map(|drawn| drawn.address.clone()).collect();
+        let platform_address = address(&platform);
+        let names: BTreeMap<String, String> = drawn.iter().map(|d| (d.address.clone(), d.name.clone())).collect();
+        let (relays, looks) = inbox(16);
+        let behind: Vec<(String, String)> = drawn.iter().map(|d| (d.name.clone(), d.behind.clone())).collect();
+        let page = order.town().page();
+        let work = move || local(relay_thread(names, relayed, behind, platform, page, looks));
+        let mut fleet = Fleet {
+            processes: Vec::new(),
+            wards: Vec::new(),
+            relays: Some(relays),
+            threads: vec![on_thread("relays", work)?],
+            hollow,
+            total: nodes,
+            ward_of: Vec::new(),
+            zones: Vec::new(),
+        };
+        let told = seeds.join(",");
+        for (number, drawn) in drawn[..REGISTRIES].iter().enumerate() {
+            fleet.processes.push(registry(order, folder, drawn, number, &told)?);
+        }
+        fleet.wait("a core", |page| page["current_tail"] == true).await?;
+        let answer = fleet.call(Method::PUT, "/v1/configuration", order.town().configuration()).await?;
+        if answer.status != 200 {
+            return Err(format!("the configuration: {} {}", answer.status, String::from_utf8_lossy(&answer.body)));
+        }
+        for (number, drawn) in drawn[REGISTRIES..].iter().enumerate() {
+            fleet.processes.push(router(order, folder, drawn, hollow + number, &told, &platform_address)?);
+        }
+        let routers = drawn[REGISTRIES..].iter().map(|d| (identity(CLUSTER, &d.address), d.name.clone()));
+        fleet.start_wards(order, listeners, seeds, routers.collect())?;
+        Ok(fleet)
+    }
+
+    fn start_wards(
+        &mut self,
+        order: &Order,
+        listeners: Vec<TcpListener>,
+        seeds: Vec<String>,
+        routers: BTreeMap<u64, String>,
+    ) -> Result<(), String> {
+        let threads = order.threads.min(self.hollow);
+        let mut peers = BTreeMap::new();
+        let mut addresses = BTreeSet::new();
+        let mut parts: Vec<Vec<Seat>> = (0..threads).map(|_| Vec::new()).collect();
+        for (number, listener) in listeners.into_iter().enumerate() {
+            listener.set_nonblocking(true).map_err(|fault| fault.to_string())?;
+            let address = address(&listener);
+            let id = identity(CLUSTER, &address);
+            let (post, taken) = inbox::<NodeMsg>(16_384);
+            peers.insert(id, post);
+            addresses.insert(address.clone());
+            let zone = zone(number, order.zones);
+            self.zones.push(zone.clone());
+            let ward = number % threads;
+            self.ward_of.push((ward, parts[ward].len()));
+            parts[ward].push(Seat { id, address, zone, listener, inbox: taken });
+        }
+        let (peers, addresses, routers) = (Arc::new(peers), Arc::new(addresses), Arc::new(routers));
+        for (number, seats) in parts.into_iter().enumerate() {
+            let plan = Plan {
+                cluster: CLUSTER.into(),
+                seeds: seeds.clone(),
+                town: order.town(),
+                mesh: order.mesh,
+                start_every: Duration::from_millis(20 * threads as u64),
+                peers: peers.clone(),
+                addresses: addresses.clone(),
+                routers: routers.clone(),
+            };
+            let (post, orders) = inbox(64);
+            self.wards.push(post);
+            self.threads.push(on_thread(&format!("ward-{number}"), move || local(ward::run(plan, seats, orders)))?);
+        }
+        Ok(())
+    }
+
+    pub async fn call(&self, method: Method, path: &str, body: Vec<u8>) -> Result<Answer, String> {
+        let call = Call {
+            method,
+            address: self.processes[0].api.clone(),
+            path: path.into(),
+            token: TOKEN.into(),
+            if_match: Some("*".into()),
+            body,
+            limit: Duration::from_secs(20),
+            ..Call::default()
+        };
+        ask(&call).await.map_err(|fault| fault.to_string())
+    }
+
+    /// Each registry's own page, empty where it does not answer.
+    pub async fn pages(&self) -> Vec<Value> {
+        let mut pages = Vec::new();
+        for process in &self.processes[..REGISTRIES] {
+            let call = Call {
+                address: process.api.clone(),
+                path: "/v1/status".into(),
+                token: TOKEN.into(),
+                limit: Duration::from_secs(3),
+                ..Call::default()
+            };
+            let page = ask(&call).await.ok().and_then(|answer| serde_json::from_slice(&answer.body).ok());
+            pages.push(page.unwrap_or_default());
+        }
+        pages
+    }
+
+    async fn wait(&mut self, what: &str, fits: impl Fn(&Value) -> bool) -> Result<(), String> {
+        let begun = Instant::now();
+        while begun.elapsed() < PATIENCE / 8 {
+            if self.pages().await.iter().any(&fits) {
+                return Ok(());
+            }
+            self.alive()?;
+            sleep(PAUSE * 5).await;
+        }
+        Err(format!("{what} is not reached in {:?}", PATIENCE / 8))
+    }
+
+    pub fn alive(&mut self) -> Result<(), String> {
+        for process in &mut self.processes {
+            if let Ok(Some(status)) = process.child.try_wait() {
+                return Err(format!("{} ended: {status}", process.name));
+            }
+        }
+        Ok(())
+    }
+
+    pub async fn look(&self) -> WardView {
+        let mut all =
+            WardView { least_revision: u64::MAX, least_members: usize::MAX, assigned: true, ..WardView::default() };
+        for ward in &self.wards {
+            let (reply, told) = oneshot::channel();
+            let _ = ward.send(WardOrder::Look(reply));
+            let Ok(view) = told.await else { continue };
+            all.tally.merge(&view.tally);
+            all.nodes += view.nodes;
+            all.serving += view.serving;
+            all.least_revision = all.least_revision.min(view.least_revision);
+            all.least_members = all.least_members.min(view.least_members);
+            all.most_members = all.most_members.max(view.most_members);
+            all.assigned &= view.assigned;
+        }
+        all
+    }
+
+    pub async fn relayed(&self) -> Option<RelayView> {
+        let (reply, told) = oneshot::channel();
+        let _ = self.relays.as_ref()?.send(reply);
+        told.await.ok()
+    }
+
+    /// Waits until the hollow nodes' common view fits, and says how long that took.
+    pub async fn until(&mut self, what: &str, fits: impl Fn(&WardView) -> bool) -> Result<Duration, String> {
+        let begun = Instant::now();
+        loop {
+            let view = self.look().await;
+            if fits(&view) {
+                return Ok(begun.elapsed());
+            }
+            if begun.elapsed() > PATIENCE {
+                let WardView { nodes, serving, least_members, most_members, .. } = view;
+                return Err(format!(
+                    "{what} is not reached in {PATIENCE:?}: {serving} of {nodes} hollow nodes serve and know {least_members} to {most_members} of {} members",
+                    self.total
+                ));
+            }
+            self.alive()?;
+            sleep(PAUSE).await;
+        }
+    }
+
+    pub fn silence(&self, numbers: &[usize], back: bool) {
+        for (place, ward) in self.wards.iter().enumerate() {
+            let places =
+                numbers.iter().map(|n| self.ward_of[*n]).filter(|(w, _)| *w == place).map(|(_, p)| p).collect();
+            let _ = ward.send(WardOrder::Silence { places, back });
+        }
+    }
+
+    pub fn usage(&self) -> BTreeMap<String, Usage> {
+        let each = self.processes.iter().map(|process| (process.name.clone(), Usage::of(process.child.id())));
+        each.chain([("itself".to_owned(), Usage::of(std::process::id()))]).collect()
+    }
+}
+
+struct Open {
+    drawn: Vec<Drawn>,
+    relayed: Vec<TcpListener>,
+    platform: TcpListener,
+}
+
+/// Addresses for everything: the relays' and the nodes' stay open, the processes' are let go of again.
+fn listen_all(hollow: usize, routers: usize) -> Result<(Open, Vec<TcpListener>), String> {
+    let processes = REGISTRIES + routers;
+    let mut free = listeners(1 + hollow + processes * 4)?.into_iter();
+    let platform = free.next().ok_or("no port")?;
+    let mut relayed = Vec::new();
+    let mut drawn = Vec::new();
+    let mut let_go = Vec::new();
+    for number in 0..processes {
+        let (Some(relay), Some(behind), Some(api), Some(door)) = (free.next(), free.next(), free.next(), free.next())
+        else {
+            return Err("no port".into());
+        };
+        let name = match number.checked_sub(REGISTRIES) {
+            None => format!("registry-{number}"),
+            Some(number) => format!("router-{number}"),
+        };
+        drawn.push(Drawn {
+            name,
+            address: address(&relay),
+            behind: address(&behind),
+            api: address(&api),
+            door: address(&door),
+        });
+        relayed.push(relay);
+        let_go.extend([behind, api, door]);
+    }
+    Ok((Open { drawn, relayed, platform }, free.collect()))
+}
+
+async fn relay_thread(
+    names: BTreeMap<String, String>,
+    listeners: Vec<TcpListener>,
+    behind: Vec<(String, String)>,
+    platform: TcpListener,
+    page: Vec<u8>,
+    mut looks: Inbox<oneshot::Sender<RelayView>>,
+) {
+    let relays = Relays::new(CLUSTER, names);
+    for (listener, (name, behind)) in listeners.into_iter().zip(behind) {
+        if listener.set_nonblocking(true).is_ok() {
+            relays.open(adopt(listener), name, behind);
+        }
+    }
+    let asked = Rc::new(Asked::default());
+    if platform.set_nonblocking(true).is_ok() {
+        tokio::task::spawn_local(yardstub::serve(adopt(platform), page, asked.clone()));
+    }
+    while let Some(reply) = looks.next().await {
+        let view = RelayView { tally: relays.tally(), lists: asked.lists.get(), list_bytes: asked.bytes.get() };
+        let _ = reply.send(view);
+    }
+}
--- /dev/null
+++ b/crates/hollow/src/node.rs
@@ -0,0 +1,199 @@
+//! A hollow node: a router's own state machines, the follower and the home, without callers and
+//! instances. It takes ticks and frames and returns frames, as the router's threads do around them.
+
+use bindings::Book;
+use holds::{Follower, FollowerInput, FollowerOutput, FollowerTiming, Roster, mix};
+use std::collections::BTreeSet;
+use std::rc::Rc;
+use std::time::Duration;
+use supply::SupplyReport;
+use traffic::{Home, HomeInput, HomeOutput, HomeTiming};
+use wire::{HoldMsg, Message, NodeId, PlanMsg};
+
+const NEAR: Duration = Duration::from_millis(2500);
+const TELL: Duration = Duration::from_millis(500);
+
+pub enum NodeInput {
+    Tick,
+    Up {
+        id: NodeId,
+        address: String,
+    },
+    Down {
+        id: NodeId,
+    },
+    Frame {
+        from: NodeId,
+        message: Message,
+    },
+    /// The part of the book whose functions are homed here, and the roster that says so.
+    Assigned {
+        roster: Rc<Roster>,
+        book: Rc<Book>,
+    },
+    Listed {
+        report: SupplyReport,
+    },
+}
+
+#[derive(Debug)]
+pub enum NodeOutput {
+    Send { to: NodeId, message: Message },
+    Dial { addresses: Vec<String> },
+    Ordered,
+}
+
+pub struct Node {
+    pub follower: Follower,
+    home: Home,
+    seeds: Vec<String>,
+    seats: Vec<String>,
+    registries: BTreeSet<NodeId>,
+    heard: Option<Duration>,
+    told: Duration,
+    now: Duration,
+    outs: Vec<NodeOutput>,
+}
+
+/// The identity a router at this address has, as the product gives it.
+pub fn identity(cluster: &str, address: &str) -> NodeId {
+    mix(&[b"router", cluster.as_bytes(), address.as_bytes()]) | 1
+}
+
+impl Node {
+    pub fn new(id: NodeId, incarnation: u64, address: &str, zone: &str, seeds: &[String]) -> Node {
+        Node {
+            follower: Follower::new(id, incarnation, address, zone, "", FollowerTiming::default()),
+            home: Home::new(id, incarnation, HomeTiming::default()),
+            seeds: seeds.to_vec(),
+            seats: Vec::new(),
+            registries: BTreeSet::new(),
+            heard: None,
+            told: Duration::ZERO,
+            now: Duration::ZERO,
+            outs: Vec::new(),
+        }
+    }
+
+    /// Outputs that whoever steps this node beside its own loop leaves for that loop to carry out.
+    pub fn keep(&mut self, outputs: Vec<NodeOutput>) {
+        self.outs.extend(outputs);
+    }
+
+    pub fn may_serve(&self, now: Duration) -> bool {
+        now < self.follower.serves_until()
+    }
+
+    pub fn step(&mut self, now: Duration, input: NodeInput) -> Vec<NodeOutput> {
+        self.now = now;
+        match input {
+            NodeInput::Tick => {
+                self.follow(FollowerInput::Tick);
+                if now >= self.told + TELL {
+                    self.told = now;
+                    let near = self.heard.is_some_and(|at| now < at + NEAR);
+                    self.feed_home(HomeInput::Core { near });
+                }
+                self.feed_home(HomeInput::Tick);
+            }
+            NodeInput::Up { id, address } => {
+                if self.seeds.contains(&address) || self.seats.contains(&address) {
+                    self.registries.insert(id);
+                }
+            }
+            NodeInput::Down { id } => drop(self.registries.remove(&id)),
+            NodeInput::Frame { from, message } => self.frame(from, message),
+            NodeInput::Assigned { roster, book } => {
+                self.feed_home(HomeInput::Roster { roster });
+                self.feed_home(HomeInput::Book { book });
+            }
+            NodeInput::Listed { report } => self.feed_home(HomeInput::Platform { report, listed_at: now }),
+        }
+        std::mem::take(&mut self.outs)
+    }
+
+    fn frame(&mut self, from: NodeId, message: Message) {
+        match message {
+            Message::Carry(message) if message.is_for_home() => self.feed_home(HomeInput::Carry { from, message }),
+            Message::Plan(message) => self.feed_home(HomeInput::Plan { message }),
+            Message::Hold(message @ (HoldMsg::EnterReceipt { .. } | HoldMsg::ReadReceipt { .. })) => {
+                self.feed_home(HomeInput::Ledger { message });
+            }
+            Message::Hold(message @ (HoldMsg::PeerAsk { .. } | HoldMsg::PeerReceipt { .. })) => {
+                self.follow(FollowerInput::Peer { from, message });
+            }
+            Message::Hold(message) => {
+                self.registries.insert(from);
+                if matches!(message, HoldMsg::Proof { .. }) {
+                    self.heard = Some(self.now);
+                }
+                self.follow(FollowerInput::Registry { from, message });
+            }
+            _ => {}
+        }
+    }
+
+    fn send(&mut self, to: NodeId, message: Message) {
+        self.outs.push(NodeOutput::Send { to, message });
+    }
+
+    fn tell_registries(&mut self, message: Message) {
+        for to in self.registries.clone() {
+            self.send(to, message.clone());
+        }
+    }
+
+    fn follow(&mut self, input: FollowerInput) {
+        for output in self.follower.step(self.now, input) {
+            match output {
+                FollowerOutput::ToRegistry { to: Some(to), message } | FollowerOutput::ToPeer { to, message } => {
+                    self.send(to, Message::Hold(message));
+                }
+                FollowerOutput::ToRegistry { to: None, message } => self.tell_registries(Message::Hold(message)),
+                FollowerOutput::Rostered { .. } => self.dial(),
+                FollowerOutput::Seats { addresses } => {
+                    if addresses != self.seats {
+                        self.seats = addresses;
+                        self.dial();
+                    }
+                }
+                FollowerOutput::Lapsed => self.feed_home(HomeInput::Lapsed),
+                FollowerOutput::Activated { .. } | FollowerOutput::Standing { .. } => {}
+            }
+        }
+    }
+
+    fn dial(&mut self) {
+        let members = self.follower.roster().members.iter().map(|line| line.address.as_str().to_owned());
+        let addresses = self.seeds.iter().chain(&self.seats).cloned().chain(members).collect();
+        self.outs.push(NodeOutput::Dial { addresses });
+    }
+
+    fn feed_home(&mut self, input: HomeInput) {
+        let may_serve = self.may_serve(self.now);
+        for output in self.home.step(self.now, may_serve, input) {
+            match output {
+                HomeOutput::Carry { to, message } => self.send(to, Message::Carry(message)),
+                HomeOutput::Enter { ask, body } => self.tell_core(HoldMsg::Enter { ask, body: body.into() }),
+                HomeOutput::Read { ask, prefix } => {
+                    self.tell_core(HoldMsg::Read { ask, prefix: prefix.into(), from: "".into() });
+                }
+                HomeOutput::PlanAsk { message } => self.tell_registries(Message::Plan(message)),
+                HomeOutput::Samples { lines } => {
+                    self.tell_registries(Message::Plan(PlanMsg::Samples { lines: lines.into() }));
+                }
+                HomeOutput::Measures { lines } => {
+                    self.tell_registries(Message::Plan(PlanMsg::Measures { lines: lines.into() }));
+                }
+                HomeOutput::Platform(_) => self.outs.push(NodeOutput::Ordered),
+                _ => {}
+            }
+        }
+    }
+
+    fn tell_core(&mut self, message: HoldMsg) {
+        if let Some(to) = self.follower.tail() {
+            self.send(to, Message::Hold(message));
+        }
+    }
+}
--- /dev/null
+++ b/crates/hollow/src/offline.rs
@@ -0,0 +1,175 @@
+//! Measurements without sockets: books, homes, plans, a home's passes, the platform's list. Each point
+//! is taken in a process of its own, so that its memory is its own.
+
+use crate::line::{Order, What};
+use crate::offline_home::{lists, passes};
+use crate::proc::Usage;
+use crate::report::tell;
+use crate::slopes::Series;
+use crate::tally::round;
+use crate::town::Town;
+use bindings::{Book, Function};
+use holds::{MemberLine, Roster};
+use rand::{RngExt, SeedableRng};
+use scaler::{Optimizer, Sample};
+use serde_json::{Map, Value, json};
+use std::process::{Command, Stdio};
+use std::time::{Duration, Instant};
+
+const STEP: Duration = Duration::from_secs(15);
+const STEPS: usize = 960;
+const SOLVE: Duration = Duration::from_secs(1);
+
+pub fn resident_mb() -> f64 {
+    Usage::of(std::process::id()).resident_mb
+}
+
+/// The middle one of several timings of the same work, in milliseconds.
+pub fn timed(times: usize, mut work: impl FnMut()) -> f64 {
+    let mut all: Vec<f64> = (0..times)
+        .map(|_| {
+            let begun = Instant::now();
+            work();
+            begun.elapsed().as_secs_f64() * 1000.0
+        })
+        .collect();
+    all.sort_by(f64::total_cmp);
+    all[all.len() / 2]
+}
+
+fn driver(order: &Order) -> (&'static str, &'static str, &[usize]) {
+    match order.what {
+        What::Homes => ("members", "nodes", &order.nodes),
+        What::Plans => ("awake functions", "awake", &order.awake),
+        What::Passes => ("open desks", "functions", &order.functions),
+        What::Lists => ("instances", "instances", &order.instances),
+        _ => ("functions", "functions", &order.functions),
+    }
+}
+
+pub fn offline(order: &Order) -> Result<(), String> {
+    if order.one {
+        let told = match order.what {
+            What::Homes => homes(order),
+            What::Plans => plans(order),
+            What::Passes => passes(order),
+            What::Lists => lists(order),
+            _ => books(order),
+        };
+        println!("{told}");
+        return Ok(());
+    }
+    let (what, flag, sizes) = driver(order);
+    let mut points = Vec::new();
+    for size in sizes {
+        let mut told = again(order, flag, *size)?;
+        told["size"] = (*size).into();
+        points.push(told);
+    }
+    let names: Vec<String> = points[0].as_object().map(|o| o.keys().cloned().collect()).unwrap_or_default();
+    let read = |name: &String| Series {
+        name: name.clone(),
+        unit: String::new(),
+        points: points.iter().filter_map(|p| Some((p["size"].as_f64()?, p[name].as_f64()?))).collect(),
+    };
+    let series: Vec<Series> = names.iter().filter(|name| *name != "size").map(read).collect();
+    tell(&format!("against {what}, seed {}", order.seed), &points, &series, order.out.as_deref())
+}
+
+/// This program once more, for one size alone.
+fn again(order: &Order, flag: &str, size: usize) -> Result<Value, String> {
+    let itself = std::env::current_exe().map_err(|fault| fault.to_string())?;
+    let word = format!("{:?}", order.what).to_lowercase();
+    let mut command = Command::new(itself);
+    command.args([&word, "--one", "--seed", &order.seed.to_string()]);
+    let own = [("nodes", &order.nodes), ("functions", &order.functions), ("awake", &order.awake)];
+    for (name, list) in own.into_iter().filter(|(name, _)| *name != flag) {
+        command.args([format!("--{name}"), list[0].to_string()]);
+    }
+    command.args([format!("--{flag}"), size.to_string()]).stdin(Stdio::null()).stderr(Stdio::inherit());
+    let output = command.output().map_err(|fault| fault.to_string())?;
+    serde_json::from_slice(&output.stdout).map_err(|fault| format!("{word} of {size}: {fault}"))
+}
+
+fn books(order: &Order) -> Value {
+    let town = Town { functions: order.functions[0], awake: 0, instances: 0 };
+    let pairs = town.pairs();
+    let bytes: usize = pairs.iter().map(|(key, value)| key.len() + value.len()).sum();
+    let each = || pairs.iter().map(|(key, value)| (key.as_str(), value.as_slice()));
+    let before = resident_mb();
+    let book = Book::build(1, 1, each());
+    let held = resident_mb() - before;
+    let build = timed(5, || drop(Book::build(1, 1, each())));
+    let check = timed(5, || drop(bindings::check(each())));
+    json!({
+        "configuration bytes": bytes, "book build ms": round(build), "whole check ms": round(check),
+        "book MB": round(held), "functions read": book.functions().count(),
+    })
+}
+
+pub fn roster(members: usize) -> Roster {
+    let line = |n: usize| MemberLine {
+        id: holds::mix(&[&n.to_le_bytes()]),
+        incarnation: 1,
+        address: format!("10.0.{}.{}:7000", n / 250, n % 250).as_str().into(),
+        zone: format!("z{}", n % 5).as_str().into(),
+        ops: format!("10.0.{}.{}:7001", n / 250, n % 250).as_str().into(),
+        leaving: 0,
+    };
+    Roster { number: 1, members: (0..members).map(line).collect::<Vec<_>>().into() }
+}
+
+fn homes(order: &Order) -> Value {
+    let (members, functions) = (order.nodes[0], order.functions[0]);
+    let roster = roster(members);
+    let town = Town { functions, awake: 0, instances: 0 };
+    let names: Vec<String> = (0..functions).map(|n| town.name(n)).collect();
+    let mut mine = 0;
+    let all = timed(5, || {
+        mine = names.iter().filter(|name| roster.home(name) == Some(roster.members.as_slice()[0].id)).count()
+    });
+    json!({
+        "one lookup us": round(all * 1000.0 / functions as f64), "lookups of all functions ms": round(all),
+        "roster bytes": wire::to_bytes(&roster).len(), "functions homed at one": mine,
+    })
+}
+
+/// What an optimizer's host does in one step for so many functions awake, each with a full window.
+fn plans(order: &Order) -> Value {
+    let awake = order.awake[0];
+    let town = Town { functions: awake, awake: 0, instances: 0 };
+    let pairs = town.pairs();
+    let book = Book::build(1, 1, pairs.iter().map(|(key, value)| (key.as_str(), value.as_slice())));
+    let functions: Vec<Function> = book.functions().cloned().collect();
+    let mut dice = rand_chacha::ChaCha8Rng::seed_from_u64(order.seed);
+    let before = resident_mb();
+    let mut optimizer = Optimizer::new(STEP, 1e9);
+    let mut now = Duration::ZERO;
+    let mut told = Map::new();
+    for step in 0..STEPS {
+        now += STEP;
+        for (number, function) in functions.iter().enumerate() {
+            let wave = (step as f64 / 240.0 * std::f64::consts::TAU + number as f64).sin();
+            let rate = (5.0 + 3.0 * wave + dice.random::<f64>()).max(0.0);
+            let sample = Sample { rate, response: Duration::from_millis(50), waiting: 0.0, held: 0.0 };
+            optimizer.sample(now, &function.name, sample);
+        }
+        if [39, 239, STEPS - 1].contains(&step) {
+            let round_of = |optimizer: &mut Optimizer, now: Duration| {
+                let begun = Instant::now();
+                for function in &functions {
+                    optimizer.plan(now, function, 2, Sample::default(), SOLVE);
+                }
+                begun.elapsed().as_secs_f64() * 1000.0 / functions.len() as f64
+            };
+            let later = now + Duration::from_secs(301);
+            told.insert(
+                format!("fit and plan ms each, {} samples", step + 1),
+                round(round_of(&mut optimizer, later)).into(),
+            );
+            told.insert(format!("plan ms each, {} samples", step + 1), round(round_of(&mut optimizer, later)).into());
+        }
+    }
+    told.insert("windows MB".into(), round(resident_mb() - before).into());
+    Value::Object(told)
+}
--- /dev/null
+++ b/crates/hollow/src/offline_home.rs
@@ -0,0 +1,92 @@
+//! A home alone: its tick against open desks, and the platform's list against instances.
+
+use crate::line::Order;
+use crate::offline::{resident_mb, roster, timed};
+use crate::tally::round;
+use crate::town::Town;
+use bindings::Book;
+use serde_json::{Value, json};
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+use supply::{Listing, SupplyReport};
+use traffic::{Home, HomeInput, HomeTiming};
+use wire::{Message, PlanMsg};
+
+const TICK: Duration = Duration::from_millis(10);
+const ROUNDS: u32 = 1000;
+
+/// A home of all the town's functions, its adoptions ended, its awake functions' instances known.
+fn open(town: &Town) -> (Home, Duration) {
+    let roster = Rc::new(roster(1));
+    let mut home = Home::new(roster.members.as_slice()[0].id, 1, HomeTiming::default());
+    let pairs = town.pairs();
+    let book = Rc::new(Book::build(1, 1, pairs.iter().map(|(key, value)| (key.as_str(), value.as_slice()))));
+    home.step(TICK, true, HomeInput::Roster { roster });
+    home.step(TICK, true, HomeInput::Book { book });
+    let mut now = TICK;
+    listed(&mut home, now, town.listing());
+    for _ in 0..200 {
+        now += TICK;
+        home.step(now, true, HomeInput::Tick);
+    }
+    (home, now)
+}
+
+fn listed(home: &mut Home, now: Duration, listing: Listing) {
+    let report = SupplyReport::Listed { listing, asked: Instant::now() };
+    home.step(now, true, HomeInput::Platform { report, listed_at: now });
+}
+
+pub fn passes(order: &Order) -> Value {
+    let desks = order.functions[0];
+    let town = |awake: usize| Town { functions: desks, awake, instances: awake * 2 };
+    let before = resident_mb();
+    let (mut asleep, from) = open(&town(0));
+    let held = resident_mb() - before;
+    let tick = |home: &mut Home, from: Duration| {
+        let begun = Instant::now();
+        for round in 1..=ROUNDS {
+            home.step(from + TICK * round, true, HomeInput::Tick);
+        }
+        begun.elapsed().as_secs_f64() * 1e6 / f64::from(ROUNDS)
+    };
+    let all_asleep = tick(&mut asleep, from);
+    let (mut awake, from) = open(&town(desks));
+    let all_awake = tick(&mut awake, from);
+    json!({
+        "tick us, all asleep": round(all_asleep), "tick us, all awake": round(all_awake),
+        "cores, all asleep": round(all_asleep / TICK.as_micros() as f64),
+        "cores, all awake": round(all_awake / TICK.as_micros() as f64), "home asleep MB": round(held),
+        "sample bytes a desk": sample_bytes(&mut asleep, from, desks),
+    })
+}
+
+/// The bytes of one round of samples, shared by the desks they tell of.
+fn sample_bytes(home: &mut Home, from: Duration, desks: usize) -> f64 {
+    let outputs = home.step(from + Duration::from_secs(60), true, HomeInput::Tick);
+    let told = outputs.into_iter().find_map(|output| match output {
+        traffic::HomeOutput::Samples { lines } => Some(PlanMsg::Samples { lines: lines.into() }),
+        _ => None,
+    });
+    told.map_or(0.0, |message| round(wire::to_bytes(&Message::Plan(message)).len() as f64 / desks as f64))
+}
+
+/// One reading of the list by one router of the target: its bytes, its parsing, and its taking in by a
+/// home with the functions of one in 430.
+pub fn lists(order: &Order) -> Value {
+    let instances = order.instances[0];
+    let town = Town { functions: 9100, awake: instances.min(9100), instances };
+    let page = town.page();
+    let parse = timed(5, || drop(read(&page)));
+    let own = Town { functions: 21, awake: 21, instances: 42 };
+    let (mut home, now) = open(&own);
+    let take = timed(5, || listed(&mut home, now, read(&page)));
+    json!({
+        "page bytes": page.len(), "read ms": round(parse), "read and take in ms": round(take),
+        "cores at one a second": round(take / 1000.0),
+    })
+}
+
+fn read(page: &[u8]) -> Listing {
+    serde_json::from_slice(page).unwrap_or_default()
+}
