--- /dev/null
+++ b/crates/hollow/tests/shape.rs
@@ -0,0 +1,85 @@
+//! What does and does not grow with nodes, counted exactly: one hollow node for two seconds of its own
+//! time, answered by a tail at once.
+
+use bindings::Book;
+use holds::{MemberLine, Roster};
+use hollow::{Node, NodeInput, NodeOutput, Town};
+use std::collections::BTreeMap;
+use std::rc::Rc;
+use std::time::Duration;
+use test_case::test_case;
+use wire::{CarryMsg, HoldMsg, Message, NodeId, PlanMsg};
+
+const TAIL: NodeId = 2;
+const ME: NodeId = 11;
+const SEED: &str = "10.9.9.9:1";
+const TICK: Duration = Duration::from_millis(10);
+
+fn roster(members: u64) -> Roster {
+    let line = |n: u64| MemberLine {
+        id: ME + n,
+        incarnation: 1,
+        address: format!("10.0.0.1:{n}").as_str().into(),
+        zone: ["a", "b", "c"][(n % 3) as usize].into(),
+        ops: "".into(),
+        leaving: 0,
+    };
+    Roster { number: 1, members: (0..members).map(line).collect::<Vec<_>>().into() }
+}
+
+/// Messages the node sends in two seconds among so many members, by kind.
+fn sent(members: u64, awake: usize) -> BTreeMap<&'static str, usize> {
+    let town = Town { functions: 40, awake, instances: awake * 2 };
+    let pairs = town.pairs();
+    let roster = roster(members);
+    let mine: Vec<&(String, Vec<u8>)> = pairs.iter().take(20).collect();
+    let book = Book::build(1, 1, mine.iter().map(|(key, value)| (key.as_str(), value.as_slice())));
+    let mut node = Node::new(ME, 1, "10.0.0.1:0", "a", &[SEED.to_owned()]);
+    let mut now = TICK;
+    node.step(now, NodeInput::Up { id: TAIL, address: SEED.into() });
+    let step = wire::StepLine { number: 1, revision: 1, quorum: Vec::new().into(), items: Vec::new().into() };
+    let body = wire::to_bytes(&roster).into();
+    for message in [HoldMsg::Stage { step }, HoldMsg::Activate { number: 1 }, HoldMsg::Roster { number: 1, body }] {
+        node.step(now, NodeInput::Frame { from: TAIL, message: Message::Hold(message) });
+    }
+    node.step(now, NodeInput::Assigned { roster: Rc::new(roster), book: Rc::new(book) });
+    let mut counts = BTreeMap::new();
+    for tick in 0..400 {
+        now += TICK;
+        let outputs = node.step(now, NodeInput::Tick);
+        for output in outputs {
+            let NodeOutput::Send { message, .. } = output else { continue };
+            if let Message::Hold(HoldMsg::Renew { ask, .. }) = &message {
+                let proof = HoldMsg::Proof { ask: *ask, active: 1, latest: 1, member: 1 };
+                node.step(now, NodeInput::Frame { from: TAIL, message: Message::Hold(proof) });
+            }
+            let kind = match &message {
+                Message::Hold(HoldMsg::Renew { .. }) => "renewals",
+                Message::Hold(_) => "other words to the core",
+                Message::Carry(CarryMsg::Beat) => "beats",
+                Message::Plan(PlanMsg::Ask { .. }) => "plan asks",
+                _ => "others",
+            };
+            if tick >= 200 {
+                *counts.entry(kind).or_default() += 1;
+            }
+        }
+    }
+    counts
+}
+
+#[test_case(4; "4 members")]
+#[test_case(50; "50 members")]
+#[test_case(430; "430 members")]
+fn renewals_do_not_grow_with_members_and_beats_do(members: u64) {
+    let counts = sent(members, 0);
+    assert_eq!(counts.get("renewals"), Some(&8), "{counts:?}");
+    assert_eq!(counts.get("other words to the core"), None, "{counts:?}");
+    assert_eq!(counts.get("beats"), Some(&(20 * (members as usize - 1))), "{counts:?}");
+}
+
+#[test]
+fn a_whole_fleet_beats_with_the_square_of_its_members() {
+    let fleet = |members: u64| sent(members, 0)["beats"] * members as usize;
+    assert_eq!(fleet(20) * 41 * 40, fleet(41) * 20 * 19);
+}
