Let the whole configuration be older than the steps kept, and write each point as it comes

Cause: at 9,100 functions and 50 nodes the core did not stand: a newcomer is pushed the whole configuration as a step again each 150 ms beside what it fetches; a registry came to 7.3 GB and the fleet stood after 79 s. Ruled out: a leak of the quiet fleet (25 nodes stay at 70 MB).

--- a/crates/hollow/src/fleet.rs
+++ b/crates/hollow/src/fleet.rs
@@ -12,7 +12,7 @@
 use heron::{Answer, Call, ask};
 use hyper::Method;
 use kernel::{Inbox, Post, adopt, inbox, local, thread};
-use serde_json::Value;
+use serde_json::{Value, json};
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::TcpListener;
 use std::path::Path;
@@ -90,6 +90,15 @@
         if answer.status != 200 {
             return Err(format!("the configuration: {} {}", answer.status, String::from_utf8_lossy(&answer.body)));
         }
+        let town = order.town();
+        for older in 0..order.older {
+            let number = older % town.functions;
+            let body = json!({"set": {town.key(number): town.binding(number, 3999 - older as u32)}});
+            let answer = fleet.call(Method::PATCH, "/v1/configuration", body.to_string().into_bytes()).await?;
+            if answer.status != 200 {
+                return Err(format!("an older change: {}", String::from_utf8_lossy(&answer.body)));
+            }
+        }
         for (number, drawn) in drawn[REGISTRIES..].iter().enumerate() {
             fleet.processes.push(router(order, folder, drawn, hollow + number, &told, &platform_address)?);
         }
@@ -129,7 +138,7 @@
                 seeds: seeds.clone(),
                 town: order.town(),
                 mesh: order.mesh,
-                start_every: Duration::from_millis(20 * threads as u64),
+                start_every: Duration::from_millis(order.join_ms * threads as u64),
                 peers: peers.clone(),
                 addresses: addresses.clone(),
                 routers: routers.clone(),
--- a/crates/hollow/src/line.rs
+++ b/crates/hollow/src/line.rs
@@ -19,6 +19,9 @@
   --functions N     functions bound [1000]; a LIST for books
   --awake N         functions with instances [100]; a LIST for plans and passes
   --instances N     instances of the awake [400]; a LIST for lists
+  --older N         small changes made before any node joins, so that the whole configuration is
+                    older than the steps the core keeps; 0 to see what it costs where it is not [70]
+  --join-ms N       time between two nodes' starts [100]
   --changes N       configuration changes, one after another [3]
   --restarts N      hollow nodes that restart, one after another [3]
   --lose N          hollow nodes of one zone that fall silent for good [0]
@@ -49,6 +52,8 @@
     pub functions: Vec<usize>,
     pub awake: Vec<usize>,
     pub instances: Vec<usize>,
+    pub older: usize,
+    pub join_ms: u64,
     pub changes: usize,
     pub restarts: usize,
     pub lose: usize,
@@ -92,6 +97,8 @@
         functions: vec![1000],
         awake: vec![100],
         instances: vec![400],
+        older: 70,
+        join_ms: 100,
         changes: 3,
         restarts: 3,
         lose: 0,
@@ -138,6 +145,8 @@
             "functions" => order.functions = list(&name, &value, 1, 50_000)?,
             "awake" => order.awake = list(&name, &value, 0, 50_000)?,
             "instances" => order.instances = list(&name, &value, 0, 200_000)?,
+            "older" => order.older = one(&name, &value, 0, 1000)?,
+            "join-ms" => order.join_ms = one(&name, &value, 1, 10_000)? as u64,
             "changes" => order.changes = one(&name, &value, 0, 1000)?,
             "restarts" => order.restarts = one(&name, &value, 0, 1000)?,
             "lose" => order.lose = one(&name, &value, 0, 5000)?,
--- a/crates/hollow/src/main.rs
+++ b/crates/hollow/src/main.rs
@@ -54,11 +54,23 @@
     let folder = order.folder.clone().unwrap_or_else(|| own.clone());
     let mut points = Vec::new();
     let mut ended = Ok(());
+    let title = format!(
+        "hollow fleets: {} functions, {} awake with {} instances, {} real routers, {} s quiet{}",
+        order.functions[0],
+        order.awake[0],
+        order.instances[0],
+        order.routers,
+        order.seconds,
+        if order.mesh { ", full mesh" } else { "" }
+    );
     for nodes in &order.nodes {
         let part: PathBuf = folder.join(format!("{nodes}"));
         std::fs::create_dir_all(&part).map_err(|fault| format!("{}: {fault}", part.display()))?;
         match point(order, *nodes, &part).await {
-            Ok(told) => points.push(told),
+            Ok(told) => {
+                points.push(told);
+                tell(&title, &points, &series(&points), order.out.as_deref())?;
+            }
             Err(told) => {
                 ended = Err(format!("{nodes} nodes: {told}"));
                 break;
@@ -69,17 +81,5 @@
     if order.folder.is_none() {
         let _ = std::fs::remove_dir_all(&own);
     }
-    let title = format!(
-        "hollow fleets: {} functions, {} awake with {} instances, {} real routers, {} s quiet{}",
-        order.functions[0],
-        order.awake[0],
-        order.instances[0],
-        order.routers,
-        order.seconds,
-        if order.mesh { ", full mesh" } else { "" }
-    );
-    if !points.is_empty() {
-        tell(&title, &points, &series(&points), order.out.as_deref())?;
-    }
     ended
 }
--- a/crates/hollow/src/offline_home.rs
+++ b/crates/hollow/src/offline_home.rs
@@ -16,8 +16,8 @@
 const ROUNDS: u32 = 1000;
 
 /// A home of all the town's functions, its adoptions ended, its awake functions' instances known.
-fn open(town: &Town) -> (Home, Duration) {
-    let roster = Rc::new(roster(1));
+fn open(town: &Town, members: usize) -> (Home, Duration) {
+    let roster = Rc::new(roster(members));
     let mut home = Home::new(roster.members.as_slice()[0].id, 1, HomeTiming::default());
     let pairs = town.pairs();
     let book = Rc::new(Book::build(1, 1, pairs.iter().map(|(key, value)| (key.as_str(), value.as_slice()))));
@@ -41,7 +41,7 @@
     let desks = order.functions[0];
     let town = |awake: usize| Town { functions: desks, awake, instances: awake * 2 };
     let before = resident_mb();
-    let (mut asleep, from) = open(&town(0));
+    let (mut asleep, from) = open(&town(0), 1);
     let held = resident_mb() - before;
     let tick = |home: &mut Home, from: Duration| {
         let begun = Instant::now();
@@ -51,7 +51,7 @@
         begun.elapsed().as_secs_f64() * 1e6 / f64::from(ROUNDS)
     };
     let all_asleep = tick(&mut asleep, from);
-    let (mut awake, from) = open(&town(desks));
+    let (mut awake, from) = open(&town(desks), 1);
     let all_awake = tick(&mut awake, from);
     json!({
         "tick us, all asleep": round(all_asleep), "tick us, all awake": round(all_awake),
@@ -78,8 +78,7 @@
     let town = Town { functions: 9100, awake: instances.min(9100), instances };
     let page = town.page();
     let parse = timed(5, || drop(read(&page)));
-    let own = Town { functions: 21, awake: 21, instances: 42 };
-    let (mut home, now) = open(&own);
+    let (mut home, now) = open(&town, 430);
     let take = timed(5, || listed(&mut home, now, read(&page)));
     json!({
         "page bytes": page.len(), "read ms": round(parse), "read and take in ms": round(take),
--- a/crates/hollow/src/report.rs
+++ b/crates/hollow/src/report.rs
@@ -5,7 +5,7 @@
 use std::path::Path;
 
 /// What is read out of each fleet's point: a name, its unit, and where it stands.
-const READ: [(&str, &str, &str); 35] = [
+const READ: [(&str, &str, &str); 38] = [
     ("tail cores", "cores", "quiet/who/tail/process/cores"),
     ("head cores", "cores", "quiet/who/head/process/cores"),
     ("middle cores", "cores", "quiet/who/middle/process/cores"),
@@ -39,6 +39,9 @@
     ("hollow node samples out", "B/s", "quiet/who/hollow/out/plan.samples/bytes"),
     ("hollow node plan asks out", "/s", "quiet/who/hollow/out/plan.ask/messages"),
     ("change in force, most", "ms", "changes/most_in_force_ms"),
+    ("lost zone: roster without it", "ms", "lost/roster_ms"),
+    ("hollow node messages out", "/s", "quiet/who/hollow/out/all/messages"),
+    ("restart: back", "ms", "restarts/back_ms/0"),
     ("restart: roster pushed, each", "B", "restarts/each/hold.roster"),
     ("restart: configuration sent, each", "B", "restarts/each/hold.piece"),
 ];
--- a/crates/hollow/src/run.rs
+++ b/crates/hollow/src/run.rs
@@ -16,6 +16,8 @@
 use tokio::time::sleep;
 
 const CALM: Duration = Duration::from_secs(8);
+/// How long a core that takes no change for the moment is asked again, the time being the change's.
+const REFUSED: Duration = Duration::from_secs(60);
 const GAP: Duration = Duration::from_millis(400);
 
 struct Mark {
@@ -97,7 +99,11 @@
     let body = json!({"set": {town.key(number): town.binding(number, deadline_ms)}}).to_string().into_bytes();
     let before = fleet.look().await.least_revision;
     let begun = Instant::now();
-    let answer = fleet.call(Method::PATCH, "/v1/configuration", body).await?;
+    let mut answer = fleet.call(Method::PATCH, "/v1/configuration", body.clone()).await?;
+    while answer.status == 503 && begun.elapsed() < REFUSED {
+        sleep(GAP).await;
+        answer = fleet.call(Method::PATCH, "/v1/configuration", body.clone()).await?;
+    }
     let receipt = begun.elapsed();
     if answer.status != 200 {
         return Err(format!("a change: {} {}", answer.status, String::from_utf8_lossy(&answer.body)));
@@ -115,6 +121,7 @@
     };
     fleet.until("the whole fleet", |view| whole(view, hollow, total) && view.assigned).await?;
     let stood = begun.elapsed();
+    eprintln!("{nodes} nodes stand after {stood:.1?}");
     sleep(CALM).await;
     let (roles, host) = roles(&fleet).await;
     let mut phases = Map::new();
@@ -126,6 +133,7 @@
     phases.insert("quiet".into(), phase(&fleet, &roles, &first, &last));
 
     if order.changes > 0 {
+        eprintln!("changes");
         let (mut receipts, mut in_force) = (Vec::new(), Vec::new());
         for n in 0..order.changes {
             let number = dice.random_range(0..order.town().functions);
@@ -143,6 +151,7 @@
         last = next;
     }
     if order.restarts > 0 {
+        eprintln!("restarts");
         let mut back = Vec::new();
         for n in 0..order.restarts {
             let begun = Instant::now();
@@ -160,6 +169,7 @@
         last = next;
     }
     if order.lose > 0 {
+        eprintln!("a zone lost");
         let zone = fleet.zones[0].clone();
         let lost: Vec<usize> = (0..hollow).filter(|n| fleet.zones[*n] == zone).take(order.lose).collect();
         let left = hollow - lost.len();
