End a hollow node with all its links, and carry a task through its home offline

Cause: a restarted hollow node took 13 to 62 s to be whole; the links of its former incarnation went on beside the new ones, which no process's do. Each node now runs in a task set of its own.

--- a/crates/hollow/src/fleet.rs
+++ b/crates/hollow/src/fleet.rs
@@ -3,20 +3,18 @@
 
 use crate::line::Order;
 use crate::node::identity;
+use crate::opening::{Open, RelayView, listen_all, on_thread, relay_thread};
 use crate::proc::Usage;
-use crate::processes::{CLUSTER, Drawn, Process, REGISTRIES, TOKEN, address, listeners, registry, router, zone};
-use crate::relay::Relays;
-use crate::tally::Tally;
-use crate::ward::{self, NodeMsg, Plan, Seat, WardOrder, WardView};
-use crate::yardstub::{self, Asked};
+use crate::processes::{CLUSTER, Process, REGISTRIES, TOKEN, address, registry, router, zone};
+use crate::seat::{NodeMsg, Seat};
+use crate::ward::{self, Plan, WardOrder, WardView};
 use heron::{Answer, Call, ask};
 use hyper::Method;
-use kernel::{Inbox, Post, adopt, inbox, local, thread};
+use kernel::{Post, inbox, local};
 use serde_json::{Value, json};
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::TcpListener;
 use std::path::Path;
-use std::rc::Rc;
 use std::sync::Arc;
 use std::thread::JoinHandle;
 use std::time::{Duration, Instant};
@@ -26,12 +24,6 @@
 const PATIENCE: Duration = Duration::from_secs(400);
 const PAUSE: Duration = Duration::from_millis(20);
 
-pub struct RelayView {
-    pub tally: Tally,
-    pub lists: u64,
-    pub list_bytes: u64,
-}
-
 pub struct Fleet {
     pub processes: Vec<Process>,
     wards: Vec<Post<WardOrder>>,
@@ -43,10 +35,6 @@
     pub zones: Vec<String>,
 }
 
-pub fn on_thread<F: FnOnce() + Send + 'static>(name: &str, work: F) -> Result<JoinHandle<()>, String> {
-    thread(name, work).map_err(|fault| fault.to_string())
-}
-
 impl Drop for Fleet {
     fn drop(&mut self) {
         self.processes.clear();
@@ -259,63 +247,3 @@
         each.chain([("itself".to_owned(), Usage::of(std::process::id()))]).collect()
     }
 }
-
-struct Open {
-    drawn: Vec<Drawn>,
-    relayed: Vec<TcpListener>,
-    platform: TcpListener,
-}
-
-/// Addresses for everything: the relays' and the nodes' stay open, the processes' are let go of again.
-fn listen_all(hollow: usize, routers: usize) -> Result<(Open, Vec<TcpListener>), String> {
-    let processes = REGISTRIES + routers;
-    let mut free = listeners(1 + hollow + processes * 4)?.into_iter();
-    let platform = free.next().ok_or("no port")?;
-    let mut relayed = Vec::new();
-    let mut drawn = Vec::new();
-    let mut let_go = Vec::new();
-    for number in 0..processes {
-        let (Some(relay), Some(behind), Some(api), Some(door)) = (free.next(), free.next(), free.next(), free.next())
-        else {
-            return Err("no port".into());
-        };
-        let name = match number.checked_sub(REGISTRIES) {
-            None => format!("registry-{number}"),
-            Some(number) => format!("router-{number}"),
-        };
-        drawn.push(Drawn {
-            name,
-            address: address(&relay),
-            behind: address(&behind),
-            api: address(&api),
-            door: address(&door),
-        });
-        relayed.push(relay);
-        let_go.extend([behind, api, door]);
-    }
-    Ok((Open { drawn, relayed, platform }, free.collect()))
-}
-
-async fn relay_thread(
-    names: BTreeMap<String, String>,
-    listeners: Vec<TcpListener>,
-    behind: Vec<(String, String)>,
-    platform: TcpListener,
-    page: Vec<u8>,
-    mut looks: Inbox<oneshot::Sender<RelayView>>,
-) {
-    let relays = Relays::new(CLUSTER, names);
-    for (listener, (name, behind)) in listeners.into_iter().zip(behind) {
-        if listener.set_nonblocking(true).is_ok() {
-            relays.open(adopt(listener), name, behind);
-        }
-    }
-    let asked = Rc::new(Asked::default());
-    if platform.set_nonblocking(true).is_ok() {
-        tokio::task::spawn_local(yardstub::serve(adopt(platform), page, asked.clone()));
-    }
-    while let Some(reply) = looks.next().await {
-        let view = RelayView { tally: relays.tally(), lists: asked.lists.get(), list_bytes: asked.bytes.get() };
-        let _ = reply.send(view);
-    }
-}
--- a/crates/hollow/src/line.rs
+++ b/crates/hollow/src/line.rs
@@ -12,6 +12,7 @@
        hollow homes [options]        looking homes up, against members
        hollow plans [options]        forecast and plan, against awake functions and the window
        hollow passes [options]       a home's tick, against open desks
+       hollow tasks [options]        a task through its home, against the bytes of its body
        hollow lists [options]        reading the platform's list, against instances
 
   --nodes LIST      numbers of nodes, real routers among them [10,50]
@@ -19,6 +20,7 @@
   --functions N     functions bound [1000]; a LIST for books
   --awake N         functions with instances [100]; a LIST for plans and passes
   --instances N     instances of the awake [400]; a LIST for lists
+  --bytes LIST      bytes of a task's body, for tasks [1000]
   --older N         small changes made before any node joins, so that the whole configuration is
                     older than the steps the core keeps; 0 to see what it costs where it is not [70]
   --join-ms N       time between two nodes' starts [100]
@@ -42,6 +44,7 @@
     Plans,
     Passes,
     Lists,
+    Tasks,
 }
 
 #[derive(Clone, Debug)]
@@ -52,6 +55,7 @@
     pub functions: Vec<usize>,
     pub awake: Vec<usize>,
     pub instances: Vec<usize>,
+    pub bytes: Vec<usize>,
     pub older: usize,
     pub join_ms: u64,
     pub changes: usize,
@@ -97,6 +101,7 @@
         functions: vec![1000],
         awake: vec![100],
         instances: vec![400],
+        bytes: vec![1000],
         older: 70,
         join_ms: 100,
         changes: 3,
@@ -145,6 +150,7 @@
             "functions" => order.functions = list(&name, &value, 1, 50_000)?,
             "awake" => order.awake = list(&name, &value, 0, 50_000)?,
             "instances" => order.instances = list(&name, &value, 0, 200_000)?,
+            "bytes" => order.bytes = list(&name, &value, 0, 1_000_000)?,
             "older" => order.older = one(&name, &value, 0, 1000)?,
             "join-ms" => order.join_ms = one(&name, &value, 1, 10_000)? as u64,
             "changes" => order.changes = one(&name, &value, 0, 1000)?,
@@ -167,7 +173,8 @@
         "plans" => What::Plans,
         "passes" => What::Passes,
         "lists" => What::Lists,
-        _ => return Err("say run, books, homes, plans, passes or lists; see --help".into()),
+        "tasks" => What::Tasks,
+        _ => return Err("say run, books, homes, plans, passes, lists or tasks; see --help".into()),
     };
     if order.what == What::Run {
         possible(&order, memory_mb(), files_allowed())?;
--- a/crates/hollow/src/offline.rs
+++ b/crates/hollow/src/offline.rs
@@ -3,6 +3,7 @@
 
 use crate::line::{Order, What};
 use crate::offline_home::{lists, passes};
+use crate::offline_tasks::tasks;
 use crate::proc::Usage;
 use crate::report::tell;
 use crate::slopes::Series;
@@ -42,6 +43,7 @@
         What::Homes => ("members", "nodes", &order.nodes),
         What::Plans => ("awake functions", "awake", &order.awake),
         What::Passes => ("open desks", "functions", &order.functions),
+        What::Tasks => ("bytes of a body", "bytes", &order.bytes),
         What::Lists => ("instances", "instances", &order.instances),
         _ => ("functions", "functions", &order.functions),
     }
@@ -54,6 +56,7 @@
             What::Plans => plans(order),
             What::Passes => passes(order),
             What::Lists => lists(order),
+            What::Tasks => tasks(order),
             _ => books(order),
         };
         println!("{told}");
--- a/crates/hollow/src/offline_home.rs
+++ b/crates/hollow/src/offline_home.rs
@@ -16,7 +16,7 @@
 const ROUNDS: u32 = 1000;
 
 /// A home of all the town's functions, its adoptions ended, its awake functions' instances known.
-fn open(town: &Town, members: usize) -> (Home, Duration) {
+pub fn open(town: &Town, members: usize) -> (Home, Duration) {
     let roster = Rc::new(roster(members));
     let mut home = Home::new(roster.members.as_slice()[0].id, 1, HomeTiming::default());
     let pairs = town.pairs();
--- /dev/null
+++ b/crates/hollow/src/offline_tasks.rs
@@ -0,0 +1,85 @@
+//! One task through its home: the frames that carry it there and back, and what the home's state
+//! machine and the codec take for it, against the bytes of its body. Sockets are not in it.
+
+use crate::line::Order;
+use crate::offline::timed;
+use crate::offline_home::open;
+use crate::tally::round;
+use crate::town::Town;
+use serde_json::{Value, json};
+use std::time::Duration;
+use traffic::{HomeInput, HomeOutput, Verdict};
+use wire::{CarryMsg, FORMAT, Frame, HeaderLine, Message, Outcome, RequestHead, decode, encode};
+
+const TASKS: u64 = 500;
+const APART: Duration = Duration::from_millis(10);
+
+fn frame(message: CarryMsg) -> Vec<u8> {
+    let message = Message::Carry(message);
+    encode(&Frame { format: FORMAT, cluster: "hollow".into(), sender: 7, incarnation: 1, message })
+}
+
+fn read(raw: &[u8]) {
+    let checksum = u32::from_le_bytes([raw[4], raw[5], raw[6], raw[7]]);
+    drop(decode("hollow", checksum, &raw[8..]));
+}
+
+pub fn tasks(order: &Order) -> Value {
+    let bytes = order.bytes[0];
+    let town = Town { functions: 21, awake: 21, instances: 84 };
+    let (mut home, from) = open(&town, 1);
+    let name = town.name(0);
+    let header = |name: &str| HeaderLine { name: name.into(), value: vec![b'x'; 24].into() };
+    let headers = ["content-type", "content-length", "user-agent", "accept"].map(header).to_vec().into();
+    let head: Vec<u8> =
+        wire::to_bytes(&RequestHead { method: "POST".into(), target: format!("/{name}").as_str().into(), headers });
+    let carry = |task: u64| CarryMsg::Carry {
+        task,
+        function: name.as_str().into(),
+        binding: name.as_str().into(),
+        left_ms: 4000,
+        tries: 0,
+        respond_async: 0,
+        key: "".into(),
+        head: head.clone().into(),
+        body: vec![b'b'; bytes].into(),
+    };
+    let carried = CarryMsg::Carried {
+        task: 1,
+        outcome: Outcome::Answered,
+        status: 200,
+        retry_after: 0,
+        head: head.clone().into(),
+        body: vec![b'b'; bytes].into(),
+    };
+    let (there, back) = (frame(carry(1)), frame(carried.clone()));
+    let mut now = from;
+    let (mut next, mut answered) = (0, 0);
+    let whole =
+        |head: &[u8]| Verdict::Whole { status: 200, head: head.to_vec(), body: vec![b'b'; bytes], turned_away: false };
+    let steps = timed(5, || {
+        for _ in 0..TASKS {
+            now += APART;
+            next += 1;
+            let outputs = home.step(now, true, HomeInput::Carry { from: 9, message: carry(next) });
+            for output in outputs {
+                let HomeOutput::Dispatch(order) = output else { continue };
+                let verdict = whole(&head);
+                let outputs = home.step(now, true, HomeInput::Dispatched { number: order.number, verdict });
+                answered += outputs.iter().filter(|output| matches!(output, HomeOutput::Carry { .. })).count();
+            }
+        }
+    });
+    let codec = timed(5, || {
+        for task in 0..TASKS {
+            read(&frame(carry(task)));
+            drop(frame(carried.clone()));
+        }
+    });
+    json!({
+        "carry bytes": there.len(), "answer bytes": back.len(),
+        "home step us a task": round(steps * 1000.0 / TASKS as f64),
+        "codec us a task": round(codec * 1000.0 / TASKS as f64),
+        "answered of sent": round(answered as f64 / next as f64),
+    })
+}
--- a/crates/hollow/src/ward.rs
+++ b/crates/hollow/src/ward.rs
@@ -4,36 +4,22 @@
 use crate::assign;
 use crate::node::{Node, NodeInput, NodeOutput};
 use crate::relay::HOLLOW;
+use crate::seat::{NodeMsg, Put, Seat};
 use crate::tally::{Tally, Way};
 use crate::town::Town;
 use kernel::{Inbox, Post};
 use links::{LinkEvent, LinkOrder, Me};
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, BTreeSet};
-use std::net::TcpListener;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 use tokio::sync::oneshot;
-use tokio::task::{JoinHandle, spawn_local};
+use tokio::task::{JoinHandle, LocalSet, spawn_local};
 use wire::{CarryMsg, FORMAT, Frame, Message, NodeId};
 
 const TICK: Duration = Duration::from_millis(10);
 
-pub enum NodeMsg {
-    Link(LinkEvent),
-    Peer { from: NodeId, message: Message },
-}
-
-/// One hollow node's place, known before anything starts.
-pub struct Seat {
-    pub id: NodeId,
-    pub address: String,
-    pub zone: String,
-    pub listener: TcpListener,
-    pub inbox: Inbox<NodeMsg>,
-}
-
 pub enum WardOrder {
     Look(oneshot::Sender<WardView>),
     /// The nodes of these places fall silent; with true they come back at once, knowing nothing.
@@ -88,7 +74,7 @@
     let mut running: BTreeMap<usize, JoinHandle<()>> = BTreeMap::new();
     let seats: Vec<Rc<RefCell<Option<Seat>>>> = seats.into_iter().map(|s| Rc::new(RefCell::new(Some(s)))).collect();
     for (place, seat) in seats.iter().enumerate() {
-        running.insert(place, spawn_local(live(shared.clone(), place, seat.clone())));
+        running.insert(place, spawn_local(alone(shared.clone(), place, seat.clone())));
         tokio::time::sleep(shared.plan.start_every).await;
     }
     while let Some(order) = orders.next().await {
@@ -101,7 +87,7 @@
                     let _ = task.await;
                     shared.nodes.borrow_mut().remove(&place);
                     if back {
-                        running.insert(place, spawn_local(live(shared.clone(), place, seats[place].clone())));
+                        running.insert(place, spawn_local(alone(shared.clone(), place, seats[place].clone())));
                     }
                 }
             }
@@ -148,6 +134,12 @@
     }
 }
 
+/// A node with all it spawns: when this ends, its links and the tasks around them end too, as those of
+/// a process would.
+async fn alone(shared: Rc<Shared>, place: usize, seat: Rc<RefCell<Option<Seat>>>) {
+    LocalSet::new().run_until(live(shared, place, seat)).await;
+}
+
 /// One node from its start until it is aborted; its seat is put back for the next beginning.
 async fn live(shared: Rc<Shared>, place: usize, seat: Rc<RefCell<Option<Seat>>>) {
     let Some(taken) = seat.borrow_mut().take() else { return };
@@ -172,7 +164,7 @@
         })
     });
     while taken.inbox.ready().is_some() {}
-    let _links = Aborting(spawn_local(links::start(me, kernel::adopt(listener), orders, deliver)));
+    spawn_local(links::start(me, kernel::adopt(listener), orders, deliver));
     let _ = links.send(LinkOrder::Dial { addresses: plan.seeds.clone() });
     let first = tokio::time::Instant::now() + TICK.mul_f64(rand::random::<f64>());
     let mut ticks = tokio::time::interval_at(first, TICK);
@@ -231,23 +223,3 @@
         }
     }
 }
-
-/// Gives a seat back when its node ends, however it ends.
-struct Put {
-    seat: Rc<RefCell<Option<Seat>>>,
-    taken: Option<Seat>,
-}
-
-impl Drop for Put {
-    fn drop(&mut self) {
-        *self.seat.borrow_mut() = self.taken.take();
-    }
-}
-
-struct Aborting(JoinHandle<()>);
-
-impl Drop for Aborting {
-    fn drop(&mut self) {
-        self.0.abort();
-    }
-}
