--- a/crates/hollow/src/main.rs
+++ b/crates/hollow/src/main.rs
@@ -33,6 +33,7 @@
         };
         *told.borrow_mut() = end;
     });
+    let _ = std::fs::remove_dir_all(own_folder());
     match ended.replace(Ok(())) {
         Ok(()) => ExitCode::SUCCESS,
         Err(told) => fail(&told),
@@ -49,9 +50,13 @@
     ExitCode::FAILURE
 }
 
+/// Where a run keeps what it needs if it is told nothing else; removed however it ends.
+fn own_folder() -> PathBuf {
+    std::env::temp_dir().join(format!("hollow-{}", std::process::id()))
+}
+
 async fn sweep(order: &Order) -> Result<(), String> {
-    let own = std::env::temp_dir().join(format!("hollow-{}", std::process::id()));
-    let folder = order.folder.clone().unwrap_or_else(|| own.clone());
+    let folder = order.folder.clone().unwrap_or_else(own_folder);
     let mut points = Vec::new();
     let mut ended = Ok(());
     let title = format!(
@@ -81,8 +86,5 @@
         }
         eprintln!("{nodes} nodes measured");
     }
-    if order.folder.is_none() {
-        let _ = std::fs::remove_dir_all(&own);
-    }
     ended
 }
