--- a/crates/hollow/src/node.rs
+++ b/crates/hollow/src/node.rs
@@ -185,7 +185,7 @@
                 HomeOutput::Measures { lines } => {
                     self.tell_registries(Message::Plan(PlanMsg::Measures { lines: lines.into() }));
                 }
-                HomeOutput::Platform(_) => self.outs.push(NodeOutput::Ordered),
+                HomeOutput::Supply(_) => self.outs.push(NodeOutput::Ordered),
                 _ => {}
             }
         }
--- a/crates/hollow/src/offline.rs
+++ b/crates/hollow/src/offline.rs
@@ -16,6 +16,7 @@
 use serde_json::{Map, Value, json};
 use std::process::{Command, Stdio};
 use std::time::{Duration, Instant};
+use wire::Capacity;
 
 const STEP: Duration = Duration::from_secs(15);
 const STEPS: usize = 960;
@@ -118,6 +119,8 @@
         zone: format!("z{}", n % 5).as_str().into(),
         ops: format!("10.0.{}.{}:7001", n / 250, n % 250).as_str().into(),
         leaving: 0,
+        hashing: holds::HASHING,
+        capacity: Capacity::default(),
     };
     Roster { number: 1, members: (0..members).map(line).collect::<Vec<_>>().into() }
 }
--- a/crates/hollow/src/town.rs
+++ b/crates/hollow/src/town.rs
@@ -2,7 +2,7 @@
 //! have. Every kind of text the platform or the operators would send is made here alone.
 
 use serde_json::{Map, Value, json};
-use supply::{InstanceLine, Listing};
+use supply::{InstanceLine, InstanceState, Listing};
 
 #[derive(Clone, Copy, Debug)]
 pub struct Town {
@@ -60,7 +60,9 @@
             id: format!("{}.i{n:03}", service.replace('/', ".")),
             service: service.clone(),
             address: format!("10.{}.{}.{}:8080", number / 250 % 250, number % 250, n % 250),
-            state: "running".into(),
+            zone: String::new(),
+            worker: "w1".into(),
+            state: InstanceState::Running,
         };
         (0..self.instances_of(number)).map(line).collect()
     }
