Keep the most that was wanted over the whole time a start takes

Cause, told by the test of crowds: the highest count was forgotten a start's time after it was reached, and what took its place was the count of that moment, not the highest since; so a crowd of a second was taken back to ten of twenty instances within 600 ms of its end.

Change: a sliding maximum. The test passes; it had passed before by the moment it looked.

--- a/crates/traffic/src/load.rs
+++ b/crates/traffic/src/load.rs
@@ -45,16 +45,16 @@
 /// to be started again by the next swing.
 #[derive(Default)]
 pub struct Peak {
-    count: u32,
-    at: Duration,
+    /// Counts that nothing later has reached, the highest first.
+    counts: VecDeque<(Duration, u32)>,
 }
 
 impl Peak {
     pub fn pass(&mut self, now: Duration, wanted: u32, boot: Duration) -> u32 {
-        if wanted >= self.count || now > self.at + boot {
-            (self.count, self.at) = (wanted, now);
-        }
-        self.count
+        while self.counts.pop_back_if(|(_, count)| *count <= wanted).is_some() {}
+        self.counts.push_back((now, wanted));
+        while self.counts.pop_front_if(|(at, _)| now > *at + boot).is_some() {}
+        self.counts.front().map_or(wanted, |(_, count)| *count)
     }
 }
 
