--- a/crates/sim/tests/seeds.rs
+++ b/crates/sim/tests/seeds.rs
@@ -48,3 +48,9 @@
     assert_eq!((one.steps, &one.summary), (two.steps, &two.summary));
     assert_ne!(one.summary, run(18, Sort::Mixed, false).summary);
 }
+
+/// Found by the last sweep and not mended yet; named in KNOWN-RED.txt.
+#[test]
+fn seeds_not_mended_yet_second_tries_beyond_the_slack() {
+    seeds_keep_the_rules(Sort::Mixed, &[330149, 330440]);
+}
