Count a function's few requests instead of making a rate of them

Cause: one arrival in a window clamped to 300 ms counted as 3.3 a second; times an answer's mean time that is two to five instances for the first request of a function called once a minute.

Change: up to two arrivals within the last second, what is queued and in flight is counted and no rate is made of it (LiveDemand, a type of its own with a table of its cases). From three on as before.

Ruled out: a longer window alone, which is late for a crowd.

--- a/crates/scaler/src/lib.rs
+++ b/crates/scaler/src/lib.rs
@@ -8,6 +8,7 @@
 mod demand;
 mod forecast;
 mod fourier;
+mod live_demand;
 mod optimizer;
 mod plan;
 mod player;
@@ -16,6 +17,7 @@
 
 pub use demand::{Level, capacity, demand};
 pub use forecast::{Forecast, Model, persistence};
+pub use live_demand::LiveDemand;
 pub use optimizer::{Optimizer, Planned};
 pub use plan::{Plan, PlanError, PlanTask, plan};
 pub use player::{Decision, Player, PlayerTiming, Situation, fallback};
--- /dev/null
+++ b/crates/scaler/tests/live_demand.rs
@@ -0,0 +1,43 @@
+//! The count that the load of a moment takes.
+
+use scaler::LiveDemand;
+use std::time::Duration;
+use test_case::test_case;
+
+fn rare(arrivals: u32, queued: u32, in_flight: u32) -> LiveDemand {
+    LiveDemand {
+        arrivals,
+        rate: f64::from(arrivals) / 0.3,
+        queued,
+        in_flight,
+        usual: Duration::from_millis(1500),
+        capacity: 1.0,
+        instance_limit: 1,
+        ready: 1,
+    }
+}
+
+#[test_case(0, 0, 0 => 0; "nothing")]
+#[test_case(1, 1, 0 => 1; "one request takes one instance")]
+#[test_case(1, 0, 1 => 1; "and no second one once it runs")]
+#[test_case(2, 1, 1 => 2; "two at once take two")]
+#[test_case(0, 0, 1 => 1; "one that still runs keeps its instance")]
+#[test_case(3, 0, 1 => 4; "three in a third of a second are a rate, met within what is ready")]
+fn a_few_arrivals_are_counted_and_more_are_a_rate(arrivals: u32, queued: u32, in_flight: u32) -> u32 {
+    rare(arrivals, queued, in_flight).instances()
+}
+
+#[test]
+fn a_steady_rate_is_met_at_the_planned_capacity() {
+    let load = LiveDemand {
+        arrivals: 200,
+        rate: 200.0,
+        usual: Duration::from_millis(120),
+        capacity: 4.8,
+        instance_limit: 8,
+        ready: 4,
+        ..LiveDemand::default()
+    };
+    assert_eq!(load.instances(), 5);
+    assert_eq!(LiveDemand { queued: 400, ..load }.instances(), 10, "a crowd grows by no more than double and two");
+}
--- a/crates/traffic/src/load.rs
+++ b/crates/traffic/src/load.rs
@@ -3,6 +3,7 @@
 
 use crate::function_scheduler::FunctionScheduler;
 use crate::instance::Phase;
+use scaler::LiveDemand;
 use std::collections::VecDeque;
 use std::time::Duration;
 
@@ -34,6 +35,11 @@
         }
     }
 
+    /// Tasks within the last second.
+    pub fn arrivals(&self) -> u32 {
+        self.total
+    }
+
     /// Tasks a second.
     pub fn rate(&self, now: Duration) -> f64 {
         let since = self.passes.front().map_or(LOAD_RETENTION, |(at, _)| now.saturating_sub(*at));
@@ -83,13 +89,18 @@
         if self.usual.time.is_zero() { self.answer_mean() } else { self.usual.time.min(self.answer_mean()) }
     }
 
-    /// The instances that the arrivals of the last second and what is held take, if what is held is
-    /// to be worked off within a second; little more than twice what is ready, until that is.
+    /// The instances that the load of this moment takes.
     pub fn live(&self, now: Duration) -> u32 {
-        let mean = if self.usual.time.is_zero() { self.answer_mean() } else { self.usual.time };
-        let tasks = self.load.rate(now) + self.queued.len() as f64;
-        let wanted = (tasks * mean.as_secs_f64() / self.capacity()).ceil() as u32;
-        let most = self.count(Phase::Ready) * 2 + 2;
-        if tasks == 0.0 { 0 } else { wanted.min(most) }
+        let demand = LiveDemand {
+            arrivals: self.load.arrivals(),
+            rate: self.load.rate(now),
+            queued: self.queued.len() as u32,
+            in_flight: self.in_flight,
+            usual: if self.usual.time.is_zero() { self.answer_mean() } else { self.usual.time },
+            capacity: self.capacity(),
+            instance_limit: self.function.instance_limit,
+            ready: self.count(Phase::Ready),
+        };
+        demand.instances()
     }
 }
--- a/crates/traffic/tests/load.rs
+++ b/crates/traffic/tests/load.rs
@@ -13,34 +13,56 @@
     PlanMessage::Reply { request_id, fence: 1, state: 1, step_ms: 1000, desired: vec![1; 4].into() }
 }
 
-/// Lets `rate` tasks a second come for so long, each answered 100 ms after it was sent.
-fn crowd(owner: &mut Supplied, rate: u64, millis: u64, next: &mut u64, open: &mut Vec<(u64, u64)>) {
+fn request(task: u64) -> ForwardMessage {
+    ForwardMessage::ForwardUncounted {
+        task,
+        function: FUNCTION.into(),
+        binding: FUNCTION.into(),
+        left_ms: 4000,
+        resends: 0,
+        respond_async: 0,
+        key: format!("a-{task}").as_str().into(),
+        head: wire::to_bytes(&RequestHead::default()).into(),
+        body: Vec::new().into(),
+    }
+}
+
+/// Callers of one owner.
+struct Callers {
+    /// How long each task takes, in milliseconds.
+    run_ms: u64,
+    next: u64,
+    /// Tasks that run, by order and when each is answered.
+    open: Vec<(u64, u64)>,
+}
+
+impl Callers {
+    fn new(run_ms: u64) -> Callers {
+        Callers { run_ms, next: 0, open: Vec::new() }
+    }
+
+    fn call(&mut self, owner: &mut Supplied) {
+        self.next += 1;
+        owner.feed(OwnerInput::Forward { from: ME, message: request(self.next) });
+    }
+}
+
+/// Lets `rate` tasks a second come for so long.
+fn crowd(owner: &mut Supplied, rate: u64, millis: u64, callers: &mut Callers) {
     for _ in 0..millis / 10 {
         owner.pass(10);
         let at = owner.at;
-        for (number, _) in open.extract_if(.., |(_, due)| *due <= at).collect::<Vec<_>>() {
+        for (number, _) in callers.open.extract_if(.., |(_, due)| *due <= at).collect::<Vec<_>>() {
             let outcome =
                 DispatchOutcome::Complete { status: 200, head: Vec::new(), body: Vec::new(), turned_away: false };
             owner.feed(OwnerInput::Dispatched { number, outcome });
         }
         for _ in 0..rate / 100 {
-            *next += 1;
-            let message = ForwardMessage::ForwardUncounted {
-                task: *next,
-                function: FUNCTION.into(),
-                binding: FUNCTION.into(),
-                left_ms: 4000,
-                resends: 0,
-                respond_async: 0,
-                key: format!("a-{next}").as_str().into(),
-                head: wire::to_bytes(&RequestHead::default()).into(),
-                body: Vec::new().into(),
-            };
-            owner.feed(OwnerInput::Forward { from: ME, message });
+            callers.call(owner);
         }
         for output in std::mem::take(&mut owner.others) {
             match output {
-                OwnerOutput::Dispatch(order) => open.push((order.number, at + 100)),
+                OwnerOutput::Dispatch(order) => callers.open.push((order.number, at + callers.run_ms)),
                 OwnerOutput::PlanRequest { message: PlanMessage::Request { request_id, .. } } => {
                     owner.feed(OwnerInput::Plan { message: one(request_id) })
                 }
@@ -58,15 +80,28 @@
 #[test]
 fn a_crowd_is_met_within_a_second_and_kept_for_as_long_as_a_start_takes() {
     let mut owner = Supplied::new(1, six_workers());
-    let (mut next, mut open) = (0, Vec::new());
-    crowd(&mut owner, 0, 200, &mut next, &mut open);
+    let mut callers = Callers::new(100);
+    crowd(&mut owner, 0, 200, &mut callers);
     assert_eq!(owner.count("ready"), 1);
-    crowd(&mut owner, 200, 1000, &mut next, &mut open);
+    crowd(&mut owner, 200, 1000, &mut callers);
     let met = owner.count("ready");
     assert!((20..=40).contains(&met), "200 a second at 100 ms keep 20 in use: {met}");
-    crowd(&mut owner, 0, 600, &mut next, &mut open);
+    crowd(&mut owner, 0, 600, &mut callers);
     let is_standby_copy = owner.count("ready");
     assert!(is_standby_copy >= 20, "{is_standby_copy} are left of what the crowd took, though a start takes a second");
-    crowd(&mut owner, 0, 6000, &mut next, &mut open);
+    crowd(&mut owner, 0, 6000, &mut callers);
     assert!(owner.count("ready") <= 2, "what nobody needs is taken back: {}", owner.count("ready"));
 }
+
+#[test]
+fn a_rare_request_starts_no_second_instance() {
+    let mut owner = Supplied::new(0, six_workers());
+    let mut callers = Callers::new(1500);
+    crowd(&mut owner, 0, 3000, &mut callers);
+    for _ in 0..3 {
+        callers.call(&mut owner);
+        crowd(&mut owner, 0, 300, &mut callers);
+        assert!(owner.count("ready") <= 1, "{} instances for one request", owner.count("ready"));
+        crowd(&mut owner, 0, 2000, &mut callers);
+    }
+}
