Keep idle instances only while that costs less than starting them anew

Cause: a function called once had a plan of one instance for four steps and a forecast band that stayed above the demand floor; where no plan came the fallback held the count for good. Some 160 instances of settlement stood for 17 requests in flight.

Change: an owner keeps the long-run rate of each function's arrivals (20 s, decayed, and no more than a pause allows). Instances of a function with nothing queued and nothing in flight are kept while the next request is expected within the break-even time: the boot, and a start's cost over the instance's memory. Bounds, fixed counts and functions kept warm go before it; a function watched for less than its break-even time keeps what it has.

--- a/crates/scaler/src/lib.rs
+++ b/crates/scaler/src/lib.rs
@@ -8,6 +8,7 @@
 mod demand;
 mod forecast;
 mod fourier;
+mod idle_retention;
 mod live_demand;
 mod optimizer;
 mod plan;
@@ -17,6 +18,7 @@
 
 pub use demand::{Level, capacity, demand};
 pub use forecast::{Forecast, Model, persistence};
+pub use idle_retention::{ArrivalRate, InstanceCost};
 pub use live_demand::LiveDemand;
 pub use optimizer::{Optimizer, Planned};
 pub use plan::{Plan, PlanError, PlanTask, plan};
--- /dev/null
+++ b/crates/scaler/tests/idle_retention.rs
@@ -0,0 +1,55 @@
+//! How long an idle instance is kept, by what it costs and how often its function is called.
+
+use scaler::{ArrivalRate, InstanceCost};
+use std::time::Duration;
+use test_case::test_case;
+
+fn cost(memory_mb: u32, start_gb_seconds: f64) -> InstanceCost {
+    InstanceCost { memory_mb, boot: Duration::from_millis(500), start_gb_seconds }
+}
+
+/// A function called every `gap_ms` for a minute, and then not for `idle_ms`.
+fn called_every(gap_ms: u64, idle_ms: u64) -> (Duration, ArrivalRate) {
+    let mut rate = ArrivalRate::new(Duration::ZERO);
+    let end = 60_000 / gap_ms * gap_ms;
+    for at in (gap_ms..=end).step_by(gap_ms as usize) {
+        rate.pass(Duration::from_millis(at), 1);
+    }
+    let now = Duration::from_millis(end + idle_ms);
+    rate.pass(now, 0);
+    (now, rate)
+}
+
+#[test_case(128, 0.2 => 2100; "a start is as dear as 1.6 seconds of an eighth of a gigabyte, and it boots")]
+#[test_case(1024, 0.2 => 700; "a large one is kept for less")]
+#[test_case(128, 0.0 => 500; "where starts are free only the boot counts")]
+fn the_break_even_time_follows_from_memory_and_start(memory_mb: u32, start_gb_seconds: f64) -> u128 {
+    cost(memory_mb, start_gb_seconds).break_even().as_millis()
+}
+
+#[test_case(1000, 0 => true; "called each second")]
+#[test_case(1000, 10_000 => false; "called each second until ten seconds ago")]
+#[test_case(1500, 200 => true; "called somewhat oftener than the break-even time")]
+#[test_case(5000, 200 => false; "called each five seconds")]
+#[test_case(60_000, 0 => false; "called for the first time in a minute")]
+fn an_instance_is_kept_where_the_next_request_is_expected_soon_enough(gap_ms: u64, idle_ms: u64) -> bool {
+    let (now, rate) = called_every(gap_ms, idle_ms);
+    cost(128, 0.2).is_kept_idle(now, &rate)
+}
+
+#[test]
+fn a_function_that_was_hardly_watched_keeps_what_it_has() {
+    let rate = ArrivalRate::new(Duration::from_secs(100));
+    let cost = cost(128, 0.2);
+    assert!(cost.is_kept_idle(Duration::from_secs(101), &rate));
+    assert!(!cost.is_kept_idle(Duration::from_secs(103), &rate));
+}
+
+#[test]
+fn the_rate_is_that_of_the_arrivals_however_long_they_were_watched() {
+    for gap_ms in [100, 1000, 4000] {
+        let (now, rate) = called_every(gap_ms, 0);
+        let expected = 1000.0 / gap_ms as f64;
+        assert!((rate.per_second(now) / expected - 1.0).abs() < 0.15, "{gap_ms}: {}", rate.per_second(now));
+    }
+}
--- a/crates/traffic/src/function_scheduler.rs
+++ b/crates/traffic/src/function_scheduler.rs
@@ -73,7 +73,7 @@
             sent_tasks: SentTasks::Unknown,
             leaving: None,
             arrivals: 0,
-            load: Load::default(),
+            load: Load::new(now),
             peak: Peak::default(),
             usual: Usual::default(),
             answered: 0,
--- a/crates/traffic/src/load.rs
+++ b/crates/traffic/src/load.rs
@@ -3,7 +3,8 @@
 
 use crate::function_scheduler::FunctionScheduler;
 use crate::instance::Phase;
-use scaler::LiveDemand;
+use bindings::Function;
+use scaler::{ArrivalRate, InstanceCost, LiveDemand};
 use std::collections::VecDeque;
 use std::time::Duration;
 
@@ -14,18 +15,23 @@
 const MIN_MEASURED_SPAN: Duration = Duration::from_millis(300);
 
 /// Arrivals by the pass that counted them.
-#[derive(Default)]
 pub struct Load {
     passes: VecDeque<(Duration, u32)>,
     counted: u32,
     total: u32,
+    long_run: ArrivalRate,
 }
 
 impl Load {
+    pub fn new(now: Duration) -> Load {
+        Load { passes: VecDeque::new(), counted: 0, total: 0, long_run: ArrivalRate::new(now) }
+    }
+
     /// `arrivals` goes up with each task and back to zero with each sample.
     pub fn pass(&mut self, now: Duration, arrivals: u32) {
         let has_changes = if arrivals >= self.counted { arrivals - self.counted } else { arrivals };
         self.counted = arrivals;
+        self.long_run.pass(now, has_changes);
         if has_changes > 0 {
             self.passes.push_back((now, has_changes));
             self.total += has_changes;
@@ -103,4 +109,10 @@
         };
         demand.instances()
     }
+
+    /// Whether instances with nothing to do are worth their memory.
+    pub fn is_kept_idle(&self, now: Duration, start_gb_seconds: f64) -> bool {
+        let Function { memory_mb, boot, .. } = self.function;
+        InstanceCost { memory_mb, boot, start_gb_seconds }.is_kept_idle(now, &self.load.long_run)
+    }
 }
--- a/crates/traffic/src/owner_types.rs
+++ b/crates/traffic/src/owner_types.rs
@@ -82,6 +82,8 @@
     pub deferred_limit: Duration,
     pub function_inbox: usize,
     pub starts_per_second: f64,
+    /// What one start costs, in gigabytes of memory kept for a second.
+    pub start_gb_seconds: f64,
     pub player: scaler::PlayerTiming,
     pub allowances: Allowances,
 }
@@ -101,6 +103,7 @@
             deferred_limit: Duration::from_secs(20),
             function_inbox: 512,
             starts_per_second: 64.0,
+            start_gb_seconds: 0.2,
             player: scaler::PlayerTiming::default(),
             allowances: Allowances::default(),
         }
--- a/crates/traffic/src/scale.rs
+++ b/crates/traffic/src/scale.rs
@@ -84,7 +84,10 @@
             if scheduler.player.fallbacks > before {
                 event!(plan_fallback, "{name}");
             }
-            scheduler.desired = if bound { decision.desired } else { 0 };
+            let is_idle = queued == 0 && scheduler.in_flight == 0 && scheduler.function.fixed.is_none();
+            let sleeps = is_idle && !scheduler.is_kept_idle(now, self.timing.start_gb_seconds);
+            let desired = if sleeps { decision.desired.min(scheduler.function.min) } else { decision.desired };
+            scheduler.desired = if bound { desired } else { 0 };
             asks_left -= usize::from(decision.wants_plan);
             if decision.wants_plan && bound {
                 let message = PlanMessage::Request {
--- a/crates/traffic/src/service.rs
+++ b/crates/traffic/src/service.rs
@@ -91,6 +91,7 @@
     let front_limits = FrontLimits { back, ..FrontLimits::default() };
     let timing = OwnerTiming {
         starts_per_second: settings.starts_per_second,
+        start_gb_seconds: settings.start_gb_seconds,
         sample: settings.step,
         list_every: settings.list_every,
         allowances: settings.allowances(),
--- a/crates/traffic/tests/load.rs
+++ b/crates/traffic/tests/load.rs
@@ -105,3 +105,23 @@
         crowd(&mut owner, 0, 2000, &mut callers);
     }
 }
+
+#[test]
+fn a_function_called_rarely_sleeps_between_calls_whatever_was_planned() {
+    let mut owner = Supplied::new(0, six_workers());
+    let mut callers = Callers::new(100);
+    crowd(&mut owner, 0, 10_000, &mut callers);
+    callers.call(&mut owner);
+    crowd(&mut owner, 0, 600, &mut callers);
+    assert_eq!(owner.starts.len() + owner.stops.len(), 0, "starts are taken by the crowd, and it runs");
+    crowd(&mut owner, 0, 2500, &mut callers);
+    assert_eq!(
+        (owner.count("ready"), owner.stops.len()),
+        (0, 1),
+        "one call in ten seconds does not pay for its memory"
+    );
+    crowd(&mut owner, 100, 3000, &mut callers);
+    let busy = owner.count("ready");
+    crowd(&mut owner, 0, 1500, &mut callers);
+    assert!(busy >= 1 && owner.count("ready") >= 1, "one called often is kept over a pause");
+}
