Start instances in their owner's zone where no loss of a zone is to be borne

Cause: instances were spread over zones first, whatever losses were declared, so that two thirds of what owners send to instances and get back crossed zones, which is priced.

With none the owner's own zone goes first, and within it workers are spread as before; a full zone is left for another.

--- a/crates/traffic/src/function_owner.rs
+++ b/crates/traffic/src/function_owner.rs
@@ -56,6 +56,7 @@
 
 impl FunctionOwner {
     pub fn new(me: NodeId, incarnation: u64, timing: OwnerTiming) -> Self {
+        let workers = Workers::new(timing.zone_losses > 0);
         let window = Allowances::remembered(timing.allowances.retry_window);
         FunctionOwner {
             me,
@@ -89,7 +90,7 @@
             no_growth: Duration::ZERO,
             listed: BTreeMap::new(),
             leaving: BTreeMap::new(),
-            workers: Workers::default(),
+            workers,
             inventory: Inventory::default(),
             outs: Vec::new(),
             refusals: 0,
--- a/crates/traffic/src/owner_types.rs
+++ b/crates/traffic/src/owner_types.rs
@@ -84,6 +84,8 @@
     pub starts_per_second: f64,
     /// What one start costs, in gigabytes of memory kept for a second.
     pub start_gb_seconds: f64,
+    /// Zones whose loss is to be borne at once.
+    pub zone_losses: u32,
     pub player: scaler::PlayerTiming,
     pub allowances: Allowances,
 }
@@ -104,6 +106,7 @@
             function_inbox: 512,
             starts_per_second: 64.0,
             start_gb_seconds: 0.2,
+            zone_losses: 1,
             player: scaler::PlayerTiming::default(),
             allowances: Allowances::default(),
         }
--- a/crates/traffic/src/placement.rs
+++ b/crates/traffic/src/placement.rs
@@ -1,5 +1,7 @@
 //! Which worker a start goes to: a function's instances are spread over zones and then over workers,
 //! so that no one worker's or zone's crash takes them all; after that the owner's own zone, then memory.
+//! Where no loss of a zone is to be borne, they stand in the owner's own zone, since all that instances are
+//! sent and answer passes through the owner.
 //! The list of workers lags, so what this owner ordered lately is taken off its free memory.
 
 use instance_provider::WorkerLine;
@@ -20,14 +22,19 @@
     Full,
 }
 
-#[derive(Default)]
 pub(crate) struct Workers {
+    spread_over_zones: bool,
     lines: Option<Vec<WorkerLine>>,
     ordered: Vec<(String, u32, Duration)>,
     full: BTreeMap<String, Duration>,
 }
 
 impl Workers {
+    /// Nothing is known yet of the workers.
+    pub fn new(spread_over_zones: bool) -> Workers {
+        Workers { spread_over_zones, lines: None, ordered: Vec::new(), full: BTreeMap::new() }
+    }
+
     pub fn take(&mut self, lines: Vec<WorkerLine>, requested: Duration) {
         self.ordered.retain(|(_, _, at)| *at + LAG > requested);
         self.full.retain(|_, at| *at + LAG > requested);
@@ -80,7 +87,10 @@
         };
         let open = |line: &&WorkerLine| line.ready && self.full.get(&line.name).is_none_or(|at| now >= *at + FULL);
         let rank = |line: &&WorkerLine| {
-            let in_zone = others.iter().filter(|(_, zone)| *zone == line.zone).count();
+            let in_zone = match self.spread_over_zones {
+                true => others.iter().filter(|(_, zone)| *zone == line.zone).count(),
+                false => usize::from(line.zone != zone),
+            };
             let on_it = others.iter().filter(|(worker, _)| *worker == line.name).count();
             let whole = self.free(line) / memory_mb.max(1) / 4;
             let spread = leases::mix(&[function.as_bytes(), line.name.as_bytes()]);
--- a/crates/traffic/src/service.rs
+++ b/crates/traffic/src/service.rs
@@ -92,6 +92,7 @@
     let timing = OwnerTiming {
         starts_per_second: settings.starts_per_second,
         start_gb_seconds: settings.start_gb_seconds,
+        zone_losses: settings.zone_losses,
         sample: settings.step,
         list_every: settings.list_every,
         allowances: settings.allowances(),
--- a/crates/traffic/src/settings.rs
+++ b/crates/traffic/src/settings.rs
@@ -33,6 +33,7 @@
         list_every: Duration = Duration::from_millis(1000), in_range(Duration::from_millis(100), Duration::from_secs(30)), "how often the platform's list is read";
         starts_per_second: f64 = 64.0, in_range(0.1, 10_000.0), "starts a second that all routers share, below what the platform takes";
         start_gb_seconds: f64 = 0.2, in_range(0.0, 1000.0), "what one start costs, in gigabytes of memory kept for a second; an idle instance is kept while that costs less than a start";
+        zone_losses: u32 = 1, in_range(0, 16), "zones whose loss is to be borne at once; with none, instances stand in the zone of their function's owner";
         retry_ratio: f64 = 0.2, in_range(0.0, 10.0), "second tries to a function allowed for each of its requests, over all routers, in any window";
         retry_slack: usize = 60, in_range(0, 1_000_000), "second tries to a function allowed besides";
         retry_window: Duration = Duration::from_secs(10), in_range(Duration::from_secs(1), Duration::from_secs(600)), "length of that window";
--- a/crates/traffic/tests/common/supplied.rs
+++ b/crates/traffic/tests/common/supplied.rs
@@ -54,7 +54,12 @@
 
     /// The same where the only member, and so the owner, is this one.
     pub fn beside(member: u64, min: u32, workers: Vec<WorkerLine>) -> Supplied {
-        let owner = FunctionOwner::new(ME, 1, OwnerTiming::default());
+        Supplied::with(OwnerTiming::default(), member, min, workers)
+    }
+
+    /// The same with other settings.
+    pub fn with(timing: OwnerTiming, member: u64, min: u32, workers: Vec<WorkerLine>) -> Supplied {
+        let owner = FunctionOwner::new(ME, 1, timing);
         let (starts, stops, probes, others) = (Vec::new(), Vec::new(), Vec::new(), Vec::new());
         let mut supplied = Supplied { owner, at: 0, starts, stops, probes, others };
         supplied.feed(OwnerInput::RouteTable { routes: Rc::new(RouteTable::default()) });
--- a/crates/traffic/tests/placement.rs
+++ b/crates/traffic/tests/placement.rs
@@ -2,9 +2,11 @@
 
 mod common;
 
+use common::ME;
 use common::supplied::{Supplied, line, six_workers, worker};
 use instance_provider::{InstanceState, StartReply};
 use std::collections::BTreeSet;
+use traffic::OwnerTiming;
 
 fn places(owner: &Supplied) -> Vec<String> {
     owner.starts.iter().map(|order| order.worker.clone().unwrap_or_default()).collect()
@@ -30,6 +32,25 @@
     assert_eq!(places(&owner), ["w2"]);
 }
 
+#[test]
+fn where_no_zone_need_be_lost_instances_stand_near_their_owner_on_workers_apart() {
+    let timing = OwnerTiming { zone_losses: 0, ..OwnerTiming::default() };
+    let mut owner = Supplied::with(timing, ME, 6, six_workers());
+    owner.pass(2000);
+    let mut placed = places(&owner);
+    placed.sort();
+    assert_eq!(placed, ["w0", "w0", "w0", "w3", "w3", "w3"], "the two workers of the owner's zone");
+}
+
+#[test]
+fn a_full_zone_is_left_for_another() {
+    let timing = OwnerTiming { zone_losses: 0, ..OwnerTiming::default() };
+    let lines = vec![worker("w0", "a", 600, true), worker("w1", "b", 4096, true)];
+    let mut owner = Supplied::with(timing, ME, 3, lines);
+    owner.pass(2000);
+    assert_eq!(places(&owner), ["w0", "w1", "w1"]);
+}
+
 #[test]
 fn a_draining_worker_and_one_without_memory_get_nothing() {
     let lines = vec![worker("w0", "a", 4096, false), worker("w1", "b", 500, true), worker("w2", "c", 600, true)];
