Watch a function's arrivals anew after others may have owned it

Cause: an owner whose lease had lapsed, and that was owner again, took the function as never called meanwhile and let its instances go (lapse.rs failed: a stored task found no instance). Change: the long-run rate begins anew with the rest. The tests of the inventory keep what nobody calls by dear starts, since they look at what an owner knows; they check what they did before.

--- a/crates/traffic/src/function_scheduler.rs
+++ b/crates/traffic/src/function_scheduler.rs
@@ -109,6 +109,7 @@
         self.budget.be_careful(now);
         (self.adopting, self.reported, self.read_at) = (Some((now, false)), (0, 0), None);
         self.sent_tasks = SentTasks::Unknown;
+        self.load.watch_anew(now);
     }
 
     /// Tasks an instance is planned for, by the usage in force.
--- a/crates/traffic/src/load.rs
+++ b/crates/traffic/src/load.rs
@@ -27,6 +27,11 @@
         Load { passes: VecDeque::new(), counted: 0, total: 0, long_run: ArrivalRate::new(now) }
     }
 
+    /// Others may have been owner here meanwhile: how often the function was called is not known.
+    pub fn watch_anew(&mut self, now: Duration) {
+        self.long_run = ArrivalRate::new(now);
+    }
+
     /// `arrivals` goes up with each task and back to zero with each sample.
     pub fn pass(&mut self, now: Duration, arrivals: u32) {
         let has_changes = if arrivals >= self.counted { arrivals - self.counted } else { arrivals };
