Keep what nobody calls in the tests of standby copies

They look five seconds later at an instance that nobody called, to see what an owner knows of it; an idle one of so rarely called a function is let go since idle instances are kept by their cost. Starts are dear there now; what the tests check is the same.

--- a/crates/traffic/tests/standby.rs
+++ b/crates/traffic/tests/standby.rs
@@ -37,9 +37,14 @@
     }
 }
 
+/// What nobody calls is kept: these tests look at what an owner knows, not at what is worth its memory.
+fn dear_starts() -> OwnerTiming {
+    OwnerTiming { start_gb_seconds: 100.0, ..OwnerTiming::default() }
+}
+
 /// An owner that has just lost the other, with or without a table kept for it.
 fn after_the_crash(is_standby_copy: Option<ForwardMessage>) -> FunctionOwner {
-    let mut owner = FunctionOwner::new(ME, 1, OwnerTiming::default());
+    let mut owner = FunctionOwner::new(ME, 1, dear_starts());
     owner.step(ms(0), true, OwnerInput::RouteTable { routes: routes() });
     owner.step(ms(0), true, OwnerInput::Membership { membership: membership(1, &[OTHER]) });
     if let Some(message) = is_standby_copy {
