Simulator: A router whose seeds have all been replaced starts with the present ones

Ruled out: the agreement (three registries, one view, all caught up), epochs staged and not active. The settings of a machine that starts are written from the operator's list, which is seconds behind, so they name present registries then. As long as one named seed stands nothing changes.

--- a/crates/sim/src/replacement.rs
+++ b/crates/sim/src/replacement.rs
@@ -38,6 +38,13 @@
         others.take(3).map(|other| self.registries[other].address.clone()).collect()
     }
 
+    /// The seeds that a router's settings name when it starts. Where all that they named have been replaced, the
+    /// settings have been written anew, since the operator's list is only seconds behind.
+    pub(crate) fn seeds_for_routers(&self) -> Vec<String> {
+        let is_present = |seed: &String| self.live_registries().iter().any(|n| self.registries[*n].address == *seed);
+        if self.seeds.iter().any(is_present) { self.seeds.clone() } else { self.addresses_of_others(usize::MAX) }
+    }
+
     pub(crate) fn replace_unplanned(&mut self, back: Duration) {
         if self.disks_that_may_go() == 0 {
             return;
