Order the list for an adoption as soon as the lease is there

Cause: after a loss of power of all machines an owner that has no standby copies waits for a list that was asked for under its lease. While it had none it ordered one each half second, none of which could count, and the next one that could was ordered up to half a second after the lease had come.

Change: without a lease none is ordered for an adoption; with it at once, whatever was read before.

--- a/crates/traffic/src/inventory.rs
+++ b/crates/traffic/src/inventory.rs
@@ -31,6 +31,8 @@
     workers_asked: Duration,
     ordered: Option<Duration>,
     workers_ordered: Option<Duration>,
+    /// When this owner last ordered a list for functions that it adopts.
+    adoption_ordered: Option<Duration>,
     for_all: bool,
     changed: Duration,
     missed: Option<Duration>,
@@ -70,7 +72,11 @@
             .schedulers
             .values()
             .any(|scheduler| scheduler.adopting.is_some_and(|(since, told)| !told && asked <= since));
-        let own = waits && pause(self.inventory.ordered, OWN_PAUSE);
+        // The list counts only if it is asked for under the lease: it is ordered as soon as that is there.
+        let own = waits && self.may_serve && pause(self.inventory.adoption_ordered, OWN_PAUSE);
+        if own {
+            self.inventory.adoption_ordered = Some(now);
+        }
         if own || for_all && pause(self.inventory.ordered, every) {
             self.inventory.ordered = Some(now);
             self.inventory.for_all = for_all;
--- a/crates/traffic/tests/inventory.rs
+++ b/crates/traffic/tests/inventory.rs
@@ -146,3 +146,17 @@
     all.pass(Duration::from_millis(800).as_millis() as u64);
     assert!(all.looks[&next] > before, "{:?}", all.looks);
 }
+
+#[test]
+fn an_owner_without_a_lease_orders_no_list_and_one_as_soon_as_it_has_it() {
+    let mut owner = FunctionOwner::new(3, 1, OwnerTiming::default());
+    let lists = |outputs: &[OwnerOutput]| {
+        outputs.iter().filter(|output| matches!(output, OwnerOutput::Supply(ProviderOrder::List))).count()
+    };
+    owner.step(ms(0), false, OwnerInput::Membership { membership: membership(7, &[3]) });
+    owner.step(ms(0), false, OwnerInput::RouteTable { routes: routes_of(0) });
+    let before: usize = (1..=90).map(|n| lists(&owner.step(ms(n * 10), false, OwnerInput::Tick))).sum();
+    assert!(before <= 1, "{before} lists while none can count, beside the one that is read for all");
+    let after: usize = (91..=93).map(|n| lists(&owner.step(ms(n * 10), true, OwnerInput::Tick))).sum();
+    assert_eq!(after, 1, "at once, though one was read lately");
+}
