Tell what blocks a function's queue, and refusals by reason

Change: blocked time by cause, free slots, unproven requests and refusals by reason in the owner's status and metrics; E0507; the router's metrics go through prometheus-client, names kept.

Tests: router_metrics_tests, queue_wait_tests.

--- a/crates/events/src/list.rs
+++ b/crates/events/src/list.rs
@@ -59,6 +59,7 @@
     instance_rejected_request = 504, Warn, "instance rejected a request";
     platform_call_failed = 505, Warn, "platform call failed";
     function_owner_changed = 506, Info, "function owner changed";
+    queue_held_beside_free_slots = 507, Warn, "requests queue beside free slots, held by the rejection limit";
     plan_received = 601, Debug, "plan received";
     plan_fallback = 602, Warn, "no plan, fallback count in force";
     plan_failed = 603, Warn, "fit or solve failed, fallback returned";
--- a/crates/traffic/src/admission.rs
+++ b/crates/traffic/src/admission.rs
@@ -3,6 +3,7 @@
 
 use crate::function_owner::FunctionOwner;
 use crate::owner_types::{OwnedRequest, OwnerOutput, Place, TaskId};
+use crate::refusals::RefusalReason;
 use crate::wait_queue::LAST;
 use bindings::Class;
 use sha2::{Digest, Sha256};
@@ -66,14 +67,14 @@
         };
         self.tasks.insert(number, record);
         if full {
-            return self.refuse(number);
+            return self.refuse(number, RefusalReason::QueueFull);
         }
         if spent {
             return self.answer_own(number, Outcome::Unknown, 504, Duration::from_secs(2));
         }
         match bound.class {
             Class::Ordinary | Class::Single => self.hold(number),
-            _ if !self.core_near => self.refuse(number),
+            _ if !self.core_near => self.refuse(number, RefusalReason::CoreUnreachable),
             Class::Once => self.claim(number),
             Class::Deferred => self.store(number),
         }
--- a/crates/traffic/src/dispatch_pass.rs
+++ b/crates/traffic/src/dispatch_pass.rs
@@ -4,10 +4,18 @@
 use crate::function_scheduler::FunctionScheduler;
 use crate::instance::Phase;
 use crate::owner_types::{OwnedRequest, OwnerOutput, Place};
+use crate::queue_wait::QueueBlock;
 use bindings::Class;
 use dispatch::DispatchOrder;
+use events::event;
 use std::time::Duration;
 
+/// The request that goes next, and where.
+struct NextRequest {
+    number: u64,
+    instance: String,
+}
+
 impl FunctionOwner {
     pub(crate) fn dispatch_pass(&mut self) {
         if !self.may_serve {
@@ -27,8 +35,11 @@
             if scheduler.leaving.is_some() || scheduler.adopting.is_some() {
                 continue;
             }
-            while let Some((number, selected)) = self.next_to_send(&name) {
-                self.dispatch(number, &name, selected);
+            loop {
+                match self.next_to_send(&name) {
+                    Ok(next) => self.dispatch(next.number, &name, next.instance),
+                    Err(cause) => break self.observe_queue(&name, cause),
+                }
             }
         }
     }
@@ -36,13 +47,13 @@
     /// The task that goes next and the instance it goes to: first those that can still be answered
     /// within their aim, since one that is late already loses nothing more until its time runs out; and calls of tasks
     /// that are running, which keep a slot meanwhile.
-    fn next_to_send(&mut self, name: &str) -> Option<(u64, String)> {
+    fn next_to_send(&mut self, name: &str) -> Result<NextRequest, QueueBlock> {
         let now = self.now;
-        let scheduler = self.schedulers.get_mut(name)?;
-        let roomiest = scheduler.roomiest(now)?;
+        let scheduler = self.schedulers.get_mut(name).ok_or(QueueBlock::NoFreeSlot)?;
+        let roomiest = scheduler.roomiest(now).ok_or(QueueBlock::NoFreeSlot)?;
         let proven = scheduler.instances.get(&roomiest).is_some_and(|instance| instance.busy < instance.proven);
         if !scheduler.unproven.may_send(now, proven) {
-            return None;
+            return Err(QueueBlock::RejectionRisk);
         }
         let may_go = |task: &&OwnedRequest| task.place == Place::Queued && now >= task.not_before;
         let (tasks, expected) = (&self.tasks, scheduler.expected_time());
@@ -53,13 +64,37 @@
             if !in_aim && late.is_some() {
                 continue;
             }
-            let Some(selected) = other_than(scheduler, now, &task.avoid, roomiest.clone()) else { continue };
+            let Some(instance) = other_than(scheduler, now, &task.avoid, roomiest.clone()) else { continue };
+            let next = NextRequest { number: *number, instance };
             if in_aim {
-                return Some((*number, selected));
+                return Ok(next);
             }
-            late = Some((*number, selected));
+            late = Some(next);
         }
-        late
+        late.ok_or(QueueBlock::RetryDelay)
+    }
+
+    /// Accounts for what blocks a function's queue, if anything is left in it.
+    fn observe_queue(&mut self, name: &str, cause: QueueBlock) {
+        let now = self.now;
+        let Some(scheduler) = self.schedulers.get_mut(name) else { return };
+        let cause = (!scheduler.queued.is_empty()).then_some(cause);
+        if let Some(before) = scheduler.queue_wait.observe(now, cause) {
+            scheduler.blocked.add(before.cause, before.time);
+            self.counters.blocked.add(before.cause, before.time);
+        }
+        if scheduler.queue_wait.should_warn(now) {
+            let (queued, free) = (scheduler.queued.len(), scheduler.free_slots(now));
+            event!(queue_held_beside_free_slots, "{name}: {queued} queued, {free} slots free");
+        }
+    }
+
+    /// Queues that emptied in another way than by sending are blocked no longer.
+    pub(crate) fn close_empty_queues(&mut self) {
+        let empty = self.schedulers.iter().filter(|(_, scheduler)| scheduler.queued.is_empty());
+        let blocked = empty.filter(|(_, scheduler)| scheduler.queue_wait.is_blocked());
+        let names: Vec<String> = blocked.map(|(name, _)| name.clone()).collect();
+        names.iter().for_each(|name| self.observe_queue(name, QueueBlock::NoFreeSlot));
     }
 
     fn dispatch(&mut self, number: u64, name: &str, instance_id: String) {
--- a/crates/traffic/src/estimate.rs
+++ b/crates/traffic/src/estimate.rs
@@ -10,7 +10,7 @@
     /// answers, and those of instances that start are free from when they have started.
     pub fn expected_wait(&self, now: Duration, ahead: usize) -> Duration {
         let limit = self.function.instance_limit;
-        let free: u32 = self.instances.values().map(|instance| instance.capacity(now, limit)).sum();
+        let free = self.free_slots(now);
         let wanted = (ahead as f64 + 1.0 - f64::from(free)).max(0.0);
         let mean = self.answer_mean().as_secs_f64();
         let in_use = f64::from(self.count(Phase::Ready) * limit);
--- a/crates/traffic/src/expiry.rs
+++ b/crates/traffic/src/expiry.rs
@@ -2,6 +2,7 @@
 
 use crate::function_owner::FunctionOwner;
 use crate::owner_types::{OwnedRequest, OwnerOutput, Place};
+use crate::refusals::RefusalReason;
 use bindings::Class;
 use std::time::Duration;
 use wire::{ForwardMessage, Outcome};
@@ -55,7 +56,7 @@
                 (Class::Ordinary | Class::Single, _) if task.reached => {
                     self.answer_own(number, Outcome::Unknown, 504, again)
                 }
-                _ => self.give_up(number, SOON),
+                _ => self.give_up(number, SOON, RefusalReason::Expired),
             }
         }
         let follow: Vec<u64> = self
@@ -86,7 +87,7 @@
         }
         // The next owner would not know of the instance that turned it away.
         if task.class == Class::Single && task.dispatches > 0 {
-            return self.refuse(number);
+            return self.refuse(number, RefusalReason::NoFurtherAttempt);
         }
         self.not_home(number);
     }
--- a/crates/traffic/src/function_owner.rs
+++ b/crates/traffic/src/function_owner.rs
@@ -6,6 +6,7 @@
 use crate::earlier_owners::MembershipHistory;
 use crate::function_scheduler::FunctionScheduler;
 use crate::inventory::Inventory;
+use crate::owner_counters::OwnerCounters;
 use crate::owner_types::{OwnedRequest, OwnerInput, OwnerOutput, OwnerTiming, StoreOperation, StoreRequest, TaskId};
 use crate::placement::Workers;
 use crate::standby::StandbyCopy;
@@ -51,7 +52,7 @@
     pub(crate) workers: Workers,
     pub(crate) inventory: Inventory,
     pub(crate) outs: Vec<OwnerOutput>,
-    pub refusals: u64,
+    pub(crate) counters: OwnerCounters,
 }
 
 impl FunctionOwner {
@@ -93,7 +94,7 @@
             workers,
             inventory: Inventory::default(),
             outs: Vec::new(),
-            refusals: 0,
+            counters: OwnerCounters::default(),
         }
     }
 
@@ -192,7 +193,7 @@
         let Some(task) = self.tasks.get_mut(&number) else { return };
         if task.caller {
             if outcome == Outcome::NotRun {
-                self.refusals += 1;
+                self.counters.refusals += 1;
                 if let Some(scheduler) = self.schedulers.get_mut(&task.function) {
                     scheduler.seen.refused += 1;
                 }
--- a/crates/traffic/src/function_scheduler.rs
+++ b/crates/traffic/src/function_scheduler.rs
@@ -4,6 +4,8 @@
 use crate::budget::Budget;
 use crate::instance::{Instance, Phase};
 use crate::load::{Load, Peak, Usual};
+use crate::queue_wait::{BlockedTime, QueueWait};
+use crate::refusals::RefusalCounts;
 use crate::sent_tasks::SentTasks;
 use crate::unproven::UnprovenLimit;
 use bindings::Function;
@@ -45,6 +47,10 @@
     pub seen: Seen,
     pub tuned_usage: Option<f64>,
     pub sampled_zero: bool,
+    /// What keeps the queue from being sent.
+    pub queue_wait: QueueWait,
+    pub blocked: BlockedTime,
+    pub refused: RefusalCounts,
 }
 
 /// What is measured between two samples, for the tuning of weight sheets.
@@ -89,6 +95,9 @@
             seen: Seen::default(),
             tuned_usage: None,
             sampled_zero: false,
+            queue_wait: QueueWait::default(),
+            blocked: BlockedTime::default(),
+            refused: RefusalCounts::default(),
         }
     }
 
@@ -134,6 +143,12 @@
         self.instances.values().filter(|instance| instance.phase() == phase).count() as u32
     }
 
+    /// Slots into which requests may be sent now.
+    pub fn free_slots(&self, now: Duration) -> u32 {
+        let limit = self.function.instance_limit;
+        self.instances.values().map(|instance| instance.capacity(now, limit)).sum()
+    }
+
     pub fn roomiest(&self, now: Duration) -> Option<String> {
         let limit = self.function.instance_limit;
         self.instances
--- a/crates/traffic/src/ledger.rs
+++ b/crates/traffic/src/ledger.rs
@@ -4,6 +4,7 @@
 
 use crate::function_owner::FunctionOwner;
 use crate::owner_types::{Place, StoreOperation};
+use crate::refusals::RefusalReason;
 use std::time::Duration;
 use wire::{ClaimState, Command, CommandReply, LeaseMessage, Outcome, StoredAnswer, StoredRequest};
 
@@ -170,7 +171,7 @@
             ClaimState::Answered => self.answer_stored(number, answer),
             ClaimState::Unknown => self.answer_own(number, Outcome::Unknown, 504, Duration::ZERO),
             ClaimState::OtherBody => self.answer_own(number, Outcome::NotRun, 422, Duration::ZERO),
-            ClaimState::Full => self.refuse(number),
+            ClaimState::Full => self.refuse(number, RefusalReason::StoreFull),
         }
     }
 
@@ -198,7 +199,7 @@
             }
             ClaimState::Full | ClaimState::Unknown => {
                 task.stored = None;
-                self.refuse(number);
+                self.refuse(number, RefusalReason::StoreFull);
             }
         }
     }
--- a/crates/traffic/src/ops.rs
+++ b/crates/traffic/src/ops.rs
@@ -1,9 +1,11 @@
 //! The operations port: health, readiness, metrics, this node's view and a live watch of it.
 
+use crate::router_metrics::RouterMetrics;
 use axum::Router;
 use axum::body::Body;
 use axum::extract::State;
-use axum::http::StatusCode;
+use axum::http::header::CONTENT_TYPE;
+use axum::http::{HeaderValue, StatusCode};
 use axum::response::Response;
 use axum::routing::get;
 use bytes::Bytes;
@@ -13,6 +15,8 @@
 use std::convert::Infallible;
 use tokio::sync::watch;
 
+const OPEN_METRICS: &str = "application/openmetrics-text; version=1.0.0; charset=utf-8";
+
 #[derive(Clone)]
 pub struct Views {
     pub traffic: watch::Receiver<String>,
@@ -50,28 +54,10 @@
     }
 }
 
-async fn metrics(State(views): State<Views>) -> String {
-    let page = views.page();
-    let mut lines = String::new();
-    for (name, at) in [
-        ("revision", "/revision"),
-        ("step", "/step"),
-        ("staged", "/staged"),
-        ("roster", "/roster"),
-        ("front_tasks", "/traffic/front"),
-        ("front_refusals_total", "/traffic/front_refusals"),
-        ("home_tasks", "/traffic/tasks"),
-        ("home_running", "/traffic/running"),
-        ("home_refusals_total", "/traffic/refusals"),
-        ("inbox_depth", "/traffic/inbox"),
-    ] {
-        let value = page.pointer(at).and_then(Value::as_u64).unwrap_or_default();
-        lines.push_str(&format!("heronlink_router_{name} {value}\n"));
-    }
-    for (word, count) in page["traffic"]["outcomes"].as_object().into_iter().flatten() {
-        lines.push_str(&format!("heronlink_router_outcomes_total{{outcome=\"{word}\"}} {count}\n"));
-    }
-    lines
+async fn metrics(State(views): State<Views>) -> Response {
+    let mut response = Response::new(Body::from(RouterMetrics::of(&views.page()).encode()));
+    response.headers_mut().insert(CONTENT_TYPE, HeaderValue::from_static(OPEN_METRICS));
+    response
 }
 
 async fn watch_view(State(views): State<Views>) -> Response {
--- /dev/null
+++ b/crates/traffic/src/router_metrics.rs
@@ -0,0 +1,134 @@
+//! A router's metrics as OpenMetrics text, made from its status.
+
+use prometheus_client::encoding::{EncodeLabelSet, text};
+use prometheus_client::metrics::counter::Counter;
+use prometheus_client::metrics::family::Family;
+use prometheus_client::metrics::gauge::Gauge;
+use prometheus_client::registry::{Registry, Unit};
+use serde_json::Value;
+use std::sync::atomic::AtomicU64;
+
+/// Gauges, by name, help and where their value stands in the status.
+const GAUGES: [(&str, &str, &str); 8] = [
+    ("revision", "Revision of the configuration in force", "/revision"),
+    ("step", "Configuration epoch in force", "/step"),
+    ("staged", "Configuration epoch staged", "/staged"),
+    ("roster", "Number of the membership", "/roster"),
+    ("front_tasks", "Requests of callers that are open at this front", "/traffic/front"),
+    ("home_tasks", "Requests that this owner has", "/traffic/tasks"),
+    ("home_running", "Requests of this owner that are on instances", "/traffic/running"),
+    ("inbox_depth", "Messages waiting for the traffic thread", "/traffic/inbox"),
+];
+
+/// Counters, by name, help and where their value stands in the status.
+const COUNTERS: [(&str, &str, &str); 2] = [
+    ("front_refusals", "Requests that this front refused", "/traffic/front_refusals"),
+    ("home_refusals", "Requests that this owner answered as not run", "/traffic/refusals"),
+];
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct OutcomeLabel {
+    outcome: String,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct RefusalLabels {
+    reason: String,
+    deadline: String,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct BlockLabel {
+    cause: String,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct FunctionBlockLabels {
+    function: String,
+    cause: String,
+}
+
+type Seconds = Counter<f64, AtomicU64>;
+
+/// The metrics of one moment.
+pub struct RouterMetrics {
+    registry: Registry,
+}
+
+impl RouterMetrics {
+    /// Reads them from a status page; what is missing there counts as zero.
+    pub fn of(page: &Value) -> RouterMetrics {
+        let mut registry = Registry::with_prefix("heronlink_router");
+        for (name, help, at) in GAUGES {
+            let gauge = Gauge::<i64>::default();
+            gauge.set(page.pointer(at).and_then(Value::as_i64).unwrap_or_default());
+            registry.register(name, help, gauge);
+        }
+        for (name, help, at) in COUNTERS {
+            let counter = Counter::<u64>::default();
+            counter.inc_by(page.pointer(at).and_then(Value::as_u64).unwrap_or_default());
+            registry.register(name, help, counter);
+        }
+        let mut metrics = RouterMetrics { registry };
+        metrics.outcomes(&page["traffic"]["outcomes"]);
+        metrics.refusals(&page["traffic"]["refused"]);
+        metrics.blocked(&page["traffic"]);
+        metrics
+    }
+
+    fn outcomes(&mut self, outcomes: &Value) {
+        let family = Family::<OutcomeLabel, Counter>::default();
+        for (outcome, count) in outcomes.as_object().into_iter().flatten() {
+            let label = OutcomeLabel { outcome: outcome.clone() };
+            family.get_or_create(&label).inc_by(count.as_u64().unwrap_or_default());
+        }
+        self.registry.register("outcomes", "Answers to callers by outcome", family);
+    }
+
+    fn refusals(&mut self, refused: &Value) {
+        let family = Family::<RefusalLabels, Counter>::default();
+        for (reason, kinds) in refused.as_object().into_iter().flatten() {
+            for (deadline, count) in kinds.as_object().into_iter().flatten() {
+                let labels = RefusalLabels { reason: reason.clone(), deadline: deadline.clone() };
+                family.get_or_create(&labels).inc_by(count.as_u64().unwrap_or_default());
+            }
+        }
+        let help = "Requests that this owner refused by itself; deadline is `continued` for nested calls and retries";
+        self.registry.register("owner_refused", help, family);
+    }
+
+    fn blocked(&mut self, traffic: &Value) {
+        let total = Family::<BlockLabel, Seconds>::default();
+        for (cause, ms) in traffic["blocked_ms"].as_object().into_iter().flatten() {
+            total.get_or_create(&BlockLabel { cause: cause.clone() }).inc_by(seconds(ms));
+        }
+        let by_function = Family::<FunctionBlockLabels, Seconds>::default();
+        for (function, status) in traffic["functions"].as_object().into_iter().flatten() {
+            for (cause, ms) in status["blocked_ms"].as_object().into_iter().flatten() {
+                let labels = FunctionBlockLabels { function: function.clone(), cause: cause.clone() };
+                by_function.get_or_create(&labels).inc_by(seconds(ms));
+            }
+        }
+        let registry = &mut self.registry;
+        let help = "Time that queues of functions were not sent on, by cause";
+        registry.register_with_unit("queue_blocked", help, Unit::Seconds, total);
+        let help = "The same by function, for the functions that this router owns now";
+        registry.register_with_unit("function_queue_blocked", help, Unit::Seconds, by_function);
+    }
+
+    /// The text that a scraper reads.
+    pub fn encode(&self) -> String {
+        let mut lines = String::new();
+        // Writing to a string cannot fail.
+        let _ = text::encode(&mut lines, &self.registry);
+        lines
+    }
+}
+
+fn seconds(ms: &Value) -> f64 {
+    ms.as_f64().unwrap_or_default() / 1000.0
+}
+
+#[cfg(test)]
+#[path = "router_metrics_tests.rs"]
+mod tests;
--- a/crates/traffic/src/scale.rs
+++ b/crates/traffic/src/scale.rs
@@ -178,6 +178,7 @@
 
     fn sample_pass(&mut self) {
         let now = self.now;
+        self.close_empty_queues();
         for scheduler in self.schedulers.values_mut().filter(|scheduler| scheduler.is_awake()) {
             let queued = scheduler.queued.len() as f64;
             scheduler.looks += 1;
--- a/crates/traffic/src/status.rs
+++ b/crates/traffic/src/status.rs
@@ -64,13 +64,16 @@
                     "early_asks": scheduler.player.early_asks,
                     "requests_10s": requests, "second_tries_10s": seconds,
                     "turned_away_5s": scheduler.unproven.rejections(now),
+                    "free_slots": scheduler.free_slots(now), "unproven": scheduler.unproven.in_flight(),
+                    "blocked_ms": scheduler.blocked.to_json(), "refused": scheduler.refused.to_json(),
                     "adopting": scheduler.adopting.is_some(), "leaving": scheduler.leaving.is_some(),
                 }),
             );
         }
         let (tasks, running, store_requests) = self.depths();
         json!({
-            "tasks": tasks, "running": running, "ledger_asks": store_requests, "refusals": self.refusals,
+            "tasks": tasks, "running": running, "ledger_asks": store_requests, "refusals": self.counters.refusals,
+            "refused": self.counters.refused.to_json(), "blocked_ms": self.counters.blocked.to_json(),
             "core_near": self.core_near, "starts_left": self.starts_left, "functions": functions,
         })
     }
--- a/crates/traffic/src/unproven.rs
+++ b/crates/traffic/src/unproven.rs
@@ -77,6 +77,11 @@
         known && (proven || unproven < self.rejections.capacity(now, self.max_rejections))
     }
 
+    /// Requests on the way that might yet be rejected, as far as is known.
+    pub fn in_flight(&self) -> usize {
+        self.sent.len()
+    }
+
     pub fn sent(&mut self, now: Duration, order: u64, proven: bool) {
         self.sent.insert(order, (now, proven));
     }
--- a/crates/traffic/src/wait_queue.rs
+++ b/crates/traffic/src/wait_queue.rs
@@ -5,6 +5,7 @@
 
 use crate::function_owner::FunctionOwner;
 use crate::owner_types::Place;
+use crate::refusals::{Refusal, RefusalReason};
 use std::time::Duration;
 use wire::Outcome;
 
@@ -34,7 +35,7 @@
             _ => left.mul_f64(HOPE),
         };
         if refusable && wait > worth {
-            self.give_up(number, wait);
+            self.give_up(number, wait, RefusalReason::ExpectedWait);
         }
     }
 
@@ -44,11 +45,21 @@
         least + least * (dice >> 55) as u32 / 1024
     }
 
-    pub(crate) fn refuse(&mut self, number: u64) {
+    pub(crate) fn refuse(&mut self, number: u64, reason: RefusalReason) {
+        self.count_refusal(number, reason);
         let again = self.spread(number, SOON);
         self.answer_own(number, Outcome::NotRun, 503, again);
     }
 
+    fn count_refusal(&mut self, number: u64, reason: RefusalReason) {
+        let Some(task) = self.tasks.get(&number).filter(|task| task.caller) else { return };
+        let refusal = Refusal { reason, is_continued: task.inherits };
+        self.counters.refused.add(refusal);
+        if let Some(scheduler) = self.schedulers.get_mut(&task.function) {
+            scheduler.refused.add(refusal);
+        }
+    }
+
     pub(crate) fn answer_own(&mut self, number: u64, outcome: Outcome, status: u16, retry_after: Duration) {
         self.answer(number, outcome, status, retry_after, Vec::new(), Vec::new());
     }
@@ -59,7 +70,8 @@
 
     /// Tells at once that a task which was never run will not be, and when to come back: once those
     /// ahead of it are expected to be done.
-    pub(crate) fn give_up(&mut self, number: u64, wait: Duration) {
+    pub(crate) fn give_up(&mut self, number: u64, wait: Duration, reason: RefusalReason) {
+        self.count_refusal(number, reason);
         let again = self.time_to_come_back(number, wait);
         if self.tasks.get(&number).is_some_and(|task| task.class == bindings::Class::Once) {
             self.release(number);
