--- /dev/null
+++ b/crates/traffic/tests/hot_function.rs
@@ -0,0 +1,227 @@
+//! One function that is called more often than all others, in part by running requests of another function:
+//! while there are slots for it, what it serves follows what it is asked, not a limit of its owner's.
+
+mod common;
+
+use bindings::RouteTable;
+use common::ME;
+use common::supplied::{Supplied, six_workers};
+use std::collections::BTreeMap;
+use std::rc::Rc;
+use test_case::test_case;
+use traffic::{DispatchOrder, DispatchOutcome, OwnerInput, OwnerOutput, OwnerTiming};
+use wire::{ForwardMessage, Outcome, RequestHead};
+
+/// How long an instance works on a request, beside the calls that it makes.
+const WORK_MS: u64 = 40;
+const DEADLINE_MS: u64 = 4000;
+/// How far into its run a request calls another function.
+const CALL_AFTER_MS: u64 = 10;
+/// Three parents in ten make a call.
+const CALLING: u64 = 3;
+const INSTANCES: u32 = 40;
+/// Functions whose requests call the hot one.
+const PARENTS: u64 = 5;
+
+fn parent(number: u64) -> String {
+    format!("parent{number}")
+}
+
+/// What one request is, and who waits for it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Kind {
+    /// A caller's, to the hot function.
+    Own,
+    /// A caller's, to one of the functions whose requests call the hot one.
+    Parent,
+    /// A call of a running parent.
+    Nested,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Request {
+    kind: Kind,
+    due: u64,
+    /// The order under which its parent runs; nothing of a caller's.
+    parent: Option<u64>,
+}
+
+/// One run on an instance.
+#[derive(Clone, Copy, Debug)]
+struct Run {
+    task: u64,
+    /// When its next step is due: a call, or its end.
+    due: u64,
+    calls_first: bool,
+}
+
+#[derive(Clone, Copy, Debug, Default)]
+struct Tally {
+    made: u64,
+    served: u64,
+}
+
+impl Tally {
+    fn share(self) -> f64 {
+        self.served as f64 / self.made.max(1) as f64
+    }
+}
+
+/// Functions with an owner, instances that bear all that they may be sent, and callers.
+struct World {
+    owner: Supplied,
+    next: u64,
+    requests: BTreeMap<u64, Request>,
+    runs: BTreeMap<u64, Run>,
+    tallies: BTreeMap<Kind, Tally>,
+}
+
+impl World {
+    fn new() -> World {
+        let binding = |name: &str| {
+            format!(
+                r#"{{"route":"/{name}","function":"{name}","class":"ordinary","memory_mb":16,"instance_limit":4,
+                "min":{INSTANCES},"max":{INSTANCES},"aim_ms":200,"deadline_ms":{DEADLINE_MS}}}"#
+            )
+        };
+        let names: Vec<String> = (0..PARENTS).map(parent).chain(["hot".to_owned()]).collect();
+        let bindings: Vec<(String, String)> =
+            names.iter().map(|name| (format!("function-bindings/t/{name}"), binding(name))).collect();
+        let declared = bindings.iter().map(|(key, binding)| (key.as_str(), binding.as_bytes()));
+        let timing = OwnerTiming { starts_per_second: 10_000.0, ..OwnerTiming::default() };
+        let mut owner = Supplied::with(timing, ME, 0, six_workers());
+        owner.feed(OwnerInput::RouteTable { routes: Rc::new(RouteTable::build(1, 1, declared)) });
+        let mut world =
+            World { owner, next: 0, requests: BTreeMap::new(), runs: BTreeMap::new(), tallies: BTreeMap::new() };
+        world.pass(3000, 0, 0);
+        world
+    }
+
+    /// Lets time pass with so many requests a second to the hot function, and to those that call it.
+    fn pass(&mut self, millis: u64, own_rate: u64, parent_rate: u64) {
+        let (mut own, mut parents) = (0, 0);
+        for _ in 0..millis {
+            self.owner.at += 1;
+            if self.owner.at.is_multiple_of(10) {
+                self.owner.feed(OwnerInput::Tick);
+            }
+            (own, parents) = (own + own_rate, parents + parent_rate);
+            while own >= 1000 {
+                own -= 1000;
+                self.call(Kind::Own);
+            }
+            while parents >= 1000 {
+                parents -= 1000;
+                self.call(Kind::Parent);
+            }
+            self.step_runs();
+            self.take_outputs();
+        }
+    }
+
+    fn call(&mut self, kind: Kind) {
+        let due = self.owner.at + DEADLINE_MS;
+        self.send(Request { kind, due, parent: None });
+    }
+
+    fn send(&mut self, request: Request) {
+        self.next += 1;
+        self.requests.insert(self.next, request);
+        self.tallies.entry(request.kind).or_default().made += 1;
+        let function = match request.kind {
+            Kind::Parent => format!("t/{}", parent(self.next % PARENTS)),
+            Kind::Own | Kind::Nested => "t/hot".to_owned(),
+        };
+        let message = ForwardMessage::ForwardUncounted {
+            task: self.next,
+            function: function.as_str().into(),
+            binding: function.as_str().into(),
+            left_ms: (request.due - self.owner.at) as u32,
+            resends: 0,
+            respond_async: 0,
+            key: format!("a-{}", self.next).as_str().into(),
+            head: wire::to_bytes(&RequestHead::default()).into(),
+            body: self.next.to_le_bytes().to_vec().into(),
+        };
+        self.owner.feed(OwnerInput::Forward { from: ME, message });
+    }
+
+    fn take_outputs(&mut self) {
+        while !self.owner.others.is_empty() || !self.owner.starts.is_empty() {
+            for order in std::mem::take(&mut self.owner.starts) {
+                let id = format!("i-{}", order.nonce);
+                self.owner.accepted(&order.nonce, &id);
+                self.owner.probed(&id, true);
+            }
+            for output in std::mem::take(&mut self.owner.others) {
+                match output {
+                    OwnerOutput::Dispatch(order) => self.begin(&order),
+                    OwnerOutput::Forward { message: ForwardMessage::Answer { task, outcome, status, .. }, .. } => {
+                        self.answered(task, outcome == Outcome::Answered && status == 200);
+                    }
+                    _ => {}
+                }
+            }
+        }
+    }
+
+    fn begin(&mut self, order: &DispatchOrder) {
+        let task = u64::from_le_bytes(order.body.as_slice().try_into().expect("the number that was sent"));
+        let calls_first = self.requests[&task].kind == Kind::Parent && task % 10 < CALLING;
+        let due = self.owner.at + if calls_first { CALL_AFTER_MS } else { WORK_MS };
+        self.runs.insert(order.number, Run { task, due, calls_first });
+    }
+
+    fn step_runs(&mut self) {
+        let now = self.owner.at;
+        let due: Vec<u64> = self.runs.iter().filter(|(_, run)| run.due <= now).map(|(order, _)| *order).collect();
+        for order in due {
+            let run = self.runs[&order];
+            if run.calls_first {
+                self.runs.insert(order, Run { due: u64::MAX, calls_first: false, ..run });
+                let due = self.requests[&run.task].due;
+                self.send(Request { kind: Kind::Nested, due, parent: Some(order) });
+            } else {
+                self.end(order, 200);
+            }
+        }
+    }
+
+    fn end(&mut self, order: u64, status: u16) {
+        self.runs.remove(&order);
+        let outcome = DispatchOutcome::Complete { status, head: Vec::new(), body: Vec::new(), turned_away: false };
+        self.owner.feed(OwnerInput::Dispatched { number: order, outcome });
+    }
+
+    /// A caller has its answer, or a parent that of its call: it works on, or fails with it.
+    fn answered(&mut self, task: u64, is_served: bool) {
+        let Some(request) = self.requests.remove(&task) else { return };
+        self.tallies.entry(request.kind).or_default().served += u64::from(is_served);
+        match request.parent {
+            Some(order) if is_served => {
+                let due = self.owner.at + WORK_MS - CALL_AFTER_MS;
+                self.runs.entry(order).and_modify(|run| run.due = due);
+            }
+            Some(order) => self.end(order, 500),
+            None => {}
+        }
+    }
+
+    fn free_slots(&mut self) -> u64 {
+        self.owner.owner.status()["functions"]["t/hot"]["free_slots"].as_u64().unwrap_or_default()
+    }
+}
+
+#[test_case(300, 1000; "half of it nested calls")]
+#[test_case(900, 0; "all of it callers")]
+fn what_a_busy_function_serves_is_bounded_by_its_slots_alone(own_rate: u64, parent_rate: u64) {
+    let mut world = World::new();
+    world.pass(6000, own_rate, parent_rate);
+    let free = world.free_slots();
+    world.pass(DEADLINE_MS + 1000, 0, 0);
+    let told = format!("{:?}, {free} slots free at the end", world.tallies);
+    for tally in world.tallies.values() {
+        assert!(tally.share() > 0.98, "not all was served: {told}");
+    }
+    assert!(free > u64::from(INSTANCES) * 2, "less than half of the slots are needed: {told}");
+}
