Bound requests on the way to proven instances by a congestion window

Cause: all requests of a function that were sent less than the usual time of a rejection ago (25 ms) had to stay below the rejections allowed (11 of 17), proven instances or not: a fixed rate of some 440 a second plus what was answered sooner, whatever the instances bear. Above it the queue fills beside free slots, nested calls are refused, their parents fail and run again, and the load doesn't fall when the crowd is gone.

Change: SendWindow, which begins at the old bound, grows by one with each window of answers while it holds requests up, falls to half with a rejection, never below what is left of the allowance, and fades while it is not used. Unproven requests and rejections stay within the allowance as before.

--- a/crates/traffic/src/dispatch_outcomes.rs
+++ b/crates/traffic/src/dispatch_outcomes.rs
@@ -5,6 +5,7 @@
 use crate::function_scheduler::FunctionScheduler;
 use crate::instance::InstanceEvent;
 use crate::owner_types::{Failure, OwnerOutput};
+use crate::unproven::SendResult;
 use bindings::Class;
 use dispatch::DispatchOutcome;
 use events::event;
@@ -102,7 +103,12 @@
             DispatchOutcome::Complete { turned_away: true, .. } | DispatchOutcome::NotRun { wrong_instance: false }
         );
         scheduler.in_flight = scheduler.in_flight.saturating_sub(1);
-        scheduler.unproven.ended(now, order, begun, turned_away);
+        let result = match outcome {
+            _ if turned_away => SendResult::Rejected,
+            DispatchOutcome::Complete { .. } => SendResult::Answered,
+            _ => SendResult::Unclear,
+        };
+        scheduler.unproven.ended(now, order, begun, result);
         if let Some(instance) = scheduler.instances.get_mut(instance_id) {
             instance.busy = instance.busy.saturating_sub(1);
             instance.used = now;
--- a/crates/traffic/src/dispatch_pass.rs
+++ b/crates/traffic/src/dispatch_pass.rs
@@ -50,6 +50,9 @@
     fn next_to_send(&mut self, name: &str) -> Result<NextRequest, QueueBlock> {
         let now = self.now;
         let scheduler = self.schedulers.get_mut(name).ok_or(QueueBlock::NoFreeSlot)?;
+        if scheduler.queued.is_empty() {
+            return Err(QueueBlock::NoFreeSlot);
+        }
         let roomiest = scheduler.roomiest(now).ok_or(QueueBlock::NoFreeSlot)?;
         let proven = scheduler.instances.get(&roomiest).is_some_and(|instance| instance.busy < instance.proven);
         if !scheduler.unproven.may_send(now, proven) {
--- a/crates/traffic/src/unproven.rs
+++ b/crates/traffic/src/unproven.rs
@@ -5,6 +5,7 @@
 
 use crate::allowances::{Allowances, Max};
 use crate::budget::Spent;
+use crate::send_window::SendWindow;
 use std::collections::BTreeMap;
 use std::time::Duration;
 
@@ -14,10 +15,22 @@
 /// Not looked for so long, this process was stopped: what was sent before is at risk anew.
 const STOPPED: Duration = Duration::from_millis(300);
 
+/// What became of a request that was sent to an instance.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum SendResult {
+    /// The instance ran it and answered.
+    Answered,
+    /// The instance rejected it.
+    Rejected,
+    /// It was not sent, or nobody knows.
+    Unclear,
+}
+
 pub struct UnprovenLimit {
     max_rejections: Max,
     rejections: Spent,
     sent: BTreeMap<u64, (Duration, bool)>,
+    window: SendWindow,
     usual: Duration,
     polled_at: Duration,
 }
@@ -30,6 +43,7 @@
             max_rejections: allowances.rejections(),
             rejections: Spent::new(now, remembered, remembered + MAX_REJECTION_LATENCY),
             sent: BTreeMap::new(),
+            window: SendWindow::new(allowances.rejections().known),
             usual: INITIAL_REJECTION_LATENCY,
             polled_at: now,
         }
@@ -68,13 +82,17 @@
         self.sent.retain(|_, (at, _)| now < *at + usual);
     }
 
-    /// `proven`: the instance has answered this owner with as many tasks on it. While the owner is careful,
-    /// only the others count against the part it may spend without knowing what the one before spent.
+    /// `proven`: the instance has answered this owner with as many requests on it. The others stay, together with
+    /// what was rejected, within the allowance; and while the owner is careful, within the part that it may spend
+    /// without knowing what the one before spent. All of them together stay within the window.
     pub fn may_send(&mut self, now: Duration, proven: bool) -> bool {
         self.poll(now);
+        let left = self.rejections.known_capacity(now, self.max_rejections);
+        if !self.window.may_send(self.sent.len(), left) {
+            return false;
+        }
         let unproven = self.sent.values().filter(|(_, proven)| !proven).count();
-        let known = self.sent.len() < self.rejections.known_capacity(now, self.max_rejections);
-        known && (proven || unproven < self.rejections.capacity(now, self.max_rejections))
+        proven || unproven < self.rejections.capacity(now, self.max_rejections)
     }
 
     /// Requests on the way that might yet be rejected, as far as is known.
@@ -86,17 +104,28 @@
         self.sent.insert(order, (now, proven));
     }
 
-    pub fn ended(&mut self, now: Duration, order: u64, begun: Duration, turned_away: bool) {
+    pub fn ended(&mut self, now: Duration, order: u64, begun: Duration, result: SendResult) {
         self.sent.remove(&order);
-        if turned_away {
-            self.rejections.add(now);
-            let took = now.saturating_sub(begun);
-            self.usual = self.usual.max(took.mul_f64(1.5)).min(MAX_REJECTION_LATENCY);
+        match result {
+            SendResult::Answered => {
+                let left = self.rejections.known_capacity(now, self.max_rejections);
+                if left * 2 > self.max_rejections.known {
+                    self.window.answered(left);
+                }
+            }
+            SendResult::Rejected => {
+                self.rejections.add(now);
+                self.window.rejected();
+                let took = now.saturating_sub(begun);
+                self.usual = self.usual.max(took.mul_f64(1.5)).min(MAX_REJECTION_LATENCY);
+            }
+            SendResult::Unclear => {}
         }
     }
 
     /// What was learned of slow rejections fades, a little each time.
     pub fn fade(&mut self) {
+        self.window.fade();
         self.usual = INITIAL_REJECTION_LATENCY + self.usual.saturating_sub(INITIAL_REJECTION_LATENCY).mul_f64(FORGET);
     }
 }
--- a/crates/traffic/tests/budget.rs
+++ b/crates/traffic/tests/budget.rs
@@ -2,7 +2,7 @@
 
 use rand::{RngExt, SeedableRng};
 use std::time::Duration;
-use traffic::{Allowances, Budget, Max, Spent, UnprovenLimit};
+use traffic::{Allowances, Budget, Max, SendResult, Spent, UnprovenLimit};
 
 #[test]
 fn retries_stay_below_a_fifth_and_sixty_in_every_ten_seconds() {
@@ -67,7 +67,7 @@
             for (_, number, started) in open.extract_if(.., |(at, ..)| *at <= now) {
                 all.push(now);
                 if !crashed || started >= crash {
-                    unproven.ended(now, number, started, true);
+                    unproven.ended(now, number, started, SendResult::Rejected);
                 }
             }
             if now >= crash && !crashed {
