Hold an owner that may not know all to its own part on proven instances as well

Cause: an owner that does not know what the one before spent may cost only its own part of the rejections (4 of 11); but for proven instances it went by all that is known, 7, so that the same router, killed and back within the window, could reach 14.

Change: from its first rejection on, such an owner has only its own part left, for proven instances too.

A unit test in budget.rs. The change to dispatch_outcomes.rs, an instance whose answer is in doubt has to prove itself anew, stands here too: it may still be at work on that request, so what it bore before says nothing of it now.

--- a/crates/traffic/src/budget.rs
+++ b/crates/traffic/src/budget.rs
@@ -79,6 +79,10 @@
     pub fn known_capacity(&mut self, now: Duration, most: Max) -> usize {
         most.known.saturating_sub(self.all.count(now))
     }
+    /// Whether this owner itself has spent any lately, since it last had reason to be careful.
+    pub fn has_spent_own(&mut self, now: Duration) -> bool {
+        self.own.count(now) > 0
+    }
     /// Another owner told more than it had before.
     pub fn learn(&mut self, now: Duration, more: usize) {
         self.all.insert(now, more);
--- a/crates/traffic/src/dispatch_outcomes.rs
+++ b/crates/traffic/src/dispatch_outcomes.rs
@@ -115,9 +115,13 @@
             match outcome {
                 DispatchOutcome::Complete { .. } if !turned_away => instance.proven = instance.proven.max(level),
                 DispatchOutcome::NotSent | DispatchOutcome::Crowded => instance.paused_until = now + PAUSE,
-                DispatchOutcome::InDoubt { late: true, .. } => {
-                    instance.foreign = if now < instance.foreign_until { instance.foreign + 1 } else { 1 };
-                    instance.foreign_until = now + Duration::from_secs(2);
+                DispatchOutcome::InDoubt { late, .. } => {
+                    // It may still be at work on it: what it bore before proves nothing now.
+                    instance.proven = 0;
+                    if *late {
+                        instance.foreign = if now < instance.foreign_until { instance.foreign + 1 } else { 1 };
+                        instance.foreign_until = now + Duration::from_secs(2);
+                    }
                 }
                 _ => {}
             }
--- a/crates/traffic/src/unproven.rs
+++ b/crates/traffic/src/unproven.rs
@@ -87,7 +87,7 @@
     /// without knowing what the one before spent. All of them together stay within the window.
     pub fn may_send(&mut self, now: Duration, proven: bool) -> bool {
         self.poll(now);
-        let left = self.rejections.known_capacity(now, self.max_rejections);
+        let left = self.left(now);
         if !self.window.may_send(self.sent.len(), left) {
             return false;
         }
@@ -100,6 +100,15 @@
         self.sent.len()
     }
 
+    /// What is left of the allowance for all requests. From its first rejection on, an owner that does not know what
+    /// the one before spent has only its own part, for proven instances too.
+    fn left(&mut self, now: Duration) -> usize {
+        match self.rejections.has_spent_own(now) {
+            true => self.rejections.capacity(now, self.max_rejections),
+            false => self.rejections.known_capacity(now, self.max_rejections),
+        }
+    }
+
     pub fn sent(&mut self, now: Duration, order: u64, proven: bool) {
         self.sent.insert(order, (now, proven));
     }
@@ -108,7 +117,7 @@
         self.sent.remove(&order);
         match result {
             SendResult::Answered => {
-                let left = self.rejections.known_capacity(now, self.max_rejections);
+                let left = self.left(now);
                 if left * 2 > self.max_rejections.known {
                     self.window.answered(left);
                 }
--- a/crates/traffic/tests/budget.rs
+++ b/crates/traffic/tests/budget.rs
@@ -85,6 +85,24 @@
     }
 }
 
+/// The owner after a crash trusts what instances have answered it; that they all turn everything away then must not
+/// cost more than its own part, however many it had on the way to proven ones.
+#[test]
+fn a_careful_owner_stays_within_its_part_on_proven_instances_too() {
+    let allowances = Allowances::default();
+    let mut unproven = UnprovenLimit::new(Duration::ZERO, &allowances);
+    let mut rejected = 0;
+    for order in 0..4_000u64 {
+        let now = Duration::from_millis(order);
+        if unproven.may_send(now, true) {
+            unproven.sent(now, order, true);
+            unproven.ended(now, order, now, SendResult::Rejected);
+            rejected += 1;
+        }
+    }
+    assert_eq!(rejected, allowances.rejections().at_first);
+}
+
 /// A table is as old as its last copy: the owner it was kept for has spent more since.
 #[test]
 fn an_owner_that_begins_from_a_standby_copy_spends_only_its_own_part_at_first() {
