Forget what instances have borne where another owner may have been

Cause: an owner that returns after its lease had expired kept how many requests each instance had borne before. Another owner may have filled them since; now that proven requests are bound by a window and not by what may be rejected, that would cost more.

Change: begin_anew makes every instance unproven and the window as at first.

Ruled out: nothing; found by reading who relies on a proven instance.

unproven.rs besides: a type for a request on its way in place of a tuple, no change of behaviour.

--- a/crates/traffic/src/function_scheduler.rs
+++ b/crates/traffic/src/function_scheduler.rs
@@ -115,6 +115,7 @@
     /// Others may have been owner here meanwhile: what they spent and sent is not known.
     pub fn begin_anew(&mut self, now: Duration) {
         self.unproven.be_careful(now);
+        self.instances.values_mut().for_each(|instance| instance.proven = 0);
         self.budget.be_careful(now);
         (self.adopting, self.reported, self.read_at) = (Some((now, false)), (0, 0), None);
         self.sent_tasks = SentTasks::Unknown;
--- a/crates/traffic/src/unproven.rs
+++ b/crates/traffic/src/unproven.rs
@@ -1,7 +1,8 @@
-//! Turn-aways of one function: no more than the users allow in any window, whatever its instances
-//! do. A task sent less than the usual time of a rejection ago may yet be rejected: it is at risk.
-//! What was rejected and what is at risk together stay below a limit, of which a part is kept back
-//! for the owner that follows after a crash, since it knows nothing of the count before.
+//! Rejections of one function: no more than the users allow in any window, whatever its instances do. A request
+//! sent less than the usual time of a rejection ago may yet be rejected. Those sent to unproven instances stay, with
+//! what was rejected, below the allowance, of which a part is kept back for the owner that follows after a crash,
+//! since it knows nothing of the count before. Those sent to proven ones stay within a window that follows what the
+//! instances bear.
 
 use crate::allowances::{Allowances, Max};
 use crate::budget::Spent;
@@ -15,6 +16,13 @@
 /// Not looked for so long, this process was stopped: what was sent before is at risk anew.
 const STOPPED: Duration = Duration::from_millis(300);
 
+/// A request on its way to an instance.
+struct SentRequest {
+    at: Duration,
+    /// Whether the instance has answered this owner with as many requests on it.
+    is_proven: bool,
+}
+
 /// What became of a request that was sent to an instance.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum SendResult {
@@ -29,7 +37,8 @@
 pub struct UnprovenLimit {
     max_rejections: Max,
     rejections: Spent,
-    sent: BTreeMap<u64, (Duration, bool)>,
+    /// By order; only those that may yet be rejected.
+    sent: BTreeMap<u64, SentRequest>,
     window: SendWindow,
     usual: Duration,
     polled_at: Duration,
@@ -49,9 +58,10 @@
         }
     }
 
-    /// Another owner may have been here meanwhile.
+    /// Another owner may have been here meanwhile: what the instances bore before says nothing of now.
     pub fn be_careful(&mut self, now: Duration) {
         self.rejections.be_careful(now);
+        self.window = SendWindow::new(self.max_rejections.known);
     }
 
     /// The owner before told, at a moment, how many were rejected lately; what it had sent may be yet.
@@ -76,10 +86,10 @@
     fn poll(&mut self, now: Duration) {
         let (usual, stopped) = (self.usual, now > self.polled_at + STOPPED);
         if stopped {
-            self.sent.values_mut().for_each(|(at, _)| *at = now);
+            self.sent.values_mut().for_each(|request| request.at = now);
         }
         self.polled_at = now;
-        self.sent.retain(|_, (at, _)| now < *at + usual);
+        self.sent.retain(|_, request| now < request.at + usual);
     }
 
     /// `proven`: the instance has answered this owner with as many requests on it. The others stay, together with
@@ -91,7 +101,7 @@
         if !self.window.may_send(self.sent.len(), left) {
             return false;
         }
-        let unproven = self.sent.values().filter(|(_, proven)| !proven).count();
+        let unproven = self.sent.values().filter(|request| !request.is_proven).count();
         proven || unproven < self.rejections.capacity(now, self.max_rejections)
     }
 
@@ -110,7 +120,7 @@
     }
 
     pub fn sent(&mut self, now: Duration, order: u64, proven: bool) {
-        self.sent.insert(order, (now, proven));
+        self.sent.insert(order, SentRequest { at: now, is_proven: proven });
     }
 
     pub fn ended(&mut self, now: Duration, order: u64, begun: Duration, result: SendResult) {
--- a/crates/traffic/tests/budget.rs
+++ b/crates/traffic/tests/budget.rs
@@ -103,6 +103,39 @@
     assert_eq!(rejected, allowances.rejections().at_first);
 }
 
+/// Answers made room for more requests at once than may be rejected; another owner may have filled the instances since.
+#[test]
+fn what_answers_made_room_for_is_forgotten_where_another_owner_may_have_been() {
+    let allowances = Allowances::default();
+    let known = allowances.rejections().known;
+    let mut unproven = UnprovenLimit::new(Duration::ZERO, &allowances);
+    let mut order = 0;
+    let mut fill = |unproven: &mut UnprovenLimit, now: Duration| {
+        let first = order;
+        while unproven.may_send(now, true) {
+            order += 1;
+            unproven.sent(now, order, true);
+        }
+        first + 1..order + 1
+    };
+    let start = Duration::from_secs(10);
+    for round in 0..20u32 {
+        let now = start + round * Duration::from_millis(20);
+        for sent in fill(&mut unproven, now) {
+            unproven.ended(now, sent, now, SendResult::Answered);
+            unproven.may_send(now, true);
+        }
+    }
+    let now = Duration::from_secs(11);
+    let grown = fill(&mut unproven, now).count();
+    unproven.be_careful(now);
+    for pass in 0..10u32 {
+        unproven.may_send(now + pass * Duration::from_millis(100), true);
+    }
+    let later = now + Duration::from_secs(1);
+    assert_eq!((grown > known, fill(&mut unproven, later).count()), (true, known), "{grown} of {known}");
+}
+
 /// A table is as old as its last copy: the owner it was kept for has spent more since.
 #[test]
 fn an_owner_that_begins_from_a_standby_copy_spends_only_its_own_part_at_first() {
