Give back a request whose function has moved before it could be queued

Cause: a deferred request that was being stored while its function moved away was marked as queued when the store's answer came, but stood in no queue, since the function had none here any more. When the function came back, reading the store found it known and left it: accepted, and never run.

Ruled out: the retry budget (its time to go was never moved on), a full queue, the store (it lists it at each reading).

Change: what cannot be queued goes the way of all that an owner gives back: a stored one is left to the owner that reads the store, a claim is released, others return to their front.

--- a/crates/sim/tests/seeds.rs
+++ b/crates/sim/tests/seeds.rs
@@ -24,6 +24,7 @@
 #[test_case(Sort::Replacement, &[1210020]; "a voter that goes before its successor has its vote")]
 #[test_case(Sort::Mixed, &[1310081]; "twelve rejections in a burst while routers are cut off")]
 #[test_case(Sort::Overload, &[3000046, 3000071, 3000211]; "turn-aways of an owner that came back within the window")]
+#[test_case(Sort::Mixed, &[3000026]; "a task stored after its function had moved away was in no queue")]
 #[test_case(Sort::Mixed, &[930050]; "a copy asked of who is the tail no longer")]
 #[test_case(Sort::Overload, &[7, 21]; "turn-aways across a crash and in a burst")]
 #[test_case(Sort::Mixed, &[13]; "a table with an instance long told leaving")]
--- a/crates/traffic/src/wait_queue.rs
+++ b/crates/traffic/src/wait_queue.rs
@@ -18,8 +18,14 @@
 const SOON: Duration = Duration::from_millis(500);
 
 impl FunctionOwner {
+    /// Queues a request, or gives it back where its function has another owner by now: what no queue has is
+    /// never sent.
     pub(crate) fn hold(&mut self, number: u64) {
         let now = self.now;
+        let Some(function) = self.tasks.get(&number).map(|task| &task.function) else { return };
+        if self.schedulers.get(function).is_none_or(|scheduler| scheduler.leaving.is_some()) {
+            return self.send_back(number);
+        }
         let Some(task) = self.tasks.get_mut(&number) else { return };
         task.place = Place::Queued;
         let (order, refusable) = ((task.rank, task.due), task.stored.is_none() && !task.reached);
--- a/crates/traffic/tests/sent_tasks.rs
+++ b/crates/traffic/tests/sent_tasks.rs
@@ -4,7 +4,7 @@
 mod common;
 
 use common::deferred::{
-    FUNCTION, asked, forward, given, granted, home_of, listed, owner, read, reported, sent, stored, table,
+    FUNCTION, asked, forward, given, granted, handed, home_of, listed, owner, read, reported, sent, stored, table,
 };
 use common::{ME, OTHER, membership, ms};
 use std::collections::BTreeSet;
@@ -98,6 +98,20 @@
     assert_eq!(started(&later), ids(&[]));
 }
 
+/// The store's answer comes when the function has another owner and nothing of it is left here. Later it is back.
+#[test]
+fn a_task_stored_for_a_function_that_moved_meanwhile_is_run_once_it_is_back() {
+    let mut owner = owner();
+    owner.step(ms(1), true, handed());
+    let asked_to_store = owner.step(ms(10), true, forward(7));
+    owner.step(ms(20), true, OwnerInput::Membership { membership: membership(2, &[OTHER]) });
+    owner.step(ms(600), true, OwnerInput::Tick);
+    owner.step(ms(700), true, granted(&asked_to_store));
+    owner.step(ms(800), true, OwnerInput::Membership { membership: membership(3, &[ME]) });
+    owner.step(ms(801), true, given(table(3)));
+    assert_eq!(sent(&read(&mut owner, 900, &[7])), 1);
+}
+
 /// The machine that is back knows nothing, and what it sent after the copy was made is in no table.
 #[test]
 fn a_standby_copy_that_is_handed_back_does_not_tell_all_that_was_sent() {
