Let the window grow beside rare rejections, and close it when none is left

Change: the window grows while at least a hundred requests are answered for each rejection in the users' window, not while less than half of the allowance is spent. Nothing is sent once none of it is left.

Ruled out: growth without such a condition (with few answers, as in the simulator's overload, rejections would feed it).

--- a/crates/traffic/src/send_window_tests.rs
+++ b/crates/traffic/src/send_window_tests.rs
@@ -1,17 +1,17 @@
 //! A window that grows by answers and falls by rejections.
 
-use super::SendWindow;
+use super::{Allowance, SendWindow};
 
 /// Keeps the window full for so many answers.
 fn fill(window: &mut SendWindow, answers: u32, left: usize) {
     for _ in 0..answers {
         assert!(!window.may_send(usize::MAX, left));
-        window.answered(left);
+        window.answered(Allowance { rejections: 0, left });
     }
 }
 
 fn size(window: &mut SendWindow) -> usize {
-    (0..).find(|on_the_way| !window.may_send(*on_the_way, 0)).expect("some size")
+    (0..).find(|on_the_way| !window.may_send(*on_the_way, 1)).expect("some size")
 }
 
 #[test]
@@ -28,7 +28,7 @@
     let mut window = SendWindow::new(10);
     for _ in 0..1000 {
         assert!(window.may_send(3, 10));
-        window.answered(10);
+        window.answered(Allowance { rejections: 0, left: 10 });
     }
     assert_eq!(size(&mut window), 10);
 }
@@ -42,7 +42,7 @@
     assert_eq!(size(&mut window), before / 2);
     (0..4).for_each(|_| window.rejected());
     assert!(window.may_send(4, 5) && !window.may_send(5, 5), "five are left of the allowance");
-    assert!(!window.may_send(0, 0) || size(&mut window) <= 1, "none is left");
+    assert!(!window.may_send(0, 0), "none is left");
 }
 
 #[test]
@@ -55,3 +55,17 @@
     (0..10).for_each(|_| window.fade());
     assert_eq!(size(&mut window), 5, "what was lost comes back by answers");
 }
+
+#[test]
+fn rejections_stop_its_growth_unless_they_are_rare() {
+    let grown_beside = |rejections: usize, answers: u32| {
+        let mut window = SendWindow::new(10);
+        for _ in 0..answers {
+            window.may_send(usize::MAX, 5);
+            window.answered(Allowance { rejections, left: 5 });
+        }
+        size(&mut window) > 10
+    };
+    assert!(!grown_beside(5, 490), "one in a hundred");
+    assert!(grown_beside(5, 600), "fewer");
+}
--- a/crates/traffic/src/unproven.rs
+++ b/crates/traffic/src/unproven.rs
@@ -6,7 +6,7 @@
 
 use crate::allowances::{Allowances, Max};
 use crate::budget::Spent;
-use crate::send_window::SendWindow;
+use crate::send_window::{Allowance, SendWindow};
 use std::collections::BTreeMap;
 use std::time::Duration;
 
@@ -127,10 +127,8 @@
         self.sent.remove(&order);
         match result {
             SendResult::Answered => {
-                let left = self.left(now);
-                if left * 2 > self.max_rejections.known {
-                    self.window.answered(left);
-                }
+                let (rejections, left) = (self.rejections.count(now), self.left(now));
+                self.window.answered(Allowance { rejections, left });
             }
             SendResult::Rejected => {
                 self.rejections.add(now);
--- a/crates/traffic/tests/hot_function.rs
+++ b/crates/traffic/tests/hot_function.rs
@@ -74,10 +74,12 @@
     requests: BTreeMap<u64, Request>,
     runs: BTreeMap<u64, Run>,
     tallies: BTreeMap<Kind, Tally>,
+    /// Of so many requests that reach instances one is rejected, if any.
+    rejected_of: Option<u64>,
 }
 
 impl World {
-    fn new() -> World {
+    fn new(rejected_of: Option<u64>) -> World {
         let binding = |name: &str| {
             format!(
                 r#"{{"route":"/{name}","function":"{name}","class":"ordinary","memory_mb":16,"instance_limit":4,
@@ -91,8 +93,14 @@
         let timing = OwnerTiming { starts_per_second: 10_000.0, ..OwnerTiming::default() };
         let mut owner = Supplied::with(timing, ME, 0, six_workers());
         owner.feed(OwnerInput::RouteTable { routes: Rc::new(RouteTable::build(1, 1, declared)) });
-        let mut world =
-            World { owner, next: 0, requests: BTreeMap::new(), runs: BTreeMap::new(), tallies: BTreeMap::new() };
+        let mut world = World {
+            owner,
+            next: 0,
+            requests: BTreeMap::new(),
+            runs: BTreeMap::new(),
+            tallies: BTreeMap::new(),
+            rejected_of,
+        };
         world.pass(3000, 0, 0);
         world
     }
@@ -166,6 +174,9 @@
     }
 
     fn begin(&mut self, order: &DispatchOrder) {
+        if self.rejected_of.is_some_and(|of| order.number.is_multiple_of(of)) {
+            return self.reject(order.number);
+        }
         let task = u64::from_le_bytes(order.body.as_slice().try_into().expect("the number that was sent"));
         let calls_first = self.requests[&task].kind == Kind::Parent && task % 10 < CALLING;
         let due = self.owner.at + if calls_first { CALL_AFTER_MS } else { WORK_MS };
@@ -193,6 +204,11 @@
         self.owner.feed(OwnerInput::Dispatched { number: order, outcome });
     }
 
+    fn reject(&mut self, order: u64) {
+        let outcome = DispatchOutcome::Complete { status: 503, head: Vec::new(), body: Vec::new(), turned_away: true };
+        self.owner.feed(OwnerInput::Dispatched { number: order, outcome });
+    }
+
     /// A caller has its answer, or a parent that of its call: it works on, or fails with it.
     fn answered(&mut self, task: u64, is_served: bool) {
         let Some(request) = self.requests.remove(&task) else { return };
@@ -212,11 +228,12 @@
     }
 }
 
-#[test_case(300, 1000; "half of it nested calls")]
-#[test_case(900, 0; "all of it callers")]
-fn what_a_busy_function_serves_is_bounded_by_its_slots_alone(own_rate: u64, parent_rate: u64) {
-    let mut world = World::new();
-    world.pass(6000, own_rate, parent_rate);
+#[test_case(300, 1000, None; "half of it nested calls")]
+#[test_case(900, 0, None; "all of it callers")]
+#[test_case(900, 0, Some(1500); "a rejection now and then")]
+fn what_a_busy_function_serves_is_bounded_by_its_slots_alone(own: u64, parents: u64, rejected_of: Option<u64>) {
+    let mut world = World::new(rejected_of);
+    world.pass(10_000, own, parents);
     let free = world.free_slots();
     world.pass(DEADLINE_MS + 1000, 0, 0);
     let told = format!("{:?}, {free} slots free at the end", world.tallies);
