Keep who owns a function with its scheduler, and search the sorted queue by halves

Cause: after each input an owner went over every function with a queue and asked the membership who owns it, which reads all 79 members several times; and each request was placed in its queue by going through it from the front. So a step cost more the more was queued, and in a crowd the owners' processors were spent on that.

Change: the answer stands with the scheduler from one membership to the next; the place in the queue is searched by halves.

--- a/crates/traffic/src/admission.rs
+++ b/crates/traffic/src/admission.rs
@@ -20,9 +20,8 @@
         }
         let bound = self.routes.as_ref().and_then(|routes| routes.binding(binding.as_str())).cloned();
         let service = function.as_str().split_once('/').map_or("", |(_, service)| service);
-        let (Some(bound), true, Some(scheduler)) =
-            (bound, self.is_home(function.as_str()), self.schedulers.get_mut(function.as_str()))
-        else {
+        let scheduler = self.schedulers.get_mut(function.as_str()).filter(|scheduler| scheduler.is_owned);
+        let (Some(bound), Some(scheduler)) = (bound, scheduler) else {
             return self.outs.push(OwnerOutput::Forward { to: from, message: ForwardMessage::NotOwner { task } });
         };
         if !bound.sends_to(service) || scheduler.leaving.is_some() {
--- a/crates/traffic/src/dispatch_pass.rs
+++ b/crates/traffic/src/dispatch_pass.rs
@@ -21,20 +21,13 @@
         if !self.may_serve {
             return;
         }
-        let names: Vec<String> = self
-            .schedulers
-            .iter()
-            .filter(|(_, scheduler)| !scheduler.queued.is_empty())
-            .map(|(name, _)| name.clone())
-            .collect();
+        let may_send = |scheduler: &FunctionScheduler| {
+            scheduler.is_owned && scheduler.leaving.is_none() && scheduler.adopting.is_none()
+        };
+        let waiting = self.schedulers.iter().filter(|(_, scheduler)| !scheduler.queued.is_empty());
+        let ready = waiting.filter(|(_, scheduler)| may_send(scheduler));
+        let names: Vec<String> = ready.map(|(name, _)| name.clone()).collect();
         for name in names {
-            if !self.is_home(&name) {
-                continue;
-            }
-            let Some(scheduler) = self.schedulers.get(&name) else { continue };
-            if scheduler.leaving.is_some() || scheduler.adopting.is_some() {
-                continue;
-            }
             loop {
                 match self.next_to_send(&name) {
                     Ok(next) => self.dispatch(next.number, &name, next.instance),
--- a/crates/traffic/src/function_scheduler.rs
+++ b/crates/traffic/src/function_scheduler.rs
@@ -30,6 +30,8 @@
     pub reported: (u32, u32),
     pub sent_tasks: SentTasks,
     pub leaving: Option<(NodeId, Duration)>,
+    /// Whether this router is the owner by the membership in force; asked at each pass, so it is kept here.
+    pub is_owned: bool,
     pub arrivals: u32,
     pub load: Load,
     pub peak: Peak,
@@ -78,6 +80,7 @@
             reported: (0, 0),
             sent_tasks: SentTasks::Unknown,
             leaving: None,
+            is_owned: false,
             arrivals: 0,
             load: Load::new(now),
             peak: Peak::default(),
--- a/crates/traffic/src/handover.rs
+++ b/crates/traffic/src/handover.rs
@@ -54,9 +54,11 @@
         });
         let names: Vec<String> = self.schedulers.keys().cloned().collect();
         for name in names {
-            let next = self.membership.owner(&name).filter(|owner| *owner != self.me);
+            let owner = self.membership.owner(&name);
+            let next = owner.filter(|owner| *owner != self.me);
             let bound = routes.function(&name).is_some();
             let Some(scheduler) = self.schedulers.get_mut(&name) else { continue };
+            scheduler.is_owned = owner == Some(self.me);
             match next {
                 Some(next) if scheduler.leaving.is_none_or(|(known, _)| known != next) => {
                     scheduler.leaving = Some((next, now));
--- a/crates/traffic/src/wait_queue.rs
+++ b/crates/traffic/src/wait_queue.rs
@@ -32,8 +32,8 @@
         let left = task.due.saturating_sub(now);
         let aim = task.aim.filter(|aim| !task.inherits && now <= task.arrived + *aim / EARLY);
         let Some(scheduler) = self.schedulers.get_mut(&task.function) else { return };
-        let before = |queued: &&u64| self.tasks.get(queued).is_some_and(|task| (task.rank, task.due) <= order);
-        let ahead = scheduler.queued.iter().take_while(before).count();
+        let before = |queued: &u64| self.tasks.get(queued).is_some_and(|task| (task.rank, task.due) <= order);
+        let ahead = scheduler.queued.partition_point(before);
         let wait = scheduler.expected_wait(now, ahead);
         scheduler.queued.insert(ahead, number);
         let worth = match aim {
