--- a/crates/sim/tests/seeds.rs
+++ b/crates/sim/tests/seeds.rs
@@ -22,6 +22,7 @@
 #[test_case(Sort::Anything, &[25, 26]; "anything")]
 #[test_case(Sort::Anything, &[1220027]; "routers started after all their seeds had been replaced")]
 #[test_case(Sort::Replacement, &[1210020]; "a voter that goes before its successor has its vote")]
+#[test_case(Sort::Anything, &[3100032]; "a leaver that goes while it is one of two in the chain")]
 #[test_case(Sort::Mixed, &[1310081]; "twelve rejections in a burst while routers are cut off")]
 #[test_case(Sort::Overload, &[3000046, 3000071, 3000211]; "turn-aways of an owner that came back within the window")]
 #[test_case(Sort::Mixed, &[3000026]; "a task stored after its function had moved away was in no queue")]
