Let a registry that waits to leave go on ticking

Cause: once told to stop, the control thread only waited for messages and never ticked the core again. A leaver sent no heartbeats, resent nothing, and the retry of its leave at each tick, which chain::departures proves, never ran in the program: a leave that met an open proposal or a joiner was dropped, and the others took the leaver out by suspicion. Seen in the logs of a fleet that was stopped: one registry left by view 17 alone, the two others adopted nothing for the four seconds in which they waited, and the next start had to finish that view.

Ruled out: the state machine.

Change: the loop is the same while the program leaves; it ends when the replica may stop or the time is over. Status pages are kept up to date meanwhile too.

--- a/crates/control/src/control_loop.rs
+++ b/crates/control/src/control_loop.rs
@@ -53,12 +53,18 @@
         });
         let mut ticks = tokio::time::interval(TICK);
         ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
-        loop {
+        let mut leave_until = None;
+        while !self.has_left(leave_until) {
             let input = tokio::select! {
                 biased;
                 _ = ticks.tick() => Some(CoreInput::Tick),
                 message = inbox.next() => match message {
-                    Some(ControlMessage::Stop) | None => return self.leave(begun, &mut inbox).await,
+                    None => return,
+                    Some(ControlMessage::Stop) => {
+                        event!(shutdown_started);
+                        leave_until.get_or_insert(Instant::now() + LEAVE);
+                        Some(CoreInput::Leave)
+                    }
                     Some(message) => self.input(message),
                 },
             };
@@ -71,6 +77,12 @@
         }
     }
 
+    /// Whether a planned stop is over: the chain goes on without this replica, by a view that also names the
+    /// optimizer's next host, or there is no more time to wait for that.
+    fn has_left(&self, leave_until: Option<Instant>) -> bool {
+        leave_until.is_some_and(|until| self.core.member().may_stop() || Instant::now() >= until)
+    }
+
     fn input(&mut self, message: ControlMessage) -> Option<CoreInput> {
         match message {
             ControlMessage::Link(LinkEvent::Frame { from, incarnation, message }) => match message {
@@ -197,20 +209,8 @@
             });
         }
     }
-
-    /// A planned stop: the chain goes on without this member by a view it proposes itself, which
-    /// also names the optimizer's next host. It waits for that view, but not for long.
-    async fn leave(mut self, begun: Instant, inbox: &mut Inbox<ControlMessage>) {
-        event!(shutdown_started);
-        let outputs = self.core.step(begun.elapsed(), CoreInput::Leave);
-        self.execute(outputs);
-        let until = Instant::now() + LEAVE;
-        while !self.core.member().may_stop() {
-            let Ok(Some(message)) = tokio::time::timeout_at(until.into(), inbox.next()).await else { return };
-            if let Some(input) = self.input(message) {
-                let outputs = self.core.step(begun.elapsed(), input);
-                self.execute(outputs);
-            }
-        }
-    }
 }
+
+#[cfg(test)]
+#[path = "control_loop_tests.rs"]
+mod control_loop_tests;
--- /dev/null
+++ b/crates/control/src/control_loop_tests.rs
@@ -0,0 +1,68 @@
+//! What the control thread goes on doing while a planned stop waits for the others.
+
+use super::*;
+use crate::apply::apply;
+use crate::core::{Core, CoreTiming};
+use chain::{ChainReplica, Meta, Store, Stored, Timing};
+use kernel::inbox;
+use std::thread;
+use wire::{ChainMessage, NodeAddress};
+
+const INBOX: usize = 4096;
+
+fn node(id: u64) -> NodeAddress {
+    NodeAddress { id, address: format!("10.0.0.{id}:1").into() }
+}
+
+/// One of three registries whose peers do not answer, so that it cannot leave the chain.
+fn control(links: InboxSender<LinkOrder>) -> Control {
+    let voters: Vec<NodeAddress> = (1..=3).map(node).collect();
+    let view = View { number: 1, chain: vec![1, 2, 3].into(), voters: voters.into(), learner: 0, optimizer: 2 };
+    let stored = Stored { meta: Meta { node: node(1), view, ..Meta::default() }, ..Stored::default() };
+    let folder = std::env::temp_dir().join(format!("heronlink-control-loop-{}", std::process::id()));
+    std::fs::create_dir_all(&folder).unwrap();
+    let file = folder.join("registry.redb");
+    let (store, _) = Store::open(&file, "test", node(1)).unwrap();
+    let reopen = move || Store::reopen(&file, "test", &node(1));
+    let disk = Disk::start(store, reopen, |_| {}).unwrap();
+    let member = ChainReplica::new(node(1), stored, Timing::default(), apply, Duration::ZERO);
+    let (optimizer, _) = inbox(INBOX);
+    Control {
+        core: Core::new(member, CoreTiming::default(), 1),
+        disk,
+        links,
+        optimizer,
+        calls: BTreeMap::new(),
+        next_call: 0,
+        view: watch::channel(String::new()).0,
+        revision: None,
+        shown: Instant::now(),
+        membership: MembershipLog::default(),
+        seeds: Vec::new(),
+        reported_registries: Vec::new(),
+    }
+}
+
+#[test]
+fn a_registry_that_waits_to_leave_goes_on_with_its_heartbeats() {
+    let (links, mut orders) = inbox(INBOX);
+    let (post, messages) = inbox(INBOX);
+    assert!(post.send(ControlMessage::Stop).is_ok());
+    let running = thread::spawn(move || kernel::local(control(links).run(post, messages)));
+    let mut proposals = 0;
+    let mut heartbeats = 0;
+    // The orders end with the process.
+    while heartbeats < 5
+        && let Some(order) = orders.next_blocking()
+    {
+        match order {
+            LinkOrder::Send { message: Message::Chain(ChainMessage::Prepare { .. }), .. } => proposals += 1,
+            LinkOrder::Send { message: Message::Chain(ChainMessage::Heartbeat { .. }), .. } if proposals > 0 => {
+                heartbeats += 1
+            }
+            _ => {}
+        }
+    }
+    assert_eq!(heartbeats, 5, "it was silent once it had proposed to leave");
+    running.join().unwrap();
+}
