Let a step come into force once routers of its quorum that are gone can serve no more

Cause: a step is activated once a majority of the routers of its own and the active step's quorum has staged it, since these may go by each other's word without the core, for ever. Routers that came back at other addresses are others by identity: with a change pending, a fleet that was started anew took none any more.

Change: the word of peers counts for peer_hold (5 minutes; a setting of both programs) after the core's last, by the router's clock; the tail does without a majority once nobody of the quorum who has not staged the step can hold such a lease, a fifteenth later. It keeps departed sessions as long. What a staged step waits for is shown in status, two metrics and E0304; the registry's metrics go through prometheus-client, names kept.

--- a/crates/control/src/api_views.rs
+++ b/crates/control/src/api_views.rs
@@ -2,6 +2,7 @@
 
 use crate::api::{Api, answer, refuse};
 use crate::api_calls::ApiCall;
+use crate::registry_metrics::{InboxLoad, metrics_text};
 use axum::body::{Body, Bytes};
 use axum::extract::State;
 use axum::http::{HeaderMap, StatusCode, header};
@@ -20,28 +21,8 @@
 
 pub async fn metrics(State(api): State<Api>) -> String {
     let view: Value = serde_json::from_str(&api.operators.view.borrow()).unwrap_or_default();
-    let mut page = String::new();
-    for (name, at) in [
-        ("view_number", "/view/number"),
-        ("entries_synced", "/positions/synced"),
-        ("entries_committed", "/positions/committed"),
-        ("revision_active", "/revision/active"),
-        ("revision_latest", "/revision/latest"),
-        ("step_active", "/revision/active_step"),
-        ("roster_number", "/roster"),
-        ("claims", "/claims"),
-        ("deferred", "/deferred"),
-        ("waits", "/waits"),
-        ("jobs", "/jobs"),
-    ] {
-        let value = view.pointer(at).and_then(Value::as_u64).unwrap_or_default();
-        page.push_str(&format!("heronlink_registry_{name} {value}\n"));
-    }
-    let members = view["members"].as_array().map_or(0, Vec::len);
-    page.push_str(&format!("heronlink_registry_members {members}\n"));
-    page.push_str(&format!("heronlink_registry_inbox_depth {}\n", api.operators.control.depth()));
-    page.push_str(&format!("heronlink_registry_inbox_refused_total {}\n", api.operators.control.refused()));
-    page
+    let control = &api.operators.control;
+    metrics_text(&view, InboxLoad { depth: control.depth(), refused: control.refused() })
 }
 
 pub async fn status(State(api): State<Api>, headers: HeaderMap) -> Response {
--- a/crates/control/src/control_loop.rs
+++ b/crates/control/src/control_loop.rs
@@ -174,6 +174,11 @@
                     event!(missed_entries_applied, "{count} entries")
                 }
                 CoreOutput::CaughtUp { missed_entries: None } => event!(snapshot_installed),
+                CoreOutput::ActivationDelayed { step, wait, waited } => {
+                    let routers: Vec<String> = wait.routers().iter().map(|id| format!("{id:016x}")).collect();
+                    let (name, seconds, routers) = (wait.name(), waited.as_secs(), routers.join(" "));
+                    event!(activation_delayed, "step {step} has waited {seconds} s for {name}: {routers}")
+                }
                 CoreOutput::Activated { step } => {
                     event!(epoch_activated, "step {step}");
                     self.tell_active(step);
--- a/crates/control/src/core.rs
+++ b/crates/control/src/core.rs
@@ -2,6 +2,7 @@
 //! and operators' calls, and returns frames, writes and replies. The service feeds it from real
 //! sockets and disks, the simulator from seeded ones.
 
+use crate::activation::{ActivationWait, PendingActivation};
 use crate::api_calls::{ApiCall, ApiReply};
 use crate::duty_timers::DutyTimers;
 use crate::keys;
@@ -11,7 +12,7 @@
 use crate::router_requests::RouterRequests;
 use crate::tail_role::TailRole;
 use chain::{Batch, ChainReplica, Input, Output, State, Stored};
-use leases::Sessions;
+use leases::{DEFAULT_PEER_HOLD, Sessions};
 use std::time::Duration;
 use wire::{ChainMessage, LeaseMessage, NodeId, View};
 
@@ -20,6 +21,8 @@
     pub lapse: Duration,
     /// How long after it was asked for no proof can still hold.
     pub proof_over: Duration,
+    /// How long after the core's last word no router can hold a lease by its peers' any more.
+    pub peers_over: Duration,
     pub call: Duration,
     pub tick: Duration,
     pub calm: Duration,
@@ -38,11 +41,17 @@
         CoreTiming {
             lapse: hold + hold / 6,
             proof_over: hold + hold / 15,
+            peers_over: DEFAULT_PEER_HOLD + DEFAULT_PEER_HOLD / 15,
             call: Duration::from_secs(10),
             tick: Duration::from_secs(1),
             calm: Duration::from_secs(2),
         }
     }
+
+    /// For routers that go by their peers' word for so long after the core's last.
+    pub fn with_peer_hold(self, peer_hold: Duration) -> Self {
+        CoreTiming { peers_over: peer_hold + peer_hold / 15, ..self }
+    }
 }
 
 #[derive(Debug)]
@@ -67,6 +76,7 @@
     ViewAdopted { view: View },
     ViewLearned { view: View },
     Activated { step: u64 },
+    ActivationDelayed { step: u64, wait: ActivationWait, waited: Duration },
     CaughtUp { missed_entries: Option<usize> },
 }
 
@@ -84,6 +94,7 @@
     pub(crate) calls: OpenCalls,
     pub(crate) duties: DutyTimers,
     pub(crate) pushes: PushState,
+    pub(crate) pending_activation: Option<PendingActivation>,
 }
 
 impl Core {
@@ -103,6 +114,7 @@
             calls: OpenCalls::default(),
             duties: DutyTimers::default(),
             pushes: PushState::default(),
+            pending_activation: None,
         }
     }
 
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -2,6 +2,7 @@
 //! the answers to routers and operators (`Core`, a state machine), and the service around it:
 //! HTTP for operators, the optimizer on its own thread, links, disk.
 
+mod activation;
 mod api;
 mod api_calls;
 mod api_views;
@@ -31,6 +32,7 @@
 mod planner;
 mod proposals;
 mod push_state;
+mod registry_metrics;
 mod router_messages;
 mod router_pushes;
 mod router_requests;
--- /dev/null
+++ b/crates/control/src/registry_metrics.rs
@@ -0,0 +1,69 @@
+//! A registry's metrics as OpenMetrics text, made from its status.
+
+use prometheus_client::encoding::text;
+use prometheus_client::metrics::counter::Counter;
+use prometheus_client::metrics::gauge::Gauge;
+use prometheus_client::registry::Registry;
+use serde_json::Value;
+
+/// Gauges, by name, help and where their value stands in the status.
+const GAUGES: [(&str, &str, &str); 11] = [
+    ("view_number", "Number of the chain's view", "/view/number"),
+    ("entries_synced", "Newest log entry on this disk", "/positions/synced"),
+    ("entries_committed", "Newest log entry known to be committed", "/positions/committed"),
+    ("revision_active", "Revision of the configuration in force", "/revision/active"),
+    ("revision_latest", "Newest revision taken", "/revision/latest"),
+    ("step_active", "Configuration epoch in force", "/revision/active_step"),
+    ("roster_number", "Number of the membership", "/roster"),
+    ("claims", "Run-once claims kept", "/claims"),
+    ("deferred", "Deferred requests kept", "/deferred"),
+    ("waits", "Proposals that are not committed", "/waits"),
+    ("jobs", "Requests of routers that wait for a round", "/jobs"),
+];
+
+/// Gauges that count the elements of a list in the status.
+const COUNTS: [(&str, &str, &str); 2] = [
+    ("members", "Member routers", "/members"),
+    ("activation_waits_for_routers", "Routers that a staged configuration epoch waits for", "/pending/routers"),
+];
+
+/// The messages that wait for the control thread, and those that were refused because too many did.
+#[derive(Clone, Copy, Debug)]
+pub struct InboxLoad {
+    /// Messages that wait.
+    pub depth: usize,
+    /// Messages refused since the start.
+    pub refused: u64,
+}
+
+/// The metrics of one moment, read from a status page; what is missing there counts as zero.
+pub fn metrics_text(status: &Value, inbox: InboxLoad) -> String {
+    let mut registry = Registry::with_prefix("heronlink_registry");
+    for (name, help, at) in GAUGES {
+        let value = status.pointer(at).and_then(Value::as_i64).unwrap_or_default();
+        add_gauge(&mut registry, name, help, value);
+    }
+    for (name, help, at) in COUNTS {
+        let count = status.pointer(at).and_then(Value::as_array).map_or(0, Vec::len);
+        add_gauge(&mut registry, name, help, count as i64);
+    }
+    let waited_ms = status.pointer("/pending/waited_ms").and_then(Value::as_i64).unwrap_or_default();
+    add_gauge(&mut registry, "activation_wait_ms", "How long a staged epoch has waited at this tail", waited_ms);
+    add_gauge(&mut registry, "inbox_depth", "Messages waiting for the control thread", inbox.depth as i64);
+    let refused = Counter::<u64>::default();
+    refused.inc_by(inbox.refused);
+    registry.register("inbox_refused", "Messages refused because the control thread's inbox was full", refused);
+    let mut page = String::new();
+    text::encode(&mut page, &registry).expect("a string takes all that is written to it");
+    page
+}
+
+fn add_gauge(registry: &mut Registry, name: &str, help: &str, value: i64) {
+    let gauge = Gauge::<i64>::default();
+    gauge.set(value);
+    registry.register(name, help, gauge);
+}
+
+#[cfg(test)]
+#[path = "registry_metrics_tests.rs"]
+mod registry_metrics_tests;
--- a/crates/control/src/router_pushes.rs
+++ b/crates/control/src/router_pushes.rs
@@ -21,7 +21,7 @@
         let state = self.state().clone();
         let members = self.pushes.members(&state);
         if self.pushes.take_alignment(&state, self.now) {
-            self.sessions.align(self.now, &members, self.timing.lapse);
+            self.sessions.align(self.now, &members, self.timing.lapse.max(self.timing.peers_over));
         }
         members
     }
--- a/crates/control/src/service.rs
+++ b/crates/control/src/service.rs
@@ -210,7 +210,8 @@
     let member = ChainReplica::new(node, stored, Timing::default(), apply, Duration::ZERO)
         .with_founders(founders)
         .tolerating_losses(settings.losses);
-    let timing = CoreTiming { call: settings.call, ..CoreTiming::for_hold(settings.hold) };
+    let timing =
+        CoreTiming { call: settings.call, ..CoreTiming::for_hold(settings.hold).with_peer_hold(settings.peer_hold) };
     Core::new(member, timing, incarnation << NUMBERS_SHIFT).speaking(settings.format)
 }
 
--- a/crates/control/src/status.rs
+++ b/crates/control/src/status.rs
@@ -41,6 +41,7 @@
                 "active": keys::number(state, keys::ACTIVE_REVISION), "latest": keys::number(state, keys::LATEST_REVISION),
                 "active_step": keys::number(state, keys::ACTIVE), "latest_step": keys::number(state, keys::LATEST),
             },
+            "pending": self.pending_activation.as_ref().map(|pending| pending.page(self.now)),
             "roster": keys::number(state, keys::MEMBERSHIP),
             "ticks": keys::number(state, keys::TICKS),
             "claims": keys::number(state, keys::CLAIMS),
--- a/crates/control/src/tail_duties.rs
+++ b/crates/control/src/tail_duties.rs
@@ -38,28 +38,12 @@
         for (id, incarnation) in self.sessions.lapsed(self.now, self.timing.proof_over) {
             self.propose_duty(Duty::Lapse { id, incarnation }, &Command::Lapse { id, incarnation });
         }
+        self.maybe_activate();
         if self.earlier_leases_are_over() {
-            self.activate_staged();
             self.renew_quorum(members.keys().copied().collect());
         }
     }
 
-    fn activate_staged(&mut self) {
-        let active = keys::number(self.state(), keys::ACTIVE);
-        let latest = keys::number(self.state(), keys::LATEST);
-        let mut quorums = vec![keys::quorum(self.state(), active)];
-        let mut ready = active;
-        for step in active + 1..=latest {
-            quorums.push(keys::quorum(self.state(), step));
-            if self.sessions.staged_by_all(step, &quorums, self.now, self.timing.lapse) {
-                ready = step;
-            }
-        }
-        if ready > active {
-            self.propose_duty(Duty::Activate, &Command::Activate { step: ready });
-        }
-    }
-
     fn renew_quorum(&mut self, members: Vec<NodeId>) {
         let Some(since) = self.duties.members_since(&members, self.now) else { return };
         let active = keys::number(self.state(), keys::ACTIVE);
--- a/crates/control/src/tail_tenure.rs
+++ b/crates/control/src/tail_tenure.rs
@@ -13,6 +13,7 @@
     /// Keeps the sessions while the run of views goes on, and starts them anew with another.
     pub(crate) fn follow_tenure(&mut self) {
         if !self.member.is_current_tail() {
+            self.pending_activation = None;
             return self.tail.lose();
         }
         let first_view = self.member.tenure().unwrap_or_default();
--- /dev/null
+++ b/crates/control/tests/restarts.rs
@@ -0,0 +1,90 @@
+//! Restarts of many machines at once, with a change under way.
+
+mod fleet_net;
+
+use fleet_net::Fleet;
+use std::time::Duration;
+use wire::NodeId;
+
+const NOBODY: [NodeId; 0] = [];
+const FIRST_NEW_ROUTER: NodeId = 1100;
+/// What `FollowerTiming` and `CoreTiming` allow by default, with the margin for clocks that run apart.
+const PEER_HOLD_SECONDS: u64 = 300;
+const PEERS_OVER_SECONDS: u64 = 320;
+
+fn steps(fleet: &Fleet) -> (u64, u64) {
+    let state = fleet.head().state();
+    (control::number(state, "c/active"), control::number(state, "c/latest"))
+}
+
+fn start_new_routers(fleet: &mut Fleet, count: u64) {
+    (0..count).for_each(|n| fleet.start_router(FIRST_NEW_ROUTER + n));
+}
+
+/// Seconds until what is staged is in force, with no router that serves by an older step meanwhile.
+fn seconds_until_in_force(fleet: &mut Fleet) -> u64 {
+    for seconds in 0..PEERS_OVER_SECONDS + 10 {
+        let (active, latest) = steps(fleet);
+        if active == latest {
+            return seconds;
+        }
+        for _ in 0..10 {
+            fleet.pass(100);
+            assert_eq!(fleet.serving_by_older(), NOBODY, "after {seconds} s");
+        }
+    }
+    panic!("steps {:?} after {PEERS_OVER_SECONDS} s and more", steps(fleet));
+}
+
+#[test]
+fn a_change_comes_into_force_though_all_routers_of_its_quorum_are_gone_for_good() {
+    let mut fleet = Fleet::started(3, 6);
+    fleet.acknowledged_after(1, 1);
+    fleet.routers.clear();
+    fleet.change(1, 2);
+    start_new_routers(&mut fleet, 6);
+    fleet.pass(5000);
+    let (active, latest) = steps(&fleet);
+    assert!(active < latest, "routers that are silent may only be cut off");
+    let seconds = seconds_until_in_force(&mut fleet);
+    assert!((PEER_HOLD_SECONDS..PEERS_OVER_SECONDS).contains(&seconds), "{seconds} s");
+    assert!(fleet.acknowledged_after(1, 3) < Duration::from_secs(1), "the quorum is of routers that are there");
+}
+
+#[test]
+fn routers_that_are_cut_off_together_stop_before_a_newer_step_is_in_force() {
+    let mut fleet = Fleet::started(3, 6);
+    fleet.acknowledged_after(1, 1);
+    let old: Vec<NodeId> = fleet.routers.keys().copied().collect();
+    fleet.isolate_together(&old);
+    fleet.change(1, 2);
+    start_new_routers(&mut fleet, 6);
+    fleet.pass(60_000);
+    let serves = |fleet: &mut Fleet| {
+        let now = fleet.now;
+        old.iter().filter(|id| fleet.routers.get_mut(id).unwrap().serves_until() > now).count()
+    };
+    assert_eq!(serves(&mut fleet), old.len(), "a minute without the core is bridged by their peers' word");
+    seconds_until_in_force(&mut fleet);
+    assert_eq!(serves(&mut fleet), 0);
+    fleet.isolate_together(&[]);
+    fleet.pass(5000);
+    assert!(fleet.routers.values().all(|router| router.step_number() == steps(&fleet).0), "they are back");
+}
+
+#[test]
+fn all_registries_restart_in_the_middle_and_what_was_taken_comes_into_force() {
+    let mut fleet = Fleet::started(3, 6);
+    fleet.acknowledged_after(1, 1);
+    fleet.routers.clear();
+    fleet.change(1, 2);
+    fleet.pass(1000);
+    for round in 0..3 {
+        (1..=3).for_each(|id| fleet.kill(id));
+        (1..=3).for_each(|id| fleet.start_registry(id));
+        fleet.routers.clear();
+        (0..6).for_each(|n| fleet.start_router(FIRST_NEW_ROUTER + 10 * round + n));
+        fleet.pass(7000);
+    }
+    seconds_until_in_force(&mut fleet);
+}
--- a/crates/events/src/list.rs
+++ b/crates/events/src/list.rs
@@ -46,6 +46,7 @@
     cluster_bootstrapped = 204, Info, "cluster bootstrapped";
     epoch_staged = 301, Info, "configuration epoch staged";
     epoch_activated = 302, Info, "configuration epoch activated";
+    activation_delayed = 304, Warn, "staged configuration epoch waits";
     change_rejected = 303, Info, "configuration change rejected";
     member_joined = 401, Info, "router joined";
     lease_expired = 402, Warn, "router lease expired";
--- a/crates/leases/src/follower.rs
+++ b/crates/leases/src/follower.rs
@@ -156,9 +156,9 @@
     /// While a newer epoch may come into force, only the core's word counts, and only for a short while.
     fn lease_ends(&self) -> LeaseEnds {
         if self.is_guarded() {
-            return self.lease.ends(self.timing.guard, Duration::ZERO).without_peers();
+            return self.lease.ends(self.timing.guard, Duration::ZERO, Duration::ZERO).without_peers();
         }
-        self.lease.ends(self.timing.hold, self.timing.guard)
+        self.lease.ends(self.timing.hold, self.timing.guard, self.timing.peer_hold)
     }
 
     pub(crate) fn is_guarded(&self) -> bool {
--- a/crates/leases/src/follower_types.rs
+++ b/crates/leases/src/follower_types.rs
@@ -4,6 +4,9 @@
 use std::time::Duration;
 use wire::{LeaseMessage, NodeId};
 
+/// How long routers go by each other's word without the core, where no setting says otherwise.
+pub const DEFAULT_PEER_HOLD: Duration = Duration::from_secs(300);
+
 /// Periods and bounds of a follower.
 #[derive(Clone, Debug)]
 pub struct FollowerTiming {
@@ -11,6 +14,9 @@
     pub hold: Duration,
     /// How long one lasts while a newer epoch may come into force, and how long a confirmation by peers does.
     pub guard: Duration,
+    /// For how long after the core's last word the word of peers counts. The core waits so long before it does
+    /// without the routers of a quorum that are gone.
+    pub peer_hold: Duration,
     /// How often the lease is renewed.
     pub renew: Duration,
     /// How often while a newer epoch may come into force.
@@ -26,6 +32,7 @@
         FollowerTiming {
             hold: Duration::from_millis(1500),
             guard: Duration::from_millis(200),
+            peer_hold: DEFAULT_PEER_HOLD,
             renew: Duration::from_millis(250),
             renew_guarded: Duration::from_millis(40),
             renew_guarded_many: Duration::from_millis(80),
--- a/crates/leases/src/lease.rs
+++ b/crates/leases/src/lease.rs
@@ -35,6 +35,8 @@
 pub struct Lease {
     /// When the newest confirmation by the core was requested.
     pub core_confirmed: Option<Duration>,
+    /// When the newest confirmation by the core of any epoch was requested.
+    pub core_heard: Option<Duration>,
     /// When the newest confirmation by a majority of peers was requested.
     pub peers_confirmed: Option<Duration>,
     /// When a renewal was last sent; none makes the next due at once.
@@ -65,10 +67,18 @@
         self.renewed_at = None;
     }
 
-    /// Until when it lasts, if the core's word lasts so long and the peers' so long.
-    pub fn ends(&self, by_core: Duration, by_peers: Duration) -> LeaseEnds {
+    /// The core confirms the active epoch, in answer to a request of this moment.
+    pub fn record_core_confirmation(&mut self, requested_at: Duration) {
+        self.core_confirmed = self.core_confirmed.max(Some(requested_at));
+        self.core_heard = self.core_heard.max(Some(requested_at));
+    }
+
+    /// Until when it lasts, if the core's word lasts so long and the peers' so long, though never longer than
+    /// `peer_hold` after the core was last heard.
+    pub fn ends(&self, by_core: Duration, by_peers: Duration, peer_hold: Duration) -> LeaseEnds {
         let end =
             |requested_at: Option<Duration>, lasts: Duration| requested_at.map_or(Duration::ZERO, |at| at + lasts);
-        LeaseEnds { by_core: end(self.core_confirmed, by_core), by_peers: end(self.peers_confirmed, by_peers) }
+        let peers_end = end(self.peers_confirmed, by_peers).min(end(self.core_heard, peer_hold));
+        LeaseEnds { by_core: end(self.core_confirmed, by_core), by_peers: peers_end }
     }
 }
--- a/crates/leases/src/lib.rs
+++ b/crates/leases/src/lib.rs
@@ -18,7 +18,7 @@
 mod step_parts;
 
 pub use follower::{Follower, first_number};
-pub use follower_types::{FollowerInput, FollowerOutput, FollowerTiming};
+pub use follower_types::{DEFAULT_PEER_HOLD, FollowerInput, FollowerOutput, FollowerTiming};
 pub use membership::{HASHING, Member, Membership, MembershipChange, mix};
 pub use serving_status::{ServingEvent, ServingStateMachine, ServingStatus};
-pub use sessions::{GrantedLease, Session, Sessions};
+pub use sessions::{ActivationBlocker, GrantedLease, LeaseBounds, Session, Sessions};
--- a/crates/leases/src/registry_messages.rs
+++ b/crates/leases/src/registry_messages.rs
@@ -91,7 +91,7 @@
         self.activate_to(active);
         if self.epochs.active() == active {
             self.epochs.is_initialized = true;
-            self.lease.core_confirmed = self.lease.core_confirmed.max(Some(requested_at));
+            self.lease.record_core_confirmation(requested_at);
         } else if self.epochs.active() < active && self.transfers.fetch.is_none() {
             self.begin_fetch(from);
         }
--- a/crates/leases/src/sessions.rs
+++ b/crates/leases/src/sessions.rs
@@ -45,6 +45,36 @@
     pub requested_at: Duration,
 }
 
+/// How long leases may outlast the moment at which they were requested, by the tail's clock.
+#[derive(Clone, Copy, Debug)]
+pub struct LeaseBounds {
+    /// Those that the core confirmed.
+    pub by_core: Duration,
+    /// Those that peers confirm, since the core's last word.
+    pub by_peers: Duration,
+    /// No router that this tail has no session of was granted a lease after this moment.
+    pub unknown_until: Duration,
+}
+
+/// What keeps a staged epoch from coming into force.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum ActivationBlocker {
+    /// These routers have not staged it and may hold a lease on an earlier one.
+    Members(Vec<NodeId>),
+    /// Less than a majority of a quorum has staged it, and these have not: they may confirm each other's leases
+    /// on an earlier one.
+    Quorum(Vec<NodeId>),
+}
+
+impl ActivationBlocker {
+    /// The routers that are waited for.
+    pub fn routers(&self) -> &[NodeId] {
+        match self {
+            ActivationBlocker::Members(routers) | ActivationBlocker::Quorum(routers) => routers,
+        }
+    }
+}
+
 /// The sessions of all routers that may hold a lease.
 #[derive(Clone, Debug, Default)]
 pub struct Sessions {
@@ -53,8 +83,8 @@
 }
 
 impl Sessions {
-    /// Brings the table in line with the members the chain's state names. One that is named no
-    /// longer but was given a proof not long ago stays as a departed member until that proof has run out.
+    /// Brings the table in line with the members the chain's state names. One that is named no longer stays as a
+    /// departed member for as long `after` its last lease as that can matter.
     pub fn align(&mut self, now: Duration, members: &BTreeMap<NodeId, u64>, after: Duration) {
         for (id, session) in &mut self.table {
             session.departed = members.get(id) != Some(&session.incarnation);
@@ -120,13 +150,40 @@
         }
     }
 
-    /// Whether every member has staged the step or has no proof any more, `over` after it was asked for; and
-    /// the machines that have staged it are a majority of each quorum given. An empty quorum asks nothing.
-    pub fn staged_by_all(&self, step: u64, quorums: &[Vec<NodeId>], now: Duration, over: Duration) -> bool {
-        let has = |id: &NodeId| self.table.get(id).is_some_and(|session| session.staged >= step);
-        let most = |quorum: &Vec<NodeId>| quorum.iter().filter(|id| has(id)).count() * 2 > quorum.len();
-        let unproved = |session: &Session| now > session.lease_requested_until + over;
-        self.table.values().all(|session| session.staged >= step || unproved(session))
-            && quorums.iter().all(|quorum| quorum.is_empty() || most(quorum))
+    /// What keeps an epoch from coming into force; none if nothing does. Every router has staged it or holds no
+    /// lease by the core on an earlier one; and of each quorum given a majority has staged it, or everyone has
+    /// staged it or can no longer hold a lease by peers. An empty quorum asks nothing.
+    pub fn activation_blocker(
+        &self,
+        epoch: u64,
+        quorums: &[Vec<NodeId>],
+        now: Duration,
+        bounds: LeaseBounds,
+    ) -> Option<ActivationBlocker> {
+        let may_serve = |session: &Session| now <= session.lease_requested_until + bounds.by_core;
+        let behind = self.table.iter().filter(|(_, session)| session.staged < epoch && may_serve(session));
+        let behind: Vec<NodeId> = behind.map(|(id, _)| *id).collect();
+        if !behind.is_empty() {
+            return Some(ActivationBlocker::Members(behind));
+        }
+        quorums.iter().find_map(|quorum| self.quorum_blocker(epoch, quorum, now, bounds))
+    }
+
+    fn quorum_blocker(
+        &self,
+        epoch: u64,
+        quorum: &[NodeId],
+        now: Duration,
+        bounds: LeaseBounds,
+    ) -> Option<ActivationBlocker> {
+        let has_staged = |id: &NodeId| self.table.get(id).is_some_and(|session| session.staged >= epoch);
+        let missing: Vec<NodeId> = quorum.iter().copied().filter(|id| !has_staged(id)).collect();
+        if (quorum.len() - missing.len()) * 2 > quorum.len() {
+            return None;
+        }
+        let lease_until =
+            |id: &NodeId| self.table.get(id).map_or(bounds.unknown_until, |session| session.lease_requested_until);
+        let may_serve = missing.iter().any(|id| now <= lease_until(id) + bounds.by_peers);
+        may_serve.then_some(ActivationBlocker::Quorum(missing))
     }
 }
--- a/crates/sim/src/registry_node.rs
+++ b/crates/sim/src/registry_node.rs
@@ -220,6 +220,9 @@
                 self.brought_back[usize::from(missed.is_none())] += 1;
                 self.say(|| format!("registry {n} is brought back, missed {missed:?}"));
             }
+            CoreOutput::ActivationDelayed { step, wait, .. } => {
+                self.say(|| format!("registry {n}: step {step} waits for {}", wait.name()));
+            }
             CoreOutput::Activated { step } => {
                 let node = &mut self.registries[n];
                 let Some(core) = &node.core else { return };
--- a/crates/traffic/src/service.rs
+++ b/crates/traffic/src/service.rs
@@ -145,7 +145,7 @@
     })?;
 
     let (address, zone, ops) = (&settings.address, &settings.zone, &settings.ops);
-    let timing = FollowerTiming { hold: settings.hold, ..FollowerTiming::default() };
+    let timing = FollowerTiming { hold: settings.hold, peer_hold: settings.peer_hold, ..FollowerTiming::default() };
     let control = Control {
         started_at,
         follower: Follower::new(me, incarnation, address, zone, ops, timing).able_to_own(settings.capacity()),
--- a/crates/traffic/src/settings.rs
+++ b/crates/traffic/src/settings.rs
@@ -18,6 +18,7 @@
         seeds: Vec<String> = Vec::new(), seeds, "addresses of three registries";
         platform: String = String::new(), address, "IP number and port of the platform's API";
         hold: Duration = Duration::from_millis(1500), in_range(Duration::from_millis(500), Duration::from_secs(10)), "how long a proof of revision lasts; the same on every machine";
+        peer_hold: Duration = leases::DEFAULT_PEER_HOLD, in_range(Duration::from_secs(1), Duration::from_secs(86_400)), "how long this router goes by its peers' word after the core's last; the same on every machine";
         connections: usize = 4096, in_range(1, 65_536), "most connections of callers at once";
         head_bytes: usize = 16 * 1024, in_range(8192, 256 * 1024), "longest head of a request in bytes";
         headers: usize = 64, in_range(8, 256), "most headers of a request";
