Name a registry that returns at another address by that address in the next view

Cause: a view kept the addresses of its first voters. A registry that returned with its disk at another address was met only by those who had it among their seeds, and a new machine at its former address was kept out for good, since the address counted as taken.

Change: a member of the chain whose address differs from the view's proposes the view that names its own, when there is no learner and nobody to take out.

--- a/crates/chain/src/replica/membership_rules.rs
+++ b/crates/chain/src/replica/membership_rules.rs
@@ -108,6 +108,23 @@
         Some(next)
     }
 
+    /// The next view with the address at which this replica is met now, where it has kept its disk and the present
+    /// view names another: machines that know no other way go by the addresses of the view.
+    pub(super) fn view_with_own_address(&self) -> Option<View> {
+        let view = &self.meta.view;
+        let own = &self.meta.node;
+        let index = view.voters.iter().position(|voter| voter.id == own.id && voter.address != own.address)?;
+        if view.learner != 0 {
+            return None;
+        }
+        let mut next = view.clone();
+        let mut voters = next.voters.into_vec();
+        voters[index] = own.clone();
+        next.voters = voters.into();
+        next.number += 1;
+        Some(next)
+    }
+
     /// The next view without a voter that has been away for long, where there are more than enough.
     pub(super) fn view_without_vacant_voter(&self) -> Option<View> {
         let view = &self.meta.view;
--- a/crates/chain/src/replica/view_repair.rs
+++ b/crates/chain/src/replica/view_repair.rs
@@ -54,6 +54,9 @@
         let first_to_propose = remaining.iter().copied().find(|id| *id != view.learner);
         if remaining.len() == chain.len() {
             self.detector.clear_suspicion();
+            if let Some(next) = self.view_with_own_address() {
+                return self.propose_view(next);
+            }
             if first_to_propose == Some(me)
                 && let Some(next) = self.view_without_vacant_voter()
             {
