Keep a fleet's folder to one fleet, its ports over restarts, and its processes from outliving it

Cause: a second fleet in the same folder redrew ports and overwrote what the first had written; a fleet that was interrupted while it came up left its processes behind, which had the data files locked when the next began; and a change that did not come into force ended in 'the outcome is not known yet' with no word on what it waited for.

Change: a lock on the folder, taken before anything is written there; registries' data files are waited for, and named when that is in vain; an interrupt at any moment ends what was started; ports of the fleet before are used again, so that routers keep their identities; the configuration is applied again under the same operation id, and what is waited for is told from the registries' status.

--- a/crates/fleet/src/drawing.rs
+++ b/crates/fleet/src/drawing.rs
@@ -1,36 +1,21 @@
-//! Drawing a fleet up: which nodes there are, where each listens and what it is told. Ports are
-//! asked of the machine, none is assumed to be free.
+//! Drawing a fleet up: which nodes there are, where each listens and what it is told.
 
 use crate::deployment::Deployment;
 use crate::line::Order;
+use crate::ports::take_ports;
 use crate::processes::{Fleet, Node, TOKEN};
 use crate::relay::Relays;
 use std::collections::BTreeSet;
-use std::net::TcpListener;
 
-/// Ports that are free now, below those the machine deals out to connections, so that none is
-/// taken by one of ours before its node listens.
-fn ports(count: usize) -> Result<Vec<String>, String> {
-    let from = 10_000 + (std::process::id() as u16).wrapping_mul(97) % 18_000;
-    let mut held = Vec::new();
-    for port in (from..32_000).chain(10_000..from) {
-        if held.len() == count {
-            break;
-        }
-        held.extend(TcpListener::bind(("127.0.0.1", port)));
-    }
-    if held.len() < count {
-        return Err(format!("{count} free ports are needed"));
-    }
-    held.iter().map(|l| l.local_addr().map(|a| a.to_string()).map_err(|fault| fault.to_string())).collect()
-}
+/// How long its routers go by each other's word without the core, and a change waits for routers that are gone.
+const PEER_HOLD: &str = "10s";
 
 impl Fleet {
     pub fn draw_up(order: &Order, deployment: &Deployment) -> Result<Fleet, String> {
         let folder = order.folder.clone();
         std::fs::create_dir_all(folder.join("logs")).map_err(|fault| format!("{}: {fault}", folder.display()))?;
         let count = order.routers.unwrap_or(deployment.routers);
-        let free = ports(1 + 3 * 3 + count * 4)?;
+        let free = take_ports(&folder, 1 + 3 * 3 + count * 4)?;
         let mut free = free.into_iter();
         let mut port = || free.next().unwrap_or_default();
         let words = |list: &[&str]| list.iter().map(|word| (*word).to_owned()).collect::<Vec<String>>();
@@ -94,6 +79,8 @@
                     &data.display().to_string(),
                     "--tokens-file",
                     &tokens,
+                    "--peer-hold",
+                    PEER_HOLD,
                     "--plans",
                     &order.plans.to_string(),
                     "--tuning",
@@ -127,6 +114,8 @@
                     &platform,
                     "--tokens-file",
                     &tokens,
+                    "--peer-hold",
+                    PEER_HOLD,
                 ]),
                 peer,
                 bind,
--- a/crates/fleet/src/main.rs
+++ b/crates/fleet/src/main.rs
@@ -2,10 +2,13 @@
 //! three registries, the routers, the configuration applied; then, if asked, load and faults on a
 //! timetable and the checker's outcome. It starts processes, which the product's own never do.
 
+mod bring_up;
 mod deployment;
 mod drawing;
 mod faults;
+mod folder;
 mod line;
+mod ports;
 mod processes;
 mod prove;
 mod relay;
--- a/crates/fleet/src/prove.rs
+++ b/crates/fleet/src/prove.rs
@@ -1,13 +1,13 @@
-//! Bringing a fleet up, waiting on conditions rather than on time, and, when proving, running the
-//! load and the faults and asking the checker.
+//! A fleet from its start to its end and, when proving, the load, the faults and the checker's outcome.
 
+use crate::bring_up::{PATIENCE, bring_up, wait_for_earlier_fleet};
 use crate::deployment::Deployment;
+use crate::folder::FolderLock;
 use crate::line::{Order, What};
 use crate::processes::{Fleet, TOKEN};
 use crate::timeline::Timeline;
 use crate::turns::{Turns, wall_ms, with_probe};
-use hyper::Method;
-use operator_client::{Answer, Call, send_call};
+use operator_client::{Call, send_call};
 use serde_json::Value;
 use std::cell::RefCell;
 use std::process::{Command, Stdio};
@@ -15,54 +15,25 @@
 use std::time::{Duration, Instant};
 use tokio::time::sleep;
 
-const PATIENCE: Duration = Duration::from_secs(60);
-
 pub async fn run(order: Order) -> Result<bool, String> {
     let mut deployment = Deployment::load(&order.deployment)?;
+    std::fs::create_dir_all(&order.folder).map_err(|fault| format!("{}: {fault}", order.folder.display()))?;
+    let _folder = FolderLock::take(&order.folder).map_err(|error| error.to_string())?;
     if order.what == What::Prove && order.turns > 0.0 {
         deployment = with_probe(&deployment, &order.folder)?;
     }
     let mut fleet = Fleet::draw_up(&order, &deployment)?;
     fleet.knows(&order.faults, deployment.workers)?;
-    let result = work(&order, &deployment, &mut fleet).await;
+    wait_for_earlier_fleet(&fleet).await?;
+    // Whenever it is interrupted, it ends what it has started.
+    let result = tokio::select! {
+        result = work(&order, &deployment, &mut fleet) => result,
+        () = kernel::wait_for_signal() => if order.what == What::Up { Ok(true) } else { Err("interrupted".into()) },
+    };
     fleet.end_all().await;
     result
 }
 
-/// Starts every process, applies the configuration, and returns once every router is ready.
-pub async fn bring_up(deployment: &Deployment, fleet: &mut Fleet) -> Result<(), String> {
-    fleet.open_relays().await?;
-    for node in [vec![fleet.emulator.clone()], fleet.registries.clone(), fleet.routers.clone()].concat() {
-        fleet.start(&node)?;
-    }
-    let api = fleet.registries[0].door.clone();
-    let call = |method: Method, path: &str| Call {
-        method,
-        address: api.clone(),
-        path: path.into(),
-        token: TOKEN.into(),
-        limit: Duration::from_secs(20),
-        ..Call::default()
-    };
-    let members = fleet.routers.len();
-    until("every router is a member", fleet, &call(Method::GET, "/v1/status"), |answer| {
-        let page: Value = serde_json::from_slice(&answer.body).unwrap_or_default();
-        page["members"].as_array().is_some_and(|list| list.len() >= members)
-    })
-    .await?;
-    let body = std::fs::read(&deployment.configuration).map_err(|fault| fault.to_string())?;
-    let apply = Call { if_match: Some("*".into()), body, ..call(Method::PUT, "/v1/configuration") };
-    let applied = send_call(&apply).await.map_err(|fault| fault.to_string())?;
-    if applied.status != 200 {
-        return Err(format!("configuration refused: {}", String::from_utf8_lossy(&applied.body)));
-    }
-    for router in fleet.routers.clone() {
-        let ready = Call { address: router.ops, ..call(Method::GET, "/ready") };
-        until("every router is ready", fleet, &ready, |answer| answer.status == 200).await?;
-    }
-    Ok(())
-}
-
 async fn work(order: &Order, deployment: &Deployment, fleet: &mut Fleet) -> Result<bool, String> {
     if order.what == What::Smoke {
         return crate::smoke::run(order, deployment, fleet).await;
@@ -72,8 +43,7 @@
     println!("callers: {}", doors(fleet));
     if order.what == What::Up {
         println!("the fleet is up; interrupt to end it");
-        kernel::wait_for_signal().await;
-        return Ok(true);
+        return std::future::pending().await;
     }
     prove(order, deployment, fleet).await
 }
@@ -82,22 +52,6 @@
     fleet.routers.iter().map(|node| node.door.clone()).collect::<Vec<_>>().join(",")
 }
 
-pub async fn until(what: &str, fleet: &mut Fleet, call: &Call, good: impl Fn(&Answer) -> bool) -> Result<(), String> {
-    let begun = Instant::now();
-    while begun.elapsed() < PATIENCE {
-        if let Ok(answer) = send_call(call).await
-            && good(&answer)
-        {
-            return Ok(());
-        }
-        if let Some((name, code)) = fleet.ended_unasked() {
-            return Err(format!("{name} ended with {code:?}; see its log in {}", fleet.folder.join("logs").display()));
-        }
-        sleep(Duration::from_millis(50)).await;
-    }
-    Err(format!("waited in vain until {what}"))
-}
-
 async fn prove(order: &Order, deployment: &Deployment, fleet: &mut Fleet) -> Result<bool, String> {
     let tasks = fleet.folder.join("tasks.jsonl");
     let mut load = Command::new(fleet.programs.join("loadgen"));
--- a/crates/fleet/src/smoke.rs
+++ b/crates/fleet/src/smoke.rs
@@ -1,10 +1,11 @@
 //! The smoke: a small fleet, and what a caller or operator would try first on it, right and wrong,
 //! with one registry lost and one router leaving on the way. It waits on conditions only.
 
+use crate::bring_up::{bring_up, until};
 use crate::deployment::Deployment;
 use crate::line::Order;
 use crate::processes::{Fleet, Node, TOKEN};
-use crate::prove::{bring_up, until};
+
 use crate::smoke_views::{declarations, views};
 use hyper::Method;
 use operator_client::{Answer, Call, send_call};
