Give a router that comes back after long its time to be proved

Cause: departed sessions are kept for as long as peers' word may count since, and a session's new incarnation took over when the one before it was last proved. A router that came back after more than a lapse was lapsed at once, joined, and was lapsed again until a proof came in between: 0.3 to 7 s instead of 0.1 s.

Change: a new incarnation counts as proved when it joins; until when a lease may last is taken over as before.

--- a/crates/leases/src/sessions.rs
+++ b/crates/leases/src/sessions.rs
@@ -94,7 +94,8 @@
             match self.table.get_mut(id) {
                 Some(session) if session.incarnation == *incarnation => {}
                 Some(session) => {
-                    let (proved_at, lease_requested_until) = (session.proved_at, session.lease_requested_until);
+                    // It has just joined, however long ago the incarnation before it had its last lease.
+                    let (proved_at, lease_requested_until) = (now, session.lease_requested_until);
                     *session =
                         Session { incarnation: *incarnation, proved_at, lease_requested_until, ..Session::default() };
                 }
--- a/crates/leases/tests/sessions.rs
+++ b/crates/leases/tests/sessions.rs
@@ -93,3 +93,13 @@
     sessions.align(millis(11_551), &BTreeMap::from([(1, 1), (2, 1), (3, 1)]), LAPSE);
     assert!(!sessions.table.contains_key(&7));
 }
+
+#[test]
+fn a_router_that_comes_back_after_long_has_its_time_to_be_proved() {
+    let mut sessions = met();
+    sessions.align(millis(20_000), &BTreeMap::from([(1, 1), (2, 1)]), BY_PEERS);
+    assert!(sessions.table[&3].departed);
+    sessions.align(millis(60_000), &BTreeMap::from([(1, 1), (2, 1), (3, 2)]), BY_PEERS);
+    let lapsed: Vec<u64> = sessions.lapsed(millis(60_100), LAPSE).into_iter().map(|(id, _)| id).collect();
+    assert!(!lapsed.contains(&3), "{lapsed:?}");
+}
