Let a registry that is to stop stay until the others can do without it

Cause: a registry that was told to stop went as soon as the chain kept enough copies, or after 3.2 s for a newcomer that asked, or after the program's 4 s: three clocks. A newcomer got a fourth vote first, and the leaver's was missing until its view was decided.

Change: a departure has one deadline, handed in from outside (a new setting grace; the platform's grace less half a second). Until then it is announced with each heartbeat (format 6), and the replica stays a full member until enough others hold everything and their votes are a majority after the losses to be tolerated. A newcomer takes the leaver's vote in the view in which it joins; the leaver stays in the chain without one until the newcomer is whole, and the others take it out. A newcomer that is lost gives the vote back. The vote of an announced leaver that is killed goes in the view that repairs the chain. 0.6 s before the deadline a leaver goes in order if the chain can go on; of several leavers the first goes at once; where all of the chain stop and nobody asks to join they do not wait. The process ends once another has adopted the view without it. What is waited for: status, a metric, E0208; at the deadline E0209.

Ruled out: votes for newcomers beside leavers (four votes, one of which is about to go); waiting for newcomers by time.

--- a/crates/chain/src/lib.rs
+++ b/crates/chain/src/lib.rs
@@ -11,6 +11,7 @@
 
 mod bootstrap;
 mod confirmation;
+mod departures;
 mod disk;
 mod failure_detector;
 mod join_requests;
@@ -25,6 +26,7 @@
 mod view_agreement;
 mod write_queue;
 
+pub use departures::DepartureWait;
 pub use disk::{Disk, DiskReport};
 pub use log::Positions;
 pub use replica::{ChainReplica, digest_batch, digest_entries, digest_meta, digest_state};
--- a/crates/chain/src/replica/agreement.rs
+++ b/crates/chain/src/replica/agreement.rs
@@ -120,8 +120,10 @@
 
     fn announce_decision(&mut self, view: &View) {
         let old_voters = self.meta.view.voters.iter();
-        let voters: BTreeSet<NodeId> = old_voters.chain(view.voters.iter()).map(|voter| voter.id).collect();
-        for id in voters {
+        let voters = old_voters.chain(view.voters.iter()).map(|voter| voter.id);
+        // A replica without a vote learns that it is out of the chain, or what its place is.
+        let concerned: BTreeSet<NodeId> = voters.chain(self.meta.view.chain.iter().copied()).collect();
+        for id in concerned {
             self.send(id, ChainMessage::Decided { view: view.clone() });
         }
     }
--- a/crates/chain/src/replica/digest.rs
+++ b/crates/chain/src/replica/digest.rs
@@ -104,7 +104,12 @@
     }
 
     fn digest_rules(&self, hasher: &mut impl Hasher) {
-        self.rules.leaving_since.map(|since| self.age(since)).hash(hasher);
+        let own = self.rules.departure.map(|departure| (self.age(departure.since), self.age(departure.deadline)));
+        (own, self.is_view_acknowledged).hash(hasher);
+        self.rules.former_voter.as_ref().map(|node| node.id).hash(hasher);
+        for (id, announcement) in self.rules.departures.iter() {
+            (id, self.age(announcement.heard_at), self.age(announcement.deadline)).hash(hasher);
+        }
         self.rules.joins_deferred.hash(hasher);
         for (id, last) in self.rules.readmissions.iter() {
             (id, self.age(last.added_at), last.backoff, self.age(last.not_before)).hash(hasher);
--- a/crates/chain/src/replica/disk_writes.rs
+++ b/crates/chain/src/replica/disk_writes.rs
@@ -37,7 +37,8 @@
         replica.confirmation.number = self.confirmation.number;
         replica.writes.continue_tickets(&self.writes);
         replica.bootstrap = std::mem::take(&mut self.bootstrap);
-        replica.rules.leaving_since = self.rules.leaving_since;
+        replica.rules.departure = self.rules.departure;
+        replica.rules.departures = std::mem::take(&mut self.rules.departures);
         replica.rules.tolerated_losses = self.rules.tolerated_losses;
         replica.rules.joins_deferred = self.rules.joins_deferred;
         replica.rules.readmissions = std::mem::take(&mut self.rules.readmissions);
--- a/crates/chain/src/replica/heartbeats.rs
+++ b/crates/chain/src/replica/heartbeats.rs
@@ -19,15 +19,22 @@
     }
 
     fn send_heartbeat(&mut self) {
-        self.send_to_voters(&ChainMessage::Heartbeat {
+        self.announce_departure();
+        let heartbeat = ChainMessage::Heartbeat {
             view: self.meta.view.number,
             round: self.confirmation.number,
             unhealthy: self.is_unhealthy() as u8,
-        });
+        };
+        // To itself too, if it votes: a round counts its own answer.
+        let own = self.meta.view.is_voter(self.me()).then_some(self.me());
+        for to in self.peers().into_iter().chain(own) {
+            self.send(to, heartbeat.clone());
+        }
     }
 
     pub(super) fn handle_heartbeat(&mut self, from: NodeId, view: u64, round: u64, is_unhealthy: bool) {
         self.detector.record_heartbeat(from, is_unhealthy);
+        self.rules.departures.record_heartbeat(from, self.clock.now);
         if view < self.meta.view.number {
             let view = self.meta.view.clone();
             return self.send(from, ChainMessage::Decided { view });
@@ -44,6 +51,13 @@
     /// entry and every confirmation of the view.
     pub(super) fn handle_heartbeat_ack(&mut self, from: NodeId, view: u64, round: u64, has_accepted_next: bool) {
         self.detector.record_answer(from, self.clock.now);
+        let is_other_member = from != self.me() && self.meta.view.is_in_chain(from);
+        self.is_view_acknowledged |= is_other_member && view == self.meta.view.number;
+        if view < self.meta.view.number {
+            // One that restarted before it had kept its first view sends no heartbeats by which it would be told.
+            let view = self.meta.view.clone();
+            return self.send(from, ChainMessage::Decided { view });
+        }
         let is_expected = self.confirmation.is_running && round == self.confirmation.number;
         if !is_expected || view != self.meta.view.number || has_accepted_next {
             return;
--- a/crates/chain/src/replica/membership_rules.rs
+++ b/crates/chain/src/replica/membership_rules.rs
@@ -58,9 +58,10 @@
         let same_id = voters.iter().position(|voter| voter.id == joiner.id);
         let same_address = || voters.iter().position(|voter| voter.address == joiner.address && is_absent(voter));
         let has_enough = voters.len() >= self.min_voters();
+        let leavers = || self.voter_index_of_leaver().filter(|_| has_enough);
         let replaceable =
             || voters.iter().position(|voter| is_absent(voter) && !is_returning(voter.id)).filter(|_| has_enough);
-        same_id.or_else(same_address).or_else(replaceable).unwrap_or(voters.len())
+        same_id.or_else(same_address).or_else(leavers).or_else(replaceable).unwrap_or(voters.len())
     }
 
     /// Whether several heartbeats of a voter are missing.
@@ -131,8 +132,11 @@
         if view.learner != 0 {
             return None;
         }
-        let is_silent = |id: NodeId| self.detector.is_silent(id, self.clock.now, VACANT_VOTER_TIMEOUT);
-        let is_vacant = |voter: &NodeAddress| !view.is_in_chain(voter.id) && is_silent(voter.id);
+        let is_vacant = |voter: &NodeAddress| {
+            let is_leaving = self.rules.departures.is_leaving(voter.id);
+            let timeout = if is_leaving { self.timing.suspect_after } else { VACANT_VOTER_TIMEOUT };
+            !view.is_in_chain(voter.id) && self.detector.is_silent(voter.id, self.clock.now, timeout)
+        };
         let voters = view.voters.as_slice();
         let index = voters.iter().position(is_vacant).filter(|_| voters.len() > self.min_voters())?;
         let mut next = view.clone();
--- a/crates/chain/src/replica/mod.rs
+++ b/crates/chain/src/replica/mod.rs
@@ -19,6 +19,7 @@
 
 use crate::bootstrap::Bootstrap;
 use crate::confirmation::Confirmation;
+use crate::departures::{Departure, Departures};
 use crate::failure_detector::FailureDetector;
 use crate::join_requests::JoinRequests;
 use crate::log::ReplicaLog;
@@ -47,8 +48,12 @@
     tolerated_losses: usize,
     /// Joins wait while a joiner would hold up something more pressing, since each becomes the tail.
     joins_deferred: bool,
-    /// Since when this replica is asked to leave.
-    leaving_since: Option<Duration>,
+    /// This replica's own planned stop.
+    departure: Option<Departure>,
+    /// The planned stops of others.
+    departures: Departures,
+    /// Who last gave its vote to a newcomer and stayed in the chain.
+    former_voter: Option<NodeAddress>,
     join_requests: JoinRequests,
     readmissions: Readmissions,
 }
@@ -71,6 +76,8 @@
     bootstrap: Bootstrap,
     rules: MembershipRules,
     tail_history: TailHistory,
+    /// Whether another replica of the chain is known to have adopted the present view.
+    is_view_acknowledged: bool,
 }
 
 impl ChainReplica {
@@ -88,11 +95,14 @@
             rules: MembershipRules {
                 tolerated_losses: 1,
                 joins_deferred: false,
-                leaving_since: None,
+                departure: None,
+                departures: Departures::default(),
+                former_voter: None,
                 join_requests: JoinRequests::default(),
                 readmissions: Readmissions::default(),
             },
             tail_history: TailHistory::new(now),
+            is_view_acknowledged: false,
             clock: Clock { now, ticked_at: now, heartbeat_sent_at: Duration::ZERO },
             outputs: Vec::new(),
             meta: Meta { node, ..stored.meta },
@@ -100,7 +110,7 @@
             timing,
             apply,
         };
-        replica.assume_voters_alive();
+        replica.assume_peers_alive();
         replica
     }
 
@@ -115,7 +125,7 @@
             Input::DiskRecovered { stored } => self.restart_from(stored),
             Input::Propose { op, body } => self.append_or_forward(op, body),
             Input::Confirm => self.maybe_start_requested_round(),
-            Input::Leave => self.leave(),
+            Input::Leave { within } => self.leave(within),
         }
         self.drain_outputs()
     }
@@ -145,6 +155,18 @@
         self.outputs.push(Output::Send { to, message });
     }
 
+    /// The other replicas of the view: its voters, and who is in its chain without a vote.
+    fn peers(&self) -> Vec<NodeId> {
+        let view = &self.meta.view;
+        let voteless = view.chain.iter().copied().filter(|id| !view.is_voter(*id));
+        let peers = view.voters.iter().map(|voter| voter.id).chain(voteless);
+        peers.filter(|id| *id != self.me()).collect()
+    }
+
+    fn is_peer(&self, id: NodeId) -> bool {
+        self.meta.view.is_voter(id) || self.meta.view.is_in_chain(id)
+    }
+
     fn send_to_voters(&mut self, message: &ChainMessage) {
         for voter in self.meta.view.voters.clone().iter() {
             self.send(voter.id, message.clone());
@@ -196,6 +218,7 @@
                 let age = Duration::from_millis(millis);
                 self.tail_history.record_report(from, view, age, self.clock.now)
             }
+            ChainMessage::Leaving { remaining_ms } => self.handle_leaving(from, Duration::from_millis(remaining_ms)),
             ChainMessage::Done { op, appended, reply } => {
                 self.outputs.push(Output::ProposalDone { op, appended: appended != 0, reply: reply.into_vec() })
             }
@@ -206,7 +229,7 @@
         let now = self.clock.now;
         // Whoever was not scheduled for long has missed the others' answers by its own fault.
         if now > self.clock.ticked_at + self.timing.suspect_after / 2 {
-            self.assume_voters_alive();
+            self.assume_peers_alive();
         }
         self.clock.ticked_at = now;
         if self.meta.view.number == 0 {
--- a/crates/chain/src/replica/view_repair.rs
+++ b/crates/chain/src/replica/view_repair.rs
@@ -51,14 +51,14 @@
         let chain = view.chain.as_slice();
         let is_alive = |id: &NodeId| *id == me || !self.detector.is_suspect(*id, now);
         let remaining: Vec<NodeId> = chain.iter().copied().filter(is_alive).collect();
-        let first_to_propose = remaining.iter().copied().find(|id| *id != view.learner);
+        let first_to_propose = remaining.iter().copied().find(|id| *id != view.learner && view.is_voter(*id));
         if remaining.len() == chain.len() {
             self.detector.clear_suspicion();
             if let Some(next) = self.view_with_own_address() {
                 return self.propose_view(next);
             }
             if first_to_propose == Some(me)
-                && let Some(next) = self.view_without_vacant_voter()
+                && let Some(next) = self.view_with_departures_settled()
             {
                 self.propose_view(next);
             }
@@ -71,9 +71,16 @@
         if first_to_propose != Some(me) && now < since + self.timing.suspect_after * position {
             return;
         }
-        let next = next_view_with_chain(&self.meta.view, remaining);
+        let next = self.repaired_view(remaining);
         self.propose_view(next);
     }
+
+    /// The next view without a replica that leaves or a voter that is gone, where all of the chain are there.
+    fn view_with_departures_settled(&self) -> Option<View> {
+        self.view_without_voteless_member()
+            .or_else(|| self.view_with_vote_returned())
+            .or_else(|| self.view_without_vacant_voter())
+    }
 }
 
 /// The next view with these replicas in its chain, who are all in the chain of the present one.
--- a/crates/chain/src/replica/views.rs
+++ b/crates/chain/src/replica/views.rs
@@ -3,7 +3,7 @@
 use super::ChainReplica;
 use crate::types::Output;
 use std::time::Duration;
-use wire::{ChainMessage, View};
+use wire::{ChainMessage, NodeAddress, View};
 
 impl ChainReplica {
     pub(super) fn handle_decided(&mut self, view: View) {
@@ -22,13 +22,15 @@
             return;
         }
         let on_synced = self.record_view_change(&view);
+        self.record_departures(&view);
         self.meta.view = view.clone();
+        self.is_view_acknowledged = false;
         self.meta.promised = 0;
         self.meta.accepted_number = 0;
         self.meta.accepted = View::default();
         self.agreement.reset();
         self.detector.clear_suspicion();
-        self.assume_voters_alive();
+        self.assume_peers_alive();
         self.write_meta(on_synced);
         self.abandon_download_from_former_tail();
         self.enter_chain();
@@ -44,8 +46,15 @@
         report.map(|report| Output::Send { to: report.to, message: message_of(report.age) }).into_iter().collect()
     }
 
-    pub(super) fn assume_voters_alive(&mut self) {
-        let voters = self.meta.view.voters.iter().map(|voter| voter.id);
-        self.detector.assume_alive(voters, self.clock.now);
+    fn record_departures(&mut self, next: &View) {
+        let is_voteless = |node: &&NodeAddress| next.is_in_chain(node.id) && !next.is_voter(node.id);
+        let former = self.meta.view.voters.iter().find(is_voteless).cloned();
+        self.rules.former_voter = former.or(self.rules.former_voter.take()).filter(|node| next.is_in_chain(node.id));
+        self.rules.departures.retain(|id| next.is_voter(id) || next.is_in_chain(id));
+    }
+
+    pub(super) fn assume_peers_alive(&mut self) {
+        let peers = self.peers();
+        self.detector.assume_alive(peers.into_iter().chain([self.meta.node.id]), self.clock.now);
     }
 }
--- a/crates/chain/src/types.rs
+++ b/crates/chain/src/types.rs
@@ -179,8 +179,11 @@
     },
     /// A round that was requested is to be started.
     Confirm,
-    /// The process is about to stop for good or for a while, as planned.
-    Leave,
+    /// The process is to stop for good or for a while, as planned, and ends after this time at the latest.
+    Leave {
+        /// How long it can wait until the others can do without it.
+        within: Duration,
+    },
 }
 
 /// What a replica wants done.
--- a/crates/chain/tests/departures.rs
+++ b/crates/chain/tests/departures.rs
@@ -47,7 +47,7 @@
 fn a_loss_right_after_a_replaced_member_left_leaves_a_majority() {
     for lost in [1, 2, 4] {
         let mut net = with_successor();
-        net.feed(3, chain::Input::Leave);
+        net.feed(3, chain::Input::Leave { within: Duration::from_secs(4) });
         net.settle();
         assert!(!net.members[&3].is_in_chain(), "it may end");
         for id in [3, lost] {
@@ -67,7 +67,7 @@
     net.pass(1500);
     assert_eq!((net.chain(1), voters(&net, 1)), (vec![1, 2, 4], vec![1, 2, 3, 4]));
     net.cut.clear();
-    net.feed(3, chain::Input::Leave);
+    net.feed(3, chain::Input::Leave { within: Duration::from_secs(4) });
     net.pass(300);
     assert_eq!((net.chain(1), voters(&net, 1)), (vec![1, 2, 4], vec![1, 2, 4]));
 }
@@ -86,7 +86,7 @@
             (1..=4).for_each(|id| net.land(id));
         }
     }
-    net.feed(2, chain::Input::Leave);
+    net.feed(2, chain::Input::Leave { within: Duration::from_secs(4) });
     net.pass(300);
     assert_eq!((net.chain(1), voters(&net, 1)), (vec![1, 3, 4], vec![1, 3, 4]));
 }
@@ -199,7 +199,7 @@
     net.stalled = vec![4];
     net.pass(4000);
     assert!(net.writes.iter().any(|(id, ..)| *id == 4), "its copy is being written");
-    net.feed(4, chain::Input::Leave);
+    net.feed(4, chain::Input::Leave { within: Duration::from_secs(4) });
     net.stalled.clear();
     for _ in 0..60 {
         net.pass(50);
--- a/crates/chain/tests/net/mod.rs
+++ b/crates/chain/tests/net/mod.rs
@@ -183,6 +183,16 @@
         }
     }
 
+    /// As `pass`, in steps of ten milliseconds.
+    pub fn pass_finely(&mut self, millis: u64) {
+        for _ in 0..millis / 10 {
+            self.now += Duration::from_millis(10);
+            let ids: Vec<NodeId> = self.members.keys().copied().collect();
+            ids.into_iter().for_each(|id| self.feed(id, Input::Tick));
+            self.settle();
+        }
+    }
+
     pub fn propose_entry(&mut self, at: NodeId, words: &str) -> ProposalId {
         self.next_op += 1;
         let op = ProposalId { origin: at, number: self.next_op };
--- a/crates/chain/tests/planned.rs
+++ b/crates/chain/tests/planned.rs
@@ -3,6 +3,7 @@
 mod net;
 
 use net::Net;
+use std::time::Duration;
 use test_case::test_case;
 use wire::NodeId;
 
@@ -14,7 +15,7 @@
     net.seeds.insert(4, vec![1, 2, 3]);
     net.start_founding(4, 0);
     net.pass(millis);
-    net.feed(3, chain::Input::Leave);
+    net.feed(3, chain::Input::Leave { within: Duration::from_secs(4) });
     for _ in 0..40 {
         net.pass(100);
         if net.members[&3].may_stop() {
@@ -53,7 +54,7 @@
     net.members.get_mut(&1).unwrap().defer_joins(true);
     net.members.get_mut(&2).unwrap().defer_joins(true);
     net.members.get_mut(&3).unwrap().defer_joins(true);
-    net.feed(3, chain::Input::Leave);
+    net.feed(3, chain::Input::Leave { within: Duration::from_secs(4) });
     net.pass(4000);
     assert!(net.members[&3].may_stop());
 }
--- a/crates/chain/tests/rejoin.rs
+++ b/crates/chain/tests/rejoin.rs
@@ -61,3 +61,20 @@
     net.pass(3000);
     assert_eq!(net.chain(3).len(), 3);
 }
+
+#[test]
+fn an_empty_restarted_learner_is_told_the_view_that_it_never_kept() {
+    let mut net = Net::founded();
+    net.propose_entry(1, "kept");
+    net.settle();
+    net.starved = vec![4];
+    net.seeds.insert(4, vec![1, 2, 3]);
+    net.start_founding(4, 0);
+    net.pass(4000);
+    assert_eq!(net.members[&1].view().learner, 4);
+    net.disks.remove(&4);
+    net.starved.clear();
+    net.start_founding(4, 0);
+    net.pass(3000);
+    assert_eq!((net.chain(4), net.members[&1].view().learner), (vec![1, 2, 3, 4], 0));
+}
--- a/crates/chain/tests/restarts.rs
+++ b/crates/chain/tests/restarts.rs
@@ -6,13 +6,16 @@
 use net::Net;
 use std::time::Duration;
 
+/// A deadline so near that a replica leaves though nobody has taken its place.
+const SHORT: Duration = Duration::from_millis(300);
+
 #[test]
 fn a_view_decided_by_a_leaver_alone_is_adopted_by_the_others_while_they_leave_too() {
     for (first, ms) in [(1, 0), (2, 0), (3, 0), (1, 2), (2, 2), (3, 2)] {
         let mut net = Net::founded();
         net.propose_entry(1, "kept");
         net.settle();
-        net.feed(first, Input::Leave);
+        net.feed(first, Input::Leave { within: SHORT });
         net.now += Duration::from_millis(ms);
         // Delivered until the leaver has decided; what it sends from then on is lost with its process.
         while net.members[&first].is_in_chain() {
@@ -20,11 +23,8 @@
         }
         net.members.remove(&first);
         let left: Vec<u64> = net.members.keys().copied().collect();
-        left.iter().for_each(|id| net.feed(*id, Input::Leave));
+        left.iter().for_each(|id| net.feed(*id, Input::Leave { within: Duration::from_secs(4) }));
         net.pass(4000);
-        for id in &left {
-            println!("{first} {ms}: {id} view {:?}", net.members[id].view());
-        }
         for id in &left {
             assert_eq!(net.members[id].view().chain.as_slice(), &left[..], "member {id}, leaver {first}");
         }
--- a/crates/control/src/control_loop.rs
+++ b/crates/control/src/control_loop.rs
@@ -6,7 +6,7 @@
 use crate::keys;
 use crate::membership_log::MembershipLog;
 use crate::optimizer::OptimizerMessage;
-use chain::{Disk, DiskReport};
+use chain::{DepartureWait, Disk, DiskReport};
 use events::event;
 use kernel::{Inbox, InboxSender, wait_for_signal};
 use links::{LinkEvent, LinkOrder};
@@ -16,8 +16,6 @@
 use wire::{Message, View};
 
 const TICK: Duration = Duration::from_millis(10);
-/// How long a planned stop may wait until the others have agreed to go on without this member.
-const LEAVE: Duration = Duration::from_secs(4);
 const STATUS_INTERVAL: Duration = Duration::from_millis(200);
 
 pub struct Control {
@@ -33,10 +31,18 @@
     pub shown: Instant,
     pub membership: MembershipLog,
     pub seeds: Vec<String>,
+    /// How long a planned stop may wait until the others can do without this registry.
+    pub grace: Duration,
     /// Registries that a seed told of while this one is empty.
     pub reported_registries: Vec<String>,
 }
 
+/// A planned stop that is under way.
+struct Departure {
+    deadline: Instant,
+    reported: Option<DepartureWait>,
+}
+
 fn addresses(view: &View) -> Vec<String> {
     view.voters.iter().map(|node| node.address.as_str().to_owned()).collect()
 }
@@ -53,8 +59,8 @@
         });
         let mut ticks = tokio::time::interval(TICK);
         ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
-        let mut leave_until = None;
-        while !self.has_left(leave_until) {
+        let mut departure = None;
+        while !self.has_left(&mut departure) {
             let input = tokio::select! {
                 biased;
                 _ = ticks.tick() => Some(CoreInput::Tick),
@@ -62,8 +68,8 @@
                     None => return,
                     Some(ControlMessage::Stop) => {
                         event!(shutdown_started);
-                        leave_until.get_or_insert(Instant::now() + LEAVE);
-                        Some(CoreInput::Leave)
+                        departure.get_or_insert(Departure { deadline: Instant::now() + self.grace, reported: None });
+                        Some(CoreInput::Leave { within: self.grace })
                     }
                     Some(message) => self.input(message),
                 },
@@ -79,8 +85,17 @@
 
     /// Whether a planned stop is over: the chain goes on without this replica, by a view that also names the
     /// optimizer's next host, or there is no more time to wait for that.
-    fn has_left(&self, leave_until: Option<Instant>) -> bool {
-        leave_until.is_some_and(|until| self.core.member().may_stop() || Instant::now() >= until)
+    fn has_left(&self, departure: &mut Option<Departure>) -> bool {
+        let Some(departure) = departure else { return false };
+        let Some(wait) = self.core.member().departure_wait() else { return true };
+        if departure.reported.replace(wait) != Some(wait) {
+            event!(departure_waits, "for {}", wait.name());
+        }
+        let is_over = Instant::now() >= departure.deadline;
+        if is_over {
+            event!(departure_overdue, "stops as by a crash, without {}", wait.name());
+        }
+        is_over
     }
 
     fn input(&mut self, message: ControlMessage) -> Option<CoreInput> {
--- a/crates/control/src/control_loop_tests.rs
+++ b/crates/control/src/control_loop_tests.rs
@@ -39,6 +39,7 @@
         shown: Instant::now(),
         membership: MembershipLog::default(),
         seeds: Vec::new(),
+        grace: Duration::from_secs(4),
         reported_registries: Vec::new(),
     }
 }
--- a/crates/control/src/core.rs
+++ b/crates/control/src/core.rs
@@ -63,7 +63,7 @@
     DiskRecovered { stored: Box<Stored> },
     Router { from: NodeId, incarnation: u64, message: LeaseMessage },
     Call { request_id: u64, call: ApiCall },
-    Leave,
+    Leave { within: Duration },
 }
 
 #[derive(Debug)]
@@ -156,7 +156,7 @@
             }
             CoreInput::Router { from, incarnation, message } => self.router(from, incarnation, message),
             CoreInput::Call { request_id, call } => self.call(request_id, call),
-            CoreInput::Leave => self.chain(Input::Leave),
+            CoreInput::Leave { within } => self.chain(Input::Leave { within }),
         }
         self.after();
         let mut outs = Vec::new();
--- a/crates/control/src/registry_metrics.rs
+++ b/crates/control/src/registry_metrics.rs
@@ -49,6 +49,13 @@
     }
     let waited_ms = status.pointer("/pending/waited_ms").and_then(Value::as_i64).unwrap_or_default();
     add_gauge(&mut registry, "activation_wait_ms", "How long a staged epoch has waited at this tail", waited_ms);
+    let is_leaving = status.get("leaving").is_some_and(|leaving| !leaving.is_null());
+    add_gauge(
+        &mut registry,
+        "leaving",
+        "1 while a planned stop waits until the others can do without",
+        is_leaving.into(),
+    );
     add_gauge(&mut registry, "inbox_depth", "Messages waiting for the control thread", inbox.depth as i64);
     let refused = Counter::<u64>::default();
     refused.inc_by(inbox.refused);
--- a/crates/control/src/registry_metrics_tests.rs
+++ b/crates/control/src/registry_metrics_tests.rs
@@ -8,7 +8,7 @@
     let status = json!({
         "view": {"number": 4}, "positions": {"synced": 9, "committed": 8},
         "revision": {"active": 2, "latest": 3, "active_step": 5}, "roster": 6, "claims": 1, "deferred": 2,
-        "waits": 3, "jobs": 4, "members": [{}, {}], "pending": {"routers": ["a", "b", "c"], "waited_ms": 2500},
+        "waits": 3, "jobs": 4, "members": [{}, {}], "leaving": {"waits_for": "successor"}, "pending": {"routers": ["a", "b", "c"], "waited_ms": 2500},
     });
     let page = metrics_text(&status, InboxLoad { depth: 7, refused: 11 });
     for line in [
@@ -26,6 +26,7 @@
         "members 2",
         "activation_waits_for_routers 3",
         "activation_wait_ms 2500",
+        "leaving 1",
         "inbox_depth 7",
         "inbox_refused_total 11",
     ] {
--- a/crates/control/src/service.rs
+++ b/crates/control/src/service.rs
@@ -110,6 +110,7 @@
         shown: Instant::now(),
         membership: MembershipLog::default(),
         seeds: settings.seeds.clone(),
+        grace: settings.grace,
         reported_registries: Vec::new(),
     };
     let local_node = LocalNode {
--- a/crates/control/src/settings.rs
+++ b/crates/control/src/settings.rs
@@ -23,6 +23,7 @@
         tokens: Vec<String> = Vec::new(), well_formed, "bearer tokens, tenant=SECRET or *=SECRET, parted by commas";
         hold: Duration = Duration::from_millis(1500), in_range(Duration::from_millis(500), Duration::from_secs(10)), "how long a proof of revision lasts; the same on every machine";
         peer_hold: Duration = leases::DEFAULT_PEER_HOLD, in_range(Duration::from_secs(1), Duration::from_secs(86_400)), "how long routers go by each other's word after the core's last; a change waits so long at most for routers of its quorum that are gone; the same on every machine";
+        grace: Duration = Duration::from_secs(4), in_range(Duration::from_secs(1), Duration::from_secs(120)), "how long a planned stop may wait until the others can do without this registry";
         call: Duration = Duration::from_secs(10), in_range(Duration::from_secs(1), Duration::from_secs(60)), "how long an operator's call may take before its outcome is told as unknown";
         body: usize = 4 * 1024 * 1024, in_range(1024, 5 * 1024 * 1024), "longest body of an operator's call in bytes";
         solve: Duration = Duration::from_millis(1000), in_range(Duration::from_millis(10), Duration::from_secs(10)), "limit on one solve of a headcount plan";
--- a/crates/control/src/status.rs
+++ b/crates/control/src/status.rs
@@ -6,6 +6,14 @@
 use serde_json::{Value, json};
 
 impl Core {
+    /// What a planned stop of this registry waits for.
+    fn leaving_page(&self) -> Option<Value> {
+        let deadline = self.member.departure_deadline()?;
+        let remaining_ms = deadline.saturating_sub(self.now).as_millis() as u64;
+        let wait = self.member.departure_wait().map(chain::DepartureWait::name);
+        Some(json!({"waits_for": wait, "remaining_ms": remaining_ms}))
+    }
+
     pub fn status(&self) -> Value {
         let view = self.member.view();
         let Positions { last, synced, committed } = self.member.positions();
@@ -41,6 +49,7 @@
                 "active": keys::number(state, keys::ACTIVE_REVISION), "latest": keys::number(state, keys::LATEST_REVISION),
                 "active_step": keys::number(state, keys::ACTIVE), "latest_step": keys::number(state, keys::LATEST),
             },
+            "leaving": self.leaving_page(),
             "pending": self.pending_activation.as_ref().map(|pending| pending.page(self.now)),
             "roster": keys::number(state, keys::MEMBERSHIP),
             "ticks": keys::number(state, keys::TICKS),
--- a/crates/events/src/list.rs
+++ b/crates/events/src/list.rs
@@ -43,6 +43,8 @@
     disk_failed = 203, Error, "disk failed, replica out of the chain";
     disk_recovered = 206, Info, "disk has capacity again, replica restarts from it";
     disk_full_at_start = 207, Warn, "disk full at start, waiting for capacity";
+    departure_waits = 208, Info, "planned stop waits";
+    departure_overdue = 209, Warn, "planned stop at its deadline, others may miss this replica";
     cluster_bootstrapped = 204, Info, "cluster bootstrapped";
     epoch_staged = 301, Info, "configuration epoch staged";
     epoch_activated = 302, Info, "configuration epoch activated";
--- a/crates/explore/src/choice.rs
+++ b/crates/explore/src/choice.rs
@@ -195,7 +195,7 @@
                 self.budget.leaves -= 1;
                 self.machines[index].leaving = true;
                 self.machines[index].troubled |= self.machines[index].successor.is_none();
-                self.feed(index, chain::Input::Leave);
+                self.feed(index, chain::Input::Leave { within: crate::passing::GRACE });
             }
             Choice::EndLeaving(index) => {
                 self.machines[index].removed = self.machines[index].successor.is_some();
--- a/crates/explore/src/passing.rs
+++ b/crates/explore/src/passing.rs
@@ -9,6 +9,8 @@
 /// Half the time after which a silent member is suspected: a longer step would look like a freeze.
 const STEP: Duration = Duration::from_millis(450);
 const STEPS: usize = 3;
+/// How long a machine that is told to stop may wait.
+pub const GRACE: Duration = Duration::from_secs(4);
 /// More deliveries than any exchange without a loop needs.
 const MOST_DELIVERIES: usize = 20_000;
 
--- a/crates/explore/src/probe.rs
+++ b/crates/explore/src/probe.rs
@@ -8,8 +8,8 @@
 const MENDING_STEPS: usize = 45;
 /// Within these many more a change must be committed.
 const ENTRY_STEPS: usize = 12;
-/// A machine that was told to leave ends after so many.
-const LEAVING_STEPS: usize = 4;
+/// A machine that was told to leave ends after so many, whether it may or not: its grace is over.
+const LEAVING_STEPS: usize = 9;
 
 impl World {
     pub fn probe(&mut self) {
@@ -29,9 +29,7 @@
         for step in 0..MENDING_STEPS {
             world.advance(Silence::None);
             world.settle(Silence::None);
-            if step == LEAVING_STEPS {
-                world.end_leaving();
-            }
+            world.end_leaving(step >= LEAVING_STEPS);
         }
         let before = world.history.committed.len();
         for _ in 0..ENTRY_STEPS {
@@ -54,9 +52,10 @@
         self.stop(index);
     }
 
-    fn end_leaving(&mut self) {
+    fn end_leaving(&mut self, is_over: bool) {
         for index in 0..self.machines.len() {
-            if self.machines[index].leaving && self.machines[index].member.is_some() {
+            let is_leaving = self.machines[index].leaving && self.machines[index].member.is_some();
+            if is_leaving && (is_over || self.may_stop(index)) {
                 self.stop(index);
             }
         }
--- a/crates/explore/src/world.rs
+++ b/crates/explore/src/world.rs
@@ -161,8 +161,8 @@
     }
 
     fn send(&mut self, from: NodeId, to: NodeId, message: ChainMessage) {
-        let heartbeat = matches!(message, ChainMessage::Heartbeat { .. } | ChainMessage::HeartbeatAck { .. });
-        if self.passing && heartbeat {
+        use ChainMessage::{Heartbeat, HeartbeatAck, Leaving};
+        if self.passing && matches!(message, Heartbeat { .. } | HeartbeatAck { .. } | Leaving { .. }) {
             return self.deliver(from, to, message);
         }
         self.forge(from, to, &message);
--- a/crates/fleet/src/ports_tests.rs
+++ b/crates/fleet/src/ports_tests.rs
@@ -9,20 +9,15 @@
     folder
 }
 
+/// One test: side by side two would draw the same ports.
 #[test]
-fn the_ports_of_the_fleet_before_are_used_again_and_more_are_added_behind_them() {
+fn the_ports_of_the_fleet_before_are_used_again_unless_one_is_taken() {
     let folder = fresh("again");
     let first = take_ports(&folder, 5).unwrap();
     assert_eq!(first.iter().collect::<BTreeSet<_>>().len(), 5);
     assert_eq!(take_ports(&folder, 5).unwrap(), first);
     let more = take_ports(&folder, 8).unwrap();
     assert_eq!((more.len(), &more[..5]), (8, &first[..]));
-}
-
-#[test]
-fn where_one_is_taken_all_are_drawn_anew() {
-    let folder = fresh("taken");
-    let first = take_ports(&folder, 3).unwrap();
     let _other = TcpListener::bind(&first[1]).unwrap();
     let second = take_ports(&folder, 3).unwrap();
     assert!(!second.contains(&first[1]), "{second:?}");
--- a/crates/sim/src/catch_up.rs
+++ b/crates/sim/src/catch_up.rs
@@ -53,7 +53,7 @@
     }
 
     fn members_up(&self) -> impl Iterator<Item = (usize, &ChainReplica)> {
-        let cores = self.registries.iter().enumerate();
+        let cores = self.registries.iter().enumerate().filter(|(_, node)| !node.retired);
         cores.filter_map(|(n, node)| node.core.as_ref().map(|core| (n, core.member())))
     }
 
@@ -67,7 +67,7 @@
         }
         let earlier = self.catch_up.earlier;
         let behind = |member: &ChainReplica| !member.is_in_chain() || member.positions().committed < earlier;
-        let up = self.members_up().count() == self.registries.len();
+        let up = self.members_up().count() == self.live_registries().len();
         let late = self.members_up().find(|(_, member)| behind(member)).map(|(n, member)| (n, member.positions()));
         // A planned stop disturbs nothing, but takes a member out of the chain.
         let troubles = self.registries.iter().map(|node| node.last_trouble);
--- a/crates/sim/src/failing.rs
+++ b/crates/sim/src/failing.rs
@@ -3,6 +3,8 @@
 
 use crate::chances::Kind;
 use crate::faults::Mending;
+use crate::follow_ups::FollowUp;
+use crate::replacement::{GRACE, LOOK};
 use crate::world::{Event, Place, World};
 use chain::Stored;
 use rand::RngExt;
@@ -20,19 +22,21 @@
         self.follow(n, leases::FollowerInput::Leave);
     }
 
-    /// A planned stop of a registry, one at a time: the chain goes on without it at once.
+    /// A planned stop of a registry, one at a time, which is started again a little later.
     pub(crate) fn stop_registry(&mut self, n: usize) {
         let live = self.live_registries();
         let calm = |n: &usize| {
             let core = self.registries[*n].core.as_ref();
-            core.is_some_and(|core| core.member().view().chain.as_slice().len() == live.len())
+            let is_whole = |member: &chain::ChainReplica| member.view().chain.as_slice().len() == live.len();
+            core.is_some_and(|core| is_whole(core.member()) && core.member().departure_deadline().is_none())
         };
         if !live.iter().all(calm) {
             return;
         }
-        self.registries[n].last_trouble = self.now;
-        self.feed_registry(n, control::CoreInput::Leave);
-        self.after(Duration::from_millis(100), Event::Mend { what: Mending::EndRegistry(n) });
+        self.registries[n].last_trouble = self.now + GRACE;
+        self.feed_registry(n, control::CoreInput::Leave { within: GRACE });
+        let until = self.now + GRACE;
+        self.follow_up(LOOK, FollowUp::Stopping { registry: n, until });
     }
 
     pub(crate) fn freeze(&mut self, place: Place) -> Duration {
--- a/crates/sim/src/faults.rs
+++ b/crates/sim/src/faults.rs
@@ -9,7 +9,6 @@
 #[derive(Clone, Debug)]
 pub enum Mending {
     StartRegistry(usize),
-    EndRegistry(usize),
     FreeDisk(usize),
     StartRouter(usize),
     Heal(Vec<(Place, Place)>),
@@ -153,11 +152,6 @@
                 self.start_registry(n);
             }
             Mending::FreeDisk(n) => self.free_disk(n),
-            Mending::EndRegistry(n) => {
-                self.kill_registry(n);
-                let back = self.ms(500, 3000);
-                self.after(back, Event::Mend { what: Mending::StartRegistry(n) });
-            }
             Mending::StartRouter(n) => self.start_router(n),
             Mending::Heal(cuts) => self.heal(cuts),
             Mending::Quicken => self.net.slow.clear(),
--- a/crates/sim/src/follow_ups.rs
+++ b/crates/sim/src/follow_ups.rs
@@ -52,6 +52,11 @@
         registry: usize,
         until: Duration,
     },
+    /// The same for one that is started again.
+    Stopping {
+        registry: usize,
+        until: Duration,
+    },
     ReplaceNext {
         left: usize,
         planned: bool,
@@ -73,6 +78,7 @@
             FollowUp::Roll { next, at_a_time, waited } => self.roll_next(next, at_a_time, waited),
             FollowUp::Retire { registry } => self.retire(registry),
             FollowUp::Retiring { registry, until } => self.await_retirement(registry, until),
+            FollowUp::Stopping { registry, until } => self.await_stop(registry, until),
             FollowUp::ReplaceNext { left, planned } => self.replace_next(left, planned),
             FollowUp::LastBlow => self.last_blow_without_moment(),
         }
--- a/crates/sim/src/replacement.rs
+++ b/crates/sim/src/replacement.rs
@@ -8,8 +8,8 @@
 use std::time::Duration;
 
 /// How long a registry that was asked to stop waits to be out of the chain, as the program does.
-const LEAVE: Duration = Duration::from_secs(4);
-const LOOK: Duration = Duration::from_millis(20);
+pub(crate) const GRACE: Duration = Duration::from_secs(4);
+pub(crate) const LOOK: Duration = Duration::from_millis(20);
 /// How many are replaced in one bout at the most.
 const IN_TURN: usize = 3;
 
@@ -81,17 +81,41 @@
         self.say(|| format!("registry {registry} is asked to stop for good"));
         self.registries[registry].retired = true;
         self.registries[registry].retired_at = self.now;
-        self.feed_registry(registry, control::CoreInput::Leave);
-        let until = self.now + LEAVE;
+        self.feed_registry(registry, control::CoreInput::Leave { within: GRACE });
+        let until = self.now + GRACE;
         self.follow_up(LOOK, FollowUp::Retiring { registry, until });
     }
 
+    /// What keeps a registry that was asked to stop from ending.
+    fn departure_wait(&self, registry: usize) -> Option<chain::DepartureWait> {
+        self.registries[registry].core.as_ref().and_then(|core| core.member().departure_wait())
+    }
+
+    /// One that is to be started again ends.
+    pub(crate) fn await_stop(&mut self, registry: usize, until: Duration) {
+        let core = self.registries[registry].core.as_ref();
+        if core.is_none_or(|core| core.member().departure_deadline().is_none()) {
+            return; // It was killed meanwhile.
+        }
+        if self.departure_wait(registry).is_some() && self.now < until {
+            return self.follow_up(LOOK, FollowUp::Stopping { registry, until });
+        }
+        self.kill_registry(registry);
+        let back = self.ms(500, 3000);
+        self.after(back, crate::world::Event::Mend { what: crate::faults::Mending::StartRegistry(registry) });
+    }
+
     pub(crate) fn await_retirement(&mut self, registry: usize, until: Duration) {
-        let chained = self.registries[registry].core.as_ref().is_some_and(|core| core.member().is_in_chain());
-        if chained && self.now < until {
+        let wait = self.departure_wait(registry);
+        if wait.is_some() && self.now < until {
             return self.follow_up(LOOK, FollowUp::Retiring { registry, until });
         }
-        self.say(|| format!("registry {registry} goes for good, in the chain: {chained}"));
+        self.say(|| format!("registry {registry} goes for good, it waits for {wait:?}"));
+        let others = self.live_registries();
+        if wait.is_some() && others.iter().all(|n| self.is_well(*n)) {
+            let patience = GRACE.as_secs();
+            self.rules.tell(self.now, format!("registry {registry} could not leave within {patience} s of calm"));
+        }
         self.kill_registry(registry);
         self.replacing = None;
     }
--- a/crates/wire/src/chain.rs
+++ b/crates/wire/src/chain.rs
@@ -152,4 +152,8 @@
     /// To the new tail of a view: how long before adopting it a voter last answered the tail before.
     #[deku(id = "21")]
     TailLastAnswered { view: u64, millis: u64 },
+    /// To the other replicas of the view, with each heartbeat: the sender is told to stop, and its process ends after
+    /// this time at the latest.
+    #[deku(id = "22")]
+    Leaving { remaining_ms: u64 },
 }
--- a/crates/wire/src/downgrade.rs
+++ b/crates/wire/src/downgrade.rs
@@ -7,8 +7,9 @@
 //! | 3 | changes with a declared revision, times to come back in milliseconds |
 //! | 4 | epochs and configurations in packed parts, changes of the membership, capacities, the inventory |
 //! | 5 | attempts granted with a forward, and reports on what earlier tails granted |
+//! | 6 | announcements of planned stops of registries |
 
-use crate::codec::{ATTEMPTS, CAPACITY};
+use crate::codec::{ATTEMPTS, CAPACITY, DEPARTURES};
 use crate::{ChainMessage, ForwardMessage, ForwardRequest, LeaseMessage, Message, PlanMessage, Text};
 
 /// The format that first told times to come back in milliseconds.
@@ -19,6 +20,9 @@
 /// The message as a peer that understands only this format is sent it, if there is a way to say it.
 pub fn downgrade(message: Message, format: u16) -> Option<Message> {
     let mut message = message;
+    if format < DEPARTURES && matches!(message, Message::Chain(ChainMessage::Leaving { .. })) {
+        return None;
+    }
     if format < ATTEMPTS {
         message = without_attempts(message)?;
     }
--- a/crates/wire/tests/samples/mod.rs
+++ b/crates/wire/tests/samples/mod.rs
@@ -52,6 +52,7 @@
         MissedEntriesRequest { since: 77, last: 78, checksum: 79 },
         MissedEntries { snapshot_id: 80, entries: vec![entry(81)].into() },
         TailLastAnswered { view: 82, millis: 83 },
+        Leaving { remaining_ms: 84 },
     ]
     .into_iter()
     .map(|message| frame(Message::Chain(message)))
