Soak a fleet of real processes with faults drawn from a seed, in the check too

Cause: what the program did while it left was proved in the simulator only, which ticked where the program did not; no run of real processes had signals, restarts, replacements, cuts and changes in series.

Change: fleet soak draws a timetable from a seed, plays it under load through fleet prove's machinery, and judges besides the checker's rules that each process told to stop ends within its grace with code 0, that none ends by itself, and that memory, descriptors and threads of the processes left alone are flat from the first third to the last. 30 s of it run in ./check. Not in it: SIGHUP (only the users' platform's program takes it), nested calls (the stand-in's services make none), resets of links.

A timeline of the next acknowledgement after a loss, phase by phase, as a test that prints its table (control::recovery_timeline), in docs/measurements.md.

--- a/crates/control/tests/recovery_timeline.rs
+++ b/crates/control/tests/recovery_timeline.rs
@@ -125,12 +125,9 @@
             .map(|phase| median(runs.iter().map(|run| run.phases()[phase]).collect()).as_millis().to_string())
             .collect();
         let longest = runs.iter().map(|run| run.acknowledged).max().unwrap();
-        println!(
-            "| {} | {loss:?} | {name} | {} | {} |",
-            registries as usize + routers,
-            medians.join(" | "),
-            longest.as_millis()
-        );
+        let (machines, hold_ms, longest_ms) = (registries as usize + routers, hold.as_millis(), longest.as_millis());
+        let phases = medians.join(" | ");
+        println!("| {machines} | {loss:?} | {hold_ms} | {name} | {phases} | {longest_ms} |");
         assert!(longest < BOUND, "{name}: {longest:?}");
     }
 }
--- a/crates/fleet/src/drawing.rs
+++ b/crates/fleet/src/drawing.rs
@@ -1,7 +1,7 @@
 //! Drawing a fleet up: which nodes there are, where each listens and what it is told.
 
 use crate::deployment::Deployment;
-use crate::line::Order;
+use crate::line::{Order, What};
 use crate::ports::take_ports;
 use crate::processes::{Fleet, Node, TOKEN};
 use crate::relay::Relays;
@@ -124,7 +124,13 @@
                 data: None,
             }
         });
-        let routers: Vec<Node> = routers.collect();
+        let mut routers: Vec<Node> = routers.collect();
+        let mut registries = registries;
+        if order.what == What::Soak {
+            let grace = format!("{}ms", crate::watch::GRACE.as_millis());
+            let nodes = routers.iter_mut().chain(&mut registries);
+            nodes.for_each(|node| node.arguments.extend(["--grace".to_owned(), grace.clone()]));
+        }
         Ok(Fleet {
             emulator,
             registries,
--- a/crates/fleet/src/line.rs
+++ b/crates/fleet/src/line.rs
@@ -8,6 +8,7 @@
 
 Usage: fleet up --deployment DIR [options]          until interrupted
        fleet prove --deployment DIR [options]       load, faults, verdict
+       fleet soak --deployment DIR [options]        faults in series from a seed, verdict
        fleet smoke --deployment DIR [options]       what callers and operators would try first
 
   --deployment DIR   folder with deployment.toml, configuration.json, services.json
@@ -16,7 +17,7 @@
   --no-tuning        weight sheets stay as declared
   --no-plans         the fallback alone: registries make no plans
   --routers N        number of routers [the deployment's]
-prove:
+prove and soak:
   --seconds N        length of the load [60]
   --seed N           seed of the load and the platform's chances [1]
   --factor F         all rates times this [1.0]
@@ -35,6 +36,7 @@
 pub enum What {
     Up,
     Prove,
+    Soak,
     Smoke,
 }
 
@@ -118,8 +120,9 @@
     order.what = match what.as_str() {
         "up" => What::Up,
         "prove" => What::Prove,
+        "soak" => What::Soak,
         "smoke" => What::Smoke,
-        _ => return Err("say up, prove or smoke; see --help".into()),
+        _ => return Err("say up, prove, soak or smoke; see --help".into()),
     };
     Ok(Some(order))
 }
--- a/crates/fleet/src/main.rs
+++ b/crates/fleet/src/main.rs
@@ -12,10 +12,13 @@
 mod processes;
 mod prove;
 mod relay;
+mod resources;
 mod smoke;
 mod smoke_views;
+mod soak_schedule;
 mod timeline;
 mod turns;
+mod watch;
 
 use std::process::ExitCode;
 
--- a/crates/fleet/src/prove.rs
+++ b/crates/fleet/src/prove.rs
@@ -5,8 +5,10 @@
 use crate::folder::FolderLock;
 use crate::line::{Order, What};
 use crate::processes::{Fleet, TOKEN};
+use crate::soak_schedule::{Extent, draw};
 use crate::timeline::Timeline;
 use crate::turns::{Turns, wall_ms, with_probe};
+use crate::watch::Watch;
 use operator_client::{Call, send_call};
 use serde_json::Value;
 use std::cell::RefCell;
@@ -15,11 +17,17 @@
 use std::time::{Duration, Instant};
 use tokio::time::sleep;
 
-pub async fn run(order: Order) -> Result<bool, String> {
+pub async fn run(mut order: Order) -> Result<bool, String> {
     let mut deployment = Deployment::load(&order.deployment)?;
     std::fs::create_dir_all(&order.folder).map_err(|fault| format!("{}: {fault}", order.folder.display()))?;
     let _folder = FolderLock::take(&order.folder).map_err(|error| error.to_string())?;
-    if order.what == What::Prove && order.turns > 0.0 {
+    if order.what == What::Soak {
+        let workers = deployment.workers.max(0) as usize;
+        let routers = order.routers.unwrap_or(deployment.routers);
+        order.faults = draw(order.seed, Extent { seconds: order.seconds, routers, workers });
+        println!("soak of {} s, seed {}: {} faults and changes", order.seconds, order.seed, order.faults.len());
+    }
+    if [What::Prove, What::Soak].contains(&order.what) && order.turns > 0.0 {
         deployment = with_probe(&deployment, &order.folder)?;
     }
     let mut fleet = Fleet::draw_up(&order, &deployment)?;
@@ -74,11 +82,12 @@
     let turning = tokio::task::spawn_local(turns.clone().run());
     let mut faults = order.faults.clone();
     faults.sort_by_key(|fault| fault.at);
+    let mut watch = Watch::default();
     for fault in faults {
-        sleep(fault.at.saturating_sub(begun.elapsed())).await;
+        watch.wait_until(fleet, begun + fault.at).await;
         timeline.note(&fault);
+        watch.note(&fault);
         fleet.bring_about(&fault).await?;
-        fleet.reap();
     }
     let most = Duration::from_secs(order.seconds + 30);
     let status = loop {
@@ -88,7 +97,7 @@
                 let _ = child.kill();
                 return Err("the load did not end in time".into());
             }
-            _ => sleep(Duration::from_millis(100)).await,
+            _ => watch.wait_until(fleet, Instant::now() + Duration::from_millis(100)).await,
         }
     };
     if !status.success() {
@@ -112,7 +121,8 @@
         check.args(["--refusals", &most.to_string()]);
     }
     let verdict = check.status().map_err(|fault| format!("loadgen: {fault}"))?;
-    Ok(verdict.success() && kept)
+    let is_well = order.what != What::Soak || watch.report();
+    Ok(verdict.success() && kept && is_well)
 }
 
 /// The day's end: a change is acknowledged, every registry loses power at once, and after they are
--- /dev/null
+++ b/crates/fleet/src/resources.rs
@@ -0,0 +1,85 @@
+//! What processes use of the machine over a run, and whether it stays flat from the first third to the last.
+
+use std::collections::BTreeMap;
+use std::fs;
+
+/// What a process may use more in the last third than in the first: so many times as much and so much besides.
+struct Allowance {
+    what: &'static str,
+    factor: f64,
+    besides: f64,
+}
+
+const ALLOWANCES: [Allowance; 3] = [
+    Allowance { what: "memory KB", factor: 1.5, besides: 24.0 * 1024.0 },
+    Allowance { what: "descriptors", factor: 1.25, besides: 48.0 },
+    Allowance { what: "threads", factor: 1.0, besides: 4.0 },
+];
+
+/// One look at a process.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Usage {
+    /// Resident memory in KB, open descriptors, threads.
+    values: [f64; 3],
+}
+
+impl Usage {
+    /// Looks at a process; none if it is gone.
+    pub fn of(process: u32) -> Option<Usage> {
+        let status = fs::read_to_string(format!("/proc/{process}/status")).ok()?;
+        let field = |name: &str| {
+            let line = status.lines().find(|line| line.starts_with(name))?;
+            line.split_whitespace().nth(1)?.parse::<f64>().ok()
+        };
+        let descriptors = fs::read_dir(format!("/proc/{process}/fd")).ok()?.count() as f64;
+        Some(Usage { values: [field("VmRSS:")?, descriptors, field("Threads:")?] })
+    }
+}
+
+/// Looks at processes, by the name of their node and their number; a restarted node is another process.
+#[derive(Default)]
+pub struct Usages {
+    samples: BTreeMap<(String, u32), Vec<Usage>>,
+    rounds: usize,
+}
+
+impl Usages {
+    /// Looks at these processes.
+    pub fn sample<'a>(&mut self, processes: impl Iterator<Item = (&'a str, u32)>) {
+        self.rounds += 1;
+        for (name, process) in processes {
+            if let Some(usage) = Usage::of(process) {
+                self.samples.entry((name.to_owned(), process)).or_default().push(usage);
+            }
+        }
+    }
+
+    /// One line for each process that lived nearly throughout, and those that used more and more.
+    pub fn report(&self) -> (Vec<String>, Vec<String>) {
+        let (mut lines, mut faults) = (Vec::new(), Vec::new());
+        let throughout = self.samples.iter().filter(|(_, samples)| samples.len() * 10 >= self.rounds * 9);
+        for ((name, _), samples) in throughout {
+            let third = (samples.len() / 3).max(1);
+            for (index, allowance) in ALLOWANCES.iter().enumerate() {
+                let first = median(&samples[..third], index);
+                let last = median(&samples[samples.len() - third..], index);
+                let line = format!("{name}: {} {first} in the first third, {last} in the last", allowance.what);
+                if last > first * allowance.factor + allowance.besides {
+                    faults.push(line.clone());
+                }
+                lines.push(line);
+            }
+        }
+        (lines, faults)
+    }
+}
+
+fn median(samples: &[Usage], index: usize) -> f64 {
+    let mut values: Vec<f64> = samples.iter().map(|usage| usage.values[index]).collect();
+    values.sort_by(f64::total_cmp);
+    values[values.len() / 2]
+}
+
+#[cfg(test)]
+#[path = "resources_tests.rs"]
+mod resources_tests;
--- /dev/null
+++ b/crates/fleet/src/resources_tests.rs
@@ -0,0 +1,27 @@
+//! Growth is found, noise is not, and a process that came late is not judged.
+
+use super::*;
+
+fn usages(memory_kb: impl Fn(usize) -> f64, count: usize) -> Usages {
+    let samples = (0..count).map(|round| Usage { values: [memory_kb(round), 40.0, 7.0] }).collect();
+    Usages { samples: BTreeMap::from([(("router-0".to_owned(), 1), samples)]), rounds: 60 }
+}
+
+#[test]
+fn a_process_that_uses_more_and_more_is_found() {
+    let (lines, faults) = usages(|round| 20_000.0 + 2000.0 * round as f64, 60).report();
+    assert_eq!((lines.len(), faults.len()), (3, 1));
+    assert!(faults[0].contains("memory KB"), "{faults:?}");
+}
+
+#[test]
+fn noise_is_no_growth_and_a_late_process_is_not_judged() {
+    assert!(usages(|round| 20_000.0 + (round % 7) as f64 * 900.0, 60).report().1.is_empty());
+    assert!(usages(|round| 20_000.0 * round as f64, 30).report().0.is_empty());
+}
+
+#[test]
+fn this_process_can_be_looked_at() {
+    let usage = Usage::of(std::process::id()).unwrap();
+    assert!(usage.values.iter().all(|value| *value > 0.0), "{usage:?}");
+}
