--- a/crates/fleet/src/faults.rs
+++ b/crates/fleet/src/faults.rs
@@ -1,11 +1,14 @@
 //! The timetable of faults and how each is brought about.
 
-use crate::processes::{Fleet, Start, TOKEN};
+use crate::processes::{Fleet, Node, Start, TOKEN};
 use hyper::Method;
 use operator_client::{Call, send_call};
 use serde_json::{Map, Value, json};
 use std::time::Duration;
 
+/// How long a change may take at one registry before another is asked.
+const PATCH_LIMIT: Duration = Duration::from_secs(15);
+
 #[derive(Clone, Debug)]
 pub struct Timed {
     pub at: Duration,
@@ -111,7 +114,12 @@
                 self.relays.heal();
                 Ok(())
             }
-            "patch" => self.patch(&fault.which).await.map(drop),
+            "patch" => {
+                // The timetable goes on meanwhile: a registry that is asked may be frozen.
+                let (registries, name) = (self.registries.clone(), fault.which.clone());
+                tokio::task::spawn_local(async move { patch(&registries, &name).await });
+                Ok(())
+            }
             what => {
                 let (verb, kind) = what.split_once('-').unwrap_or_default();
                 for number in fault.which.split(',') {
@@ -156,30 +164,30 @@
         };
         send_call(&call).await.map(drop).map_err(|fault| fault.to_string())
     }
+}
 
-    /// A named change, on whatever is the latest, at any registry that answers.
-    pub async fn patch(&self, name: &str) -> Result<Option<u64>, String> {
-        let key = format!("headcount-plans/patched/{}", if name.is_empty() { "one" } else { name });
-        let body = json!({"name": name, "set": {key: {"min": 0}}}).to_string().into_bytes();
-        for registry in &self.registries {
-            let call = Call {
-                method: Method::PATCH,
-                address: registry.door.clone(),
-                path: "/v1/configuration".into(),
-                token: TOKEN.into(),
-                if_match: Some("*".into()),
-                body: body.clone(),
-                limit: Duration::from_secs(15),
-                ..Call::default()
-            };
-            if let Ok(answer) = send_call(&call).await
-                && answer.status == 200
-            {
-                println!("patch {name}: revision {:?}", answer.revision);
-                return Ok(answer.revision);
-            }
+/// A named change, on whatever is the latest, at any registry that answers; returns the acknowledged revision.
+pub async fn patch(registries: &[Node], name: &str) -> Option<u64> {
+    let key = format!("headcount-plans/patched/{}", if name.is_empty() { "one" } else { name });
+    let body = json!({"name": name, "set": {key: {"min": 0}}}).to_string().into_bytes();
+    for registry in registries {
+        let call = Call {
+            method: Method::PATCH,
+            address: registry.door.clone(),
+            path: "/v1/configuration".into(),
+            token: TOKEN.into(),
+            if_match: Some("*".into()),
+            body: body.clone(),
+            limit: PATCH_LIMIT,
+            ..Call::default()
+        };
+        if let Ok(answer) = send_call(&call).await
+            && answer.status == 200
+        {
+            println!("patch {name}: revision {:?}", answer.revision);
+            return answer.revision;
         }
-        println!("patch {name}: not acknowledged");
-        Ok(None)
     }
+    println!("patch {name}: not acknowledged");
+    None
 }
--- a/crates/fleet/src/prove.rs
+++ b/crates/fleet/src/prove.rs
@@ -2,6 +2,7 @@
 
 use crate::bring_up::{PATIENCE, bring_up, wait_for_earlier_fleet};
 use crate::deployment::Deployment;
+use crate::faults::patch;
 use crate::folder::FolderLock;
 use crate::line::{Order, What};
 use crate::processes::{Fleet, TOKEN};
@@ -128,7 +129,7 @@
 /// The day's end: a change is acknowledged, every registry loses power at once, and after they are
 /// back the configuration must be the acknowledged one.
 async fn final_fault(fleet: &mut Fleet) -> Result<bool, String> {
-    let Some(acknowledged) = fleet.patch("day-end").await? else { return Ok(false) };
+    let Some(acknowledged) = patch(&fleet.registries, "day-end").await else { return Ok(false) };
     for node in fleet.registries.clone() {
         fleet.signal(&node.name, "KILL")?;
     }
