--- a/crates/sim/src/control_faults.rs
+++ b/crates/sim/src/control_faults.rs
@@ -53,6 +53,8 @@
     PowerOffAll,
     /// Everything is killed, and as many disks are lost as may be.
     LoseDisksAndPowerOff,
+    /// All registries, or all machines, are stopped or killed and come back at other addresses.
+    RestartElsewhere,
 }
 
 use ControlFault::*;
@@ -82,6 +84,16 @@
     Kind::LoseDisk,
 ];
 
+const RESTARTS: &[Kind] = &[
+    Kind::Control(RestartElsewhere),
+    Kind::Control(RestartElsewhere),
+    Kind::Control(RestartElsewhere),
+    Kind::KillCore,
+    Kind::KillAll,
+    Kind::StopRegistry,
+    Kind::LeaveRouter,
+];
+
 const EVERY: [ControlFault; 27] = [
     CutOff,
     CutOffTwice,
@@ -117,6 +129,7 @@
     match sort {
         Sort::Cutoff => CUTOFF.to_vec(),
         Sort::Replacement => REPLACEMENT.to_vec(),
+        Sort::Restarts => RESTARTS.to_vec(),
         Sort::Anything => {
             let old = Sort::Mixed.kinds().iter().copied();
             old.chain(EVERY.map(Kind::Control)).chain([Kind::Grow, Kind::Wake, Kind::Flood]).collect()
@@ -155,6 +168,7 @@
             RollRouters => return self.roll_routers(1),
             RollRoutersByTwo => return self.roll_routers(2),
             PowerOffAll => self.power_off_all(),
+            RestartElsewhere => return self.restart_elsewhere(),
             LoseDisksAndPowerOff => {
                 let count = self.plan.losses;
                 let registry = self.any_registry();
--- a/crates/sim/src/lib.rs
+++ b/crates/sim/src/lib.rs
@@ -21,6 +21,7 @@
 mod registry_node;
 mod replacement;
 mod resending;
+mod restarts;
 mod rolling;
 mod router_node;
 mod router_turns;
--- a/crates/sim/src/plan.rs
+++ b/crates/sim/src/plan.rs
@@ -20,6 +20,8 @@
     pub end: Duration,
     pub rate: f64,
     pub instances: usize,
+    /// How long routers go by each other's word without the core.
+    pub peer_hold: Duration,
     /// Between two changes of the configuration, in milliseconds.
     pub change_pause_ms: Range<u64>,
 }
@@ -75,6 +77,8 @@
                 Sort::Flood => 16,
                 _ => usize::MAX,
             },
+            // Within a run a change comes into force though all routers of its quorum are gone.
+            peer_hold: if sort == Sort::Restarts { seconds(10) } else { leases::DEFAULT_PEER_HOLD },
             change_pause_ms: if sort == Sort::Changes { 60..240 } else { 300..3000 },
         }
     }
--- a/crates/sim/src/registry_node.rs
+++ b/crates/sim/src/registry_node.rs
@@ -104,7 +104,7 @@
             member =
                 member.with_founders(if founds { self.seeds.len() } else { 0 }).tolerating_losses(self.plan.losses);
         }
-        node.core = Some(Core::new(member, CoreTiming::default(), life << 20));
+        node.core = Some(Core::new(member, CoreTiming::default().with_peer_hold(self.plan.peer_hold), life << 20));
         self.net.names.insert(id, Place::Registry(n));
         self.say(|| format!("registry {n} starts as {id:016x}"));
         self.after(TICK, Event::Tick { at: Place::Registry(n), life });
--- a/crates/sim/src/replacement.rs
+++ b/crates/sim/src/replacement.rs
@@ -27,7 +27,7 @@
         self.after(back, crate::world::Event::Mend { what: crate::faults::Mending::StartRegistry(n) });
     }
 
-    fn new_address(&mut self) -> String {
+    pub(crate) fn new_address(&mut self) -> String {
         self.next += 1;
         format!("10.0.9.{}:1", self.next)
     }
--- a/crates/sim/src/router_node.rs
+++ b/crates/sim/src/router_node.rs
@@ -85,6 +85,7 @@
         let life = self.dice.random::<u64>() >> 8;
         let drift = self.drift();
         let seeds = self.seeds_for_routers();
+        let peer_hold = self.plan.peer_hold;
         let node = &mut self.routers[n];
         node.drift = drift;
         node.life = life;
@@ -93,7 +94,7 @@
         node.leaving_since = None;
         // On some seeds even a small fleet proves itself through relays.
         let relay_above = if self.seed & 4 != 0 { 2 } else { 12 };
-        let timing = FollowerTiming { relay_above, ..FollowerTiming::default() };
+        let timing = FollowerTiming { relay_above, peer_hold, ..FollowerTiming::default() };
         node.machines = Some(Machines {
             follower: Follower::new(node.id, life, &node.address, node.zone, "", timing).able_to_own(capacity(n)),
             front: Front::new(node.id, life, FrontLimits::default()),
