End a router within its grace though its callers' connections have not ended

Cause: at a planned stop the listener is told to close at half of the grace at the latest, and gives its connections the whole grace from then on; the program waited for it, up to one and a half times its grace.

Ruled out: the machine's load (it ends in the middle of the listener's grace, the others on time).

Change: the program waits for the traffic thread until its own grace is over (kernel::join_until, with tests).

--- a/crates/kernel/src/lib.rs
+++ b/crates/kernel/src/lib.rs
@@ -11,6 +11,6 @@
 
 pub use directory::Directory;
 pub use inbox::{Inbox, InboxSender, SendError, inbox};
-pub use program::{StartError, adopt, find, listen, listen_address, local, thread, wait_for_signal};
+pub use program::{StartError, adopt, find, join_until, listen, listen_address, local, thread, wait_for_signal};
 pub use settings_watch::follow;
 pub use silence::give_up_after;
--- a/crates/kernel/src/program.rs
+++ b/crates/kernel/src/program.rs
@@ -6,11 +6,14 @@
 use derive_more::{Display, Error};
 use std::io;
 use std::thread::JoinHandle;
+use std::time::{Duration, Instant};
 use tokio::net::TcpListener;
 use tokio::runtime::Builder;
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::task::LocalSet;
 
+const JOIN_POLL_INTERVAL: Duration = Duration::from_millis(10);
+
 /// Why a program could not be put together.
 #[derive(Debug, Display, Error)]
 pub enum StartError {
@@ -44,6 +47,13 @@
     started.map_err(|error| StartError::Thread { name: name.to_owned(), error })
 }
 
+/// Waits until a thread has ended, but no longer than to this moment.
+pub fn join_until(thread: JoinHandle<()>, deadline: Option<Instant>) {
+    while !thread.is_finished() && deadline.is_none_or(|deadline| Instant::now() < deadline) {
+        std::thread::sleep(JOIN_POLL_INTERVAL);
+    }
+}
+
 /// Binds a TCP listener, ready to be taken into a runtime with [`adopt`].
 pub fn listen(address: &str) -> Result<std::net::TcpListener, StartError> {
     let bound = std::net::TcpListener::bind(address).and_then(|listener| {
@@ -75,3 +85,7 @@
     };
     tokio::select! { _ = term.recv() => {}, _ = int.recv() => {} }
 }
+
+#[cfg(test)]
+#[path = "program_tests.rs"]
+mod program_tests;
--- a/crates/traffic/src/control_loop.rs
+++ b/crates/traffic/src/control_loop.rs
@@ -51,7 +51,8 @@
 }
 
 impl Control {
-    pub async fn run(mut self, mut inbox: Inbox<ControlMessage>, stop: watch::Sender<bool>) {
+    /// Runs until a planned stop is over, and returns the moment at which the process must have ended.
+    pub async fn run(mut self, mut inbox: Inbox<ControlMessage>, stop: watch::Sender<bool>) -> Option<Instant> {
         self.dial();
         let mut ticked = Instant::now();
         let mut leaving: Option<(Instant, oneshot::Receiver<()>)> = None;
@@ -75,7 +76,7 @@
                     }
                     Some(ControlMessage::Stop) => {}
                     Some(ControlMessage::Seeds(seeds)) => self.follow_seeds(seeds),
-                    None => return,
+                    None => return None,
                 },
             }
             if let Some((since, finished)) = &mut leaving {
@@ -86,7 +87,7 @@
                 }
                 let finished = *stop.borrow() && finished.try_recv().is_ok();
                 if finished || since.elapsed() > self.grace {
-                    return;
+                    return Some(*since + self.grace);
                 }
             }
         }
--- a/crates/traffic/src/service.rs
+++ b/crates/traffic/src/service.rs
@@ -23,6 +23,7 @@
 use kernel::{Directory, InboxSender, SendError, adopt, find, listen, listen_address, local, thread, wait_for_signal};
 use leases::{Follower, FollowerTiming, ServingStatus, mix};
 use links::{LinkEvent, LinkOrder, LocalNode};
+use std::cell::Cell;
 use std::collections::{BTreeMap, BTreeSet};
 use std::rc::Rc;
 use std::sync::Arc;
@@ -167,6 +168,8 @@
         viewed,
     };
     let post = find::<ControlMessage>(&directory, "control");
+    let deadline = Rc::new(Cell::new(None));
+    let ended = deadline.clone();
     local(async move {
         if let Some(reread) = dialect.reread {
             let (post, read) = (post.clone(), move || reread().map(|settings| settings.seeds));
@@ -178,9 +181,10 @@
             wait_for_signal().await;
             post.send_waiting(ControlMessage::Stop).await;
         });
-        control.run(control_inbox, stop).await;
+        ended.set(control.run(control_inbox, stop).await);
     });
-    let _ = traffic_thread.join();
+    // Its callers' connections have a grace of their own, which begins later than the program's.
+    kernel::join_until(traffic_thread, deadline.get());
     event!(stopped);
     Ok(())
 }
