--- a/crates/fleet/src/faults.rs
+++ b/crates/fleet/src/faults.rs
@@ -134,7 +134,12 @@
     fn one(&mut self, verb: &str, kind: &str, number: usize) -> Result<(), String> {
         let node = self.node(kind, number)?;
         match verb {
-            "kill" => self.signal(&node.name, "KILL"),
+            "kill" => {
+                self.signal(&node.name, "KILL")?;
+                // On a busy disk that takes a moment, and one that still runs is not started again.
+                self.wait_for(&node.name);
+                Ok(())
+            }
             "stop" => self.signal(&node.name, "TERM"),
             "freeze" => self.signal(&node.name, "STOP"),
             "thaw" => self.signal(&node.name, "CONT"),
