Know consumers by their API keys, and tell owners and instances whose request it is

Change: a kind 'consumers' (keys, rate_per_s, burst, rank), checked with the rest (no two consumers share a key; a fault never tells one); 'public' on bindings; 'deduplicates' on functions. The front looks a request's key up by its digest at every attempt, so that a key that was taken away admits no queued request, answers 401 where nobody has it, strips it, and names the consumer to the instance in a header that no caller can set. Format 7: ForwardForConsumer tells owners whose request it is; the queue goes by the consumer's rank, then the binding's; a consumer's idempotency key is one operation on every route.

--- a/crates/bindings/src/check.rs
+++ b/crates/bindings/src/check.rs
@@ -1,7 +1,8 @@
 //! The whole configuration's check. It never stops at the first fault: the operator is told all
 //! of them at once, each with the path of the resource and field it sits in.
 
-use crate::check_fields::{check_binding, check_bounds, check_function, check_plan, check_sheet};
+use crate::check_fields::{check_binding, check_bounds, check_consumer, check_function, check_plan, check_sheet};
+use crate::consumers::Consumer;
 use crate::declarations::{CallerBounds, FunctionDeclaration};
 use crate::resources::{FunctionBinding, HeadcountPlan, Kind, WeightSheet};
 use crate::routes::bare_host;
@@ -42,6 +43,8 @@
     /// Functions that must be declared, with the binding that sends to each.
     needed: Vec<(String, &'a str)>,
     bounds: BTreeMap<&'a str, &'a str>,
+    /// API keys, with the consumer that has each.
+    api_keys: HashMap<String, &'a str>,
 }
 
 /// Checks a configuration whole, by kind/tenant/name; it is in order if nothing is returned.
@@ -102,10 +105,25 @@
                     self.faults.push(fault(key, format!("one to a tenant; another is {other}")));
                 }
             }
+            Some(Kind::Consumer) => {
+                if let Some(consumer) = read::<Consumer>(key, value, faults) {
+                    check_consumer(key, &consumer, faults);
+                    self.consumer(key, consumer);
+                }
+            }
             None => self.faults.push(fault(key, format!("kinds are {}", Kind::words()))),
         }
     }
 
+    /// The fault names no key: keys are told to nobody but their consumer.
+    fn consumer(&mut self, key: &'a str, consumer: Consumer) {
+        for api_key in consumer.keys {
+            if let Some(other) = self.api_keys.insert(api_key, key).filter(|other| *other != key) {
+                self.faults.push(fault(&format!("{key}/keys"), format!("a key is that of {other} too")));
+            }
+        }
+    }
+
     fn binding(&mut self, key: &'a str, tenant: &str, binding: FunctionBinding) {
         let shape = (binding.instance_limit, binding.memory_mb, binding.min, binding.max);
         for (name, _) in binding.functions() {
--- a/crates/bindings/src/check_fields.rs
+++ b/crates/bindings/src/check_fields.rs
@@ -1,6 +1,7 @@
 //! What is allowed in each field of a declared resource, looked at on its own.
 
 use crate::check::{ConfigurationError, NAME, check_name, fault};
+use crate::consumers::Consumer;
 use crate::declarations::{CallerBounds, FunctionDeclaration};
 use crate::resources::{FunctionBinding, HeadcountPlan, WeightSheet};
 use crate::tuning;
@@ -111,3 +112,20 @@
     want("head_ms", bounds.head_ms > 0);
     want("idle_ms", bounds.idle_ms > 0);
 }
+
+/// The longest API key in bytes.
+const MAX_KEY_BYTES: usize = 512;
+
+pub fn check_consumer(key: &str, consumer: &Consumer, faults: &mut Vec<ConfigurationError>) {
+    let mut want = |field: &str, good: bool, allowed: &str| {
+        if !good {
+            faults.push(fault(&format!("{key}/{field}"), allowed));
+        }
+    };
+    let plain =
+        |key: &String| (1..=MAX_KEY_BYTES).contains(&key.len()) && key.bytes().all(|byte| byte.is_ascii_graphic());
+    want("keys", consumer.keys.iter().all(plain), "1 to 512 visible ASCII characters each");
+    let sound = |number: f64| number.is_finite() && number >= 0.0;
+    want("rate_per_s", sound(consumer.rate_per_s), "0 or more");
+    want("burst", sound(consumer.burst), "0 or more");
+}
--- /dev/null
+++ b/crates/bindings/src/consumer_index.rs
@@ -0,0 +1,49 @@
+//! Consumers by their API keys. Keys are held as digests: a look-up compares no byte of a key itself, and
+//! takes as long for an unknown key as for a known one.
+
+use crate::consumers::Consumer;
+use sha2::{Digest, Sha256};
+use std::collections::{BTreeMap, HashMap};
+
+type KeyDigest = [u8; 32];
+
+/// The consumers of one configuration.
+#[derive(Clone, Debug, Default)]
+pub struct ConsumerIndex {
+    by_name: BTreeMap<String, Consumer>,
+    by_key: HashMap<KeyDigest, String>,
+}
+
+fn digest(key: &str) -> KeyDigest {
+    Sha256::digest(key.as_bytes()).into()
+}
+
+impl ConsumerIndex {
+    /// Takes a consumer in, by `tenant/name`.
+    pub(crate) fn insert(&mut self, name: &str, mut consumer: Consumer) {
+        for key in std::mem::take(&mut consumer.keys) {
+            self.by_key.insert(digest(&key), name.to_owned());
+        }
+        self.by_name.insert(name.to_owned(), consumer);
+    }
+
+    /// Whether any consumer is declared, so that requests need a key.
+    pub fn is_empty(&self) -> bool {
+        self.by_name.is_empty()
+    }
+
+    /// The name, as `tenant/name`, of the consumer that a key belongs to.
+    pub fn name_of_key(&self, key: &str) -> Option<&str> {
+        self.by_key.get(&digest(key)).map(String::as_str)
+    }
+
+    /// A consumer by `tenant/name`; its keys are left out.
+    pub fn get(&self, name: &str) -> Option<&Consumer> {
+        self.by_name.get(name)
+    }
+
+    /// All consumers by name; their keys are left out.
+    pub fn iter(&self) -> impl Iterator<Item = (&str, &Consumer)> {
+        self.by_name.iter().map(|(name, consumer)| (name.as_str(), consumer))
+    }
+}
--- a/crates/bindings/src/declarations.rs
+++ b/crates/bindings/src/declarations.rs
@@ -20,6 +20,9 @@
     pub min: u32,
     /// The most instances.
     pub max: u32,
+    /// Whether its instances keep a record of idempotency keys themselves, so that a request whose outcome is in
+    /// doubt may be sent to them again.
+    pub deduplicates: bool,
     /// What the operator keeps beside it; given back as declared.
     pub notes: Map<String, Value>,
 }
@@ -33,6 +36,7 @@
             connections: None,
             min: 0,
             max: 1000,
+            deduplicates: false,
             notes: Map::new(),
         }
     }
--- a/crates/bindings/src/lib.rs
+++ b/crates/bindings/src/lib.rs
@@ -1,11 +1,13 @@
-//! What operators declare: function bindings, weight sheets, headcount plans, functions and bounds on
-//! callers, kept as pairs under `kind/tenant/name`. A configuration is checked whole; every fault is
+//! What operators declare: function bindings, weight sheets, headcount plans, functions, bounds on
+//! callers and consumers with their API keys, kept as pairs under `kind/tenant/name`. A configuration is checked whole; every fault is
 //! told with its path.
 
 #![warn(missing_docs)]
 
 mod check;
 mod check_fields;
+mod consumer_index;
+mod consumers;
 mod declarations;
 mod resources;
 mod routes;
@@ -13,6 +15,8 @@
 mod tuning;
 
 pub use check::{ConfigurationError, check, check_name};
+pub use consumer_index::ConsumerIndex;
+pub use consumers::Consumer;
 pub use declarations::{CallerBounds, FunctionDeclaration};
 pub use resources::{Class, FunctionBinding, HeadcountPlan, Kind, WeightSheet};
 pub use routing::{Function, RouteTable};
--- a/crates/bindings/src/resources.rs
+++ b/crates/bindings/src/resources.rs
@@ -18,12 +18,14 @@
     Function,
     /// Bounds on callers.
     Bounds,
+    /// Whoever calls with one of its API keys.
+    Consumer,
 }
 
 impl Kind {
     /// Every kind.
-    pub const ALL: [Kind; 5] =
-        [Kind::FunctionBinding, Kind::WeightSheet, Kind::HeadcountPlan, Kind::Function, Kind::Bounds];
+    pub const ALL: [Kind; 6] =
+        [Kind::FunctionBinding, Kind::WeightSheet, Kind::HeadcountPlan, Kind::Function, Kind::Bounds, Kind::Consumer];
 
     /// The words of all kinds, as they are told to whoever used another.
     pub fn words() -> String {
@@ -38,6 +40,7 @@
             Kind::HeadcountPlan => "headcount-plans",
             Kind::Function => "functions",
             Kind::Bounds => "bounds",
+            Kind::Consumer => "consumers",
         }
     }
 
@@ -130,6 +133,9 @@
     /// Whether its functions must be declared as resources of their own.
     #[serde(default)]
     pub declared: bool,
+    /// Whether it takes requests without an API key where consumers are declared.
+    #[serde(default)]
+    pub public: bool,
     /// What the operator keeps beside it; given back as declared.
     #[serde(default)]
     pub notes: Map<String, Value>,
--- a/crates/bindings/src/routing.rs
+++ b/crates/bindings/src/routing.rs
@@ -1,6 +1,7 @@
 //! A configuration as a router reads it: routes to bindings, functions with their limits, sheet
 //! and bounds. It is built anew for each revision and shared from then on.
 
+use crate::consumer_index::ConsumerIndex;
 use crate::declarations::{CallerBounds, FunctionDeclaration};
 use crate::resources::{Class, FunctionBinding, HeadcountPlan, Kind, WeightSheet, rank};
 use crate::routes::Routes;
@@ -43,6 +44,8 @@
     pub connections: u32,
     /// The most instances that a task of any of its bindings may be sent to.
     pub attempts: u32,
+    /// Whether its instances keep a record of idempotency keys themselves.
+    pub deduplicates: bool,
 }
 
 /// The configuration of one step, built for look-ups.
@@ -57,6 +60,7 @@
     functions: BTreeMap<String, Function>,
     bounds: Option<CallerBounds>,
     deferred: BTreeSet<String>,
+    consumers: ConsumerIndex,
     raw: BTreeMap<String, Vec<u8>>,
 }
 
@@ -91,6 +95,11 @@
                         table.bounds = Some(table.bounds.take().unwrap_or_default().least(&bounds));
                     }
                 }
+                Some(Kind::Consumer) => {
+                    if let Ok(consumer) = serde_json::from_slice(value) {
+                        table.consumers.insert(name, consumer);
+                    }
+                }
                 None => {}
             }
         }
@@ -159,6 +168,10 @@
     pub fn bounds(&self) -> Option<&CallerBounds> {
         self.bounds.as_ref()
     }
+    /// Whoever calls with an API key.
+    pub fn consumers(&self) -> &ConsumerIndex {
+        &self.consumers
+    }
     /// The resources as they were declared, where they are kept, by kind/tenant/name.
     pub fn declared(&self) -> impl Iterator<Item = (&str, &[u8])> {
         self.raw.iter().map(|(key, value)| (key.as_str(), value.as_slice()))
@@ -204,6 +217,7 @@
             rank: rank(),
             connections: shape.connections.unwrap_or(u32::MAX),
             attempts: 0,
+            deduplicates: shape.deduplicates,
         }
     }
 }
--- a/crates/bindings/tests/check.rs
+++ b/crates/bindings/tests/check.rs
@@ -78,3 +78,28 @@
     let longer = "x".repeat(129);
     assert!(["", "a b", "a/b", "\u{17e}", "a%", &longer].iter().all(|name| !check_name(name)));
 }
+
+#[test]
+fn consumers_keys_and_limits_are_checked_and_no_key_is_told() {
+    let consumer = |keys: &str, more: &str| format!(r#"{{"keys":[{keys}]{more}}}"#);
+    let first = consumer(r#""secret-1","secret-2""#, "");
+    let sharing = consumer(r#""secret-3","secret-2""#, "");
+    let empty = consumer(r#""""#, r#","rate_per_s":-1,"burst":-0.5"#);
+    let unknown = consumer("", r#","colour":"red""#);
+    let pairs = [
+        ("consumers/t/a", first.as_str()),
+        ("consumers/t/b", sharing.as_str()),
+        ("consumers/t/c", empty.as_str()),
+        ("consumers/t/d", unknown.as_str()),
+    ];
+    let expected = [
+        "consumers/t/b/keys",
+        "consumers/t/c/keys",
+        "consumers/t/c/rate_per_s",
+        "consumers/t/c/burst",
+        "consumers/t/d",
+    ];
+    assert_eq!(paths(&pairs), expected);
+    let faults = check(pairs.iter().map(|(key, value)| (*key, value.as_bytes())));
+    assert!(faults.iter().all(|fault| !fault.fault.contains("secret")), "{faults:?}");
+}
--- a/crates/dispatch/src/head.rs
+++ b/crates/dispatch/src/head.rs
@@ -37,7 +37,7 @@
 /// A caller's headers that go on to an instance.
 pub fn lines(map: &HeaderMap, words: &Words) -> List<HeaderField> {
     let headers: Vec<(&str, &[u8])> = map.iter().map(|(name, value)| (name.as_str(), value.as_bytes())).collect();
-    kept(&headers, &[&words.outcome, &words.deadline, &words.pinned])
+    kept(&headers, &[&words.outcome, &words.deadline, &words.pinned, &words.api_key, &words.consumer])
 }
 
 /// An instance's headers that go back to the caller.
--- a/crates/dispatch/src/words.rs
+++ b/crates/dispatch/src/words.rs
@@ -18,6 +18,12 @@
     pub outcome: Option<HeaderName>,
     /// The caller's key of a run-once or deferred task.
     pub key: Option<HeaderName>,
+    /// The caller's API key; instances never see it.
+    pub api_key: Option<HeaderName>,
+    /// With it an instance is told whose request it runs, whatever the caller sent.
+    pub consumer: Option<HeaderName>,
+    /// The name of a consumer as instances are told it.
+    pub consumer_name: fn(&str) -> String,
     /// The path below which the state of deferred tasks can be asked.
     pub task_path: Option<&'static str>,
     /// Whether callers read `Retry-After` in fractions of a second.
@@ -33,6 +39,9 @@
             not_run: None,
             outcome: Some(HeaderName::from_static("heronlink-outcome")),
             key: Some(HeaderName::from_static("idempotency-key")),
+            api_key: Some(HeaderName::from_static("heronlink-key")),
+            consumer: Some(HeaderName::from_static("heronlink-consumer")),
+            consumer_name: str::to_owned,
             task_path: Some("/.heron/tasks/"),
             fractions: false,
         }
--- a/crates/sim/src/callers.rs
+++ b/crates/sim/src/callers.rs
@@ -135,6 +135,7 @@
             },
             body: task.key.clone().into_bytes(),
             key: is_keyed(task.class).then(|| task.key.clone()),
+            api_key: None,
             respond_async: task.class == "deferred" && self.dice.random_bool(0.5),
         };
         self.say(|| format!("task {} ({}) asked at router {n}", task.label, task.class));
--- a/crates/traffic/src/admission.rs
+++ b/crates/traffic/src/admission.rs
@@ -10,8 +10,13 @@
 use std::time::Duration;
 use wire::{ForwardMessage, ForwardRequest, NodeId, Outcome};
 
+/// No binding is named so: the names of its tenant and its own are parted by one slash.
+const CONSUMER_SCOPE: &str = "consumer";
+const RANKS_OF_BINDINGS: u32 = 10_000;
+const MAX_CONSUMER_RANK: u32 = 10_000;
+
 impl FunctionOwner {
-    pub(crate) fn admit(&mut self, from: NodeId, request: ForwardRequest) {
+    pub(crate) fn admit(&mut self, from: NodeId, request: ForwardRequest, consumer: &str) {
         let ForwardRequest { task, function, binding, left_ms, resends, attempts, respond_async, key, head, body } =
             request;
         let id = TaskId { from, task };
@@ -20,6 +25,7 @@
         }
         let bound = self.routes.as_ref().and_then(|routes| routes.binding(binding.as_str())).cloned();
         let service = function.as_str().split_once('/').map_or("", |(_, service)| service);
+        let consumer_rank = self.routes.as_ref().and_then(|routes| routes.consumers().get(consumer)?.rank);
         let scheduler = self.schedulers.get_mut(function.as_str()).filter(|scheduler| scheduler.is_owned);
         let (Some(bound), Some(scheduler)) = (bound, scheduler) else {
             return self.outs.push(OwnerOutput::Forward { to: from, message: ForwardMessage::NotOwner { task } });
@@ -34,7 +40,7 @@
         let spent = again && keyless && (bound.class == Class::Single || !scheduler.budget.try_second(self.now));
         let (scope, digest) = match keyless {
             true => (String::new(), Vec::new()),
-            false => (format!("{}/{}", binding.as_str(), key.as_str()), digest(head.as_slice(), body.as_slice())),
+            false => (scope(binding.as_str(), consumer, key.as_str()), digest(head.as_slice(), body.as_slice())),
         };
         let number = self.number();
         let record = OwnedRequest {
@@ -61,7 +67,7 @@
             failure: None,
             avoid: String::new(),
             reached: again && keyless,
-            rank: if last { LAST } else { bound.rank },
+            rank: if last { LAST } else { rank(consumer_rank, bound.rank) },
             inherits: left_ms + left_ms / 8 < bound.deadline_ms,
         };
         self.tasks.insert(number, record);
@@ -80,6 +86,17 @@
     }
 }
 
+/// Under what a request with a key is one operation: a consumer's key is the same operation on whichever route.
+fn scope(binding: &str, consumer: &str, key: &str) -> String {
+    if consumer.is_empty() { format!("{binding}/{key}") } else { format!("{CONSUMER_SCOPE}/{consumer}/{key}") }
+}
+
+/// The order of the queue: by the consumer's rank, then by the binding's. Who is no consumer goes first.
+fn rank(consumer: Option<u32>, binding: u32) -> u32 {
+    let consumer = consumer.unwrap_or_default().min(MAX_CONSUMER_RANK);
+    consumer * RANKS_OF_BINDINGS + binding.min(RANKS_OF_BINDINGS - 1)
+}
+
 /// What makes a repeat the same request: method, target and body, not the hop's own headers.
 fn digest(head: &[u8], body: &[u8]) -> Vec<u8> {
     let mut hasher = Sha256::new();
--- a/crates/traffic/src/caller_server.rs
+++ b/crates/traffic/src/caller_server.rs
@@ -8,7 +8,7 @@
 use axum::body::{Body, HttpBody};
 use axum::extract::{Request, State};
 use axum::http::request::Parts;
-use axum::http::{HeaderValue, StatusCode, header};
+use axum::http::{HeaderMap, HeaderValue, StatusCode, header};
 use axum::response::Response;
 use axum::routing::any;
 use dispatch::Words;
@@ -85,6 +85,7 @@
             return Err(());
         }
         let asked = words.task_path.is_some() && text(&PREFER).is_some_and(|value| value.contains("respond-async"));
+        let api_key = words.api_key.as_ref().and_then(|name| api_key(&parts.headers, name));
         let host = text(&header::HOST).or(parts.uri.authority().map(|authority| authority.as_str()));
         let deadline = words.deadline.as_ref().and_then(text).and_then(|value| value.trim().parse().ok());
         let target = parts.uri.path_and_query().map_or(path.as_str(), |target| target.as_str());
@@ -99,6 +100,7 @@
             path,
             body,
             key,
+            api_key,
             respond_async: asked,
         })
     }
@@ -155,6 +157,14 @@
 const PREFER: header::HeaderName = header::HeaderName::from_static("prefer");
 const KEEP_ALIVE: header::HeaderName = header::HeaderName::from_static("keep-alive");
 
+/// The API key of a request; empty, as no consumer's is, where it stands there twice or is no text.
+fn api_key(headers: &HeaderMap, name: &header::HeaderName) -> Option<String> {
+    let mut values = headers.get_all(name).iter();
+    let first = values.next()?;
+    let alone = values.next().is_none();
+    Some(first.to_str().ok().filter(|_| alone).unwrap_or_default().to_owned())
+}
+
 fn retry_after(after: Duration, fractions: bool) -> HeaderValue {
     if fractions {
         let seconds = format!("{:.3}", after.as_secs_f64().max(0.05));
--- a/crates/traffic/src/caller_server_tests.rs
+++ b/crates/traffic/src/caller_server_tests.rs
@@ -24,6 +24,9 @@
         not_run: name("x-not-run"),
         outcome: None,
         key: None,
+        api_key: name("x-api-key"),
+        consumer: name("x-consumer"),
+        consumer_name: str::to_owned,
         task_path: None,
         fractions: true,
     }
--- a/crates/traffic/src/forwarding.rs
+++ b/crates/traffic/src/forwarding.rs
@@ -20,6 +20,8 @@
         if due || !self.may_forward_to(owner) {
             return;
         }
+        let Some(record) = self.table.get(&task) else { return };
+        let head = self.head_for_instance(&record.call.head, &record.consumer);
         let Some(record) = self.table.get_mut(&task) else { return };
         self.next += 1;
         self.by_forward.remove(&record.forward);
@@ -35,10 +37,14 @@
             attempts: record.attempts.forward(),
             respond_async: record.call.respond_async as u8,
             key: record.key.as_str().into(),
-            head: wire::to_bytes(&record.call.head).into(),
+            head: wire::to_bytes(&head).into(),
             body: record.call.body.clone().into(),
         };
-        let message = ForwardMessage::Forward { request: Box::new(request) };
+        let request = Box::new(request);
+        let message = match record.consumer.as_str() {
+            "" => ForwardMessage::Forward { request },
+            consumer => ForwardMessage::ForwardForConsumer { request, consumer: consumer.into() },
+        };
         self.outs.push(FrontOutput::Forward { to: owner, message });
     }
 
--- a/crates/traffic/src/front.rs
+++ b/crates/traffic/src/front.rs
@@ -3,6 +3,7 @@
 //! truth: what the owner said, `not-run` only if it was never forwarded, `unknown` when in doubt.
 
 use crate::attempt_count::AttemptCount;
+use crate::front_consumers::identify;
 use crate::front_types::{Call, FrontInput, FrontLimits, FrontOutput, Record, Reply, Stage};
 use crate::owner_liveness::Watched;
 use bindings::{Class, RouteTable};
@@ -128,6 +129,7 @@
             binding: String::new(),
             function: String::new(),
             tenant: String::new(),
+            consumer: String::new(),
             class: None,
             started_at: self.now,
             due: self.now + DEFAULT_DEADLINE,
@@ -189,6 +191,11 @@
             self.answer(task, Reply::own(404, None, "no such route"));
             return false;
         };
+        let caller = identify(&routes, binding, &record.call);
+        if !self.authenticate(task, caller) {
+            return false;
+        }
+        let Some(record) = self.table.get_mut(&task) else { return false };
         let tenant = name.split('/').next().unwrap_or_default();
         if record.binding != name {
             if record.tenant != tenant {
--- /dev/null
+++ b/crates/traffic/src/front_consumers.rs
@@ -0,0 +1,58 @@
+//! Whose request it is: a consumer is known by its API key alone, looked up anew whenever a waiting request is tried,
+//! so that a key that was taken away admits nothing more.
+
+use crate::front::Front;
+use crate::front_types::{Call, Reply};
+use bindings::{FunctionBinding, RouteTable};
+use wire::{HeaderField, RequestHead};
+
+/// What a request's API key says.
+pub(crate) enum Caller {
+    /// A consumer, by `tenant/name`.
+    Consumer(String),
+    /// Nobody in particular, on a route that asks for no key.
+    Anonymous,
+    /// No consumer has the key, or there is none where one is needed.
+    Unknown,
+}
+
+pub(crate) fn identify(routes: &RouteTable, binding: &FunctionBinding, call: &Call) -> Caller {
+    let consumers = routes.consumers();
+    let known = call.api_key.as_ref().and_then(|key| consumers.name_of_key(key));
+    match known {
+        Some(name) => Caller::Consumer(name.to_owned()),
+        None if binding.public || consumers.is_empty() => Caller::Anonymous,
+        None => Caller::Unknown,
+    }
+}
+
+impl Front {
+    /// Notes whose request it is. One that nobody may make is answered, unless it may have run.
+    pub(crate) fn authenticate(&mut self, task: u64, caller: Caller) -> bool {
+        let Some(record) = self.table.get_mut(&task) else { return false };
+        match caller {
+            Caller::Consumer(name) => record.consumer = name,
+            Caller::Anonymous => record.consumer.clear(),
+            Caller::Unknown => {
+                if !record.doubt {
+                    self.answer(task, Reply::own(401, None, "no consumer has this key"));
+                }
+                return false;
+            }
+        }
+        true
+    }
+
+    /// The head as an instance is to see it.
+    pub(crate) fn head_for_instance(&self, head: &RequestHead, consumer: &str) -> RequestHead {
+        let mut head = head.clone();
+        if let Some(header) = self.limits.consumer_header.as_ref().filter(|_| !consumer.is_empty()) {
+            let name = consumer.split_once('/').map_or(consumer, |(_, name)| name);
+            let value = (header.value)(name).into_bytes().into();
+            let mut headers = head.headers.into_vec();
+            headers.push(HeaderField { name: header.name.as_str().into(), value });
+            head.headers = headers.into();
+        }
+        head
+    }
+}
--- a/crates/traffic/src/front_types.rs
+++ b/crates/traffic/src/front_types.rs
@@ -16,6 +16,8 @@
     pub head: RequestHead,
     pub body: Vec<u8>,
     pub key: Option<String>,
+    /// Empty for one that cannot be any consumer's.
+    pub api_key: Option<String>,
     pub respond_async: bool,
 }
 
@@ -55,6 +57,14 @@
     Forward { to: NodeId, message: ForwardMessage },
 }
 
+/// How instances are told whose request they run.
+#[derive(Clone, Debug)]
+pub struct ConsumerHeader {
+    pub name: String,
+    /// The name of a consumer as instances know it.
+    pub value: fn(&str) -> String,
+}
+
 #[derive(Clone, Debug)]
 pub struct FrontLimits {
     pub table: usize,
@@ -63,6 +73,7 @@
     pub slack: Duration,
     /// From an owner's last heartbeat until it or another is the owner again, as a rule.
     pub back: Duration,
+    pub consumer_header: Option<ConsumerHeader>,
 }
 
 impl Default for FrontLimits {
@@ -73,6 +84,7 @@
             margin: Duration::from_millis(150),
             slack: Duration::from_millis(400),
             back: Duration::from_millis(2200),
+            consumer_header: None,
         }
     }
 }
@@ -91,6 +103,8 @@
     pub binding: String,
     pub function: String,
     pub tenant: String,
+    /// Whose request it is, as `tenant/name`; empty for no consumer's.
+    pub consumer: String,
     pub class: Option<Class>,
     pub started_at: Duration,
     pub due: Duration,
--- a/crates/traffic/src/function_owner.rs
+++ b/crates/traffic/src/function_owner.rs
@@ -104,9 +104,14 @@
         match input {
             OwnerInput::Forward {
                 from,
-                message: message @ (ForwardMessage::ForwardUncounted { .. } | ForwardMessage::Forward { .. }),
+                message:
+                    message @ (ForwardMessage::ForwardUncounted { .. }
+                    | ForwardMessage::Forward { .. }
+                    | ForwardMessage::ForwardForConsumer { .. }),
             } => {
-                message.into_forwarded().into_iter().for_each(|request| self.admit(from, request));
+                if let Some((request, consumer)) = message.into_forwarded() {
+                    self.admit(from, request, consumer.as_str());
+                }
             }
             OwnerInput::Forward { from, message: ForwardMessage::AttemptGrant { task, attempts } } => {
                 self.attempts_granted(from, task, attempts);
--- a/crates/traffic/src/service.rs
+++ b/crates/traffic/src/service.rs
@@ -10,7 +10,7 @@
 use crate::dialect::Dialect;
 use crate::errors::RunError;
 use crate::front::Front;
-use crate::front_types::FrontLimits;
+use crate::front_types::{ConsumerHeader, FrontLimits};
 use crate::function_owner::FunctionOwner;
 use crate::ops::{Views, ops_router};
 use crate::owner_types::OwnerTiming;
@@ -71,6 +71,11 @@
         address: settings.address.clone(),
         format: settings.format,
     };
+    let consumer_header = dialect
+        .words
+        .consumer
+        .as_ref()
+        .map(|name| ConsumerHeader { name: name.as_str().to_owned(), value: dialect.words.consumer_name });
     let (words, door_words) = (dialect.words.clone(), Arc::new(dialect.words));
     let provider = dialect.provider;
     let (names, address) = (directory.clone(), settings.platform.clone());
@@ -89,7 +94,7 @@
     let (own_limits, server_limits) = (limits.clone(), limits.server);
     let (link_names, names, cell) = (directory.clone(), directory.clone(), pass.clone());
     let back = settings.hold + settings.hold / 6 + TAKING_OVER;
-    let front_limits = FrontLimits { back, ..FrontLimits::default() };
+    let front_limits = FrontLimits { back, consumer_header, ..FrontLimits::default() };
     let timing = OwnerTiming {
         starts_per_second: settings.starts_per_second,
         start_gb_seconds: settings.start_gb_seconds,
--- /dev/null
+++ b/crates/traffic/tests/consumers.rs
@@ -0,0 +1,89 @@
+//! Whose request it is: the API key alone says so, as it stands in the newest configuration.
+
+mod common;
+
+use bindings::RouteTable;
+use common::{OTHER, front, ms, reply};
+use std::rc::Rc;
+use test_case::test_case;
+use traffic::{Call, ConsumerHeader, Front, FrontInput, FrontLimits, FrontOutput};
+use wire::{ForwardMessage, ForwardRequest, RequestHead};
+
+fn routes(revision: u64, keys: &str) -> Rc<RouteTable> {
+    let consumer = format!(r#"{{"keys":[{keys}],"rank":1}}"#);
+    let pairs: [(&str, &[u8]); 3] = [
+        ("function-bindings/t/closed", br#"{"route":"/t/closed","function":"f","class":"once"}"#),
+        ("function-bindings/t/open", br#"{"route":"/t/open","function":"f","class":"ordinary","public":true}"#),
+        ("consumers/t/ada", consumer.as_bytes()),
+    ];
+    Rc::new(RouteTable::build(revision, revision, pairs.into_iter()))
+}
+
+fn front_with_header() -> Front {
+    let consumer_header = Some(ConsumerHeader { name: "x-consumer".into(), value: str::to_uppercase });
+    let limits = FrontLimits { consumer_header, ..FrontLimits::default() };
+    let mut front = Front::new(common::ME, 1, limits);
+    front.step(ms(0), true, FrontInput::Membership { membership: common::membership(1, &[OTHER]) });
+    front.step(ms(0), true, FrontInput::Link { id: OTHER, up: true });
+    front.step(ms(0), true, FrontInput::RouteTable { routes: routes(1, r#""k-1""#) });
+    front
+}
+
+fn ask(front: &mut Front, at: u64, may_serve: bool, path: &str, api_key: Option<&str>) -> Vec<FrontOutput> {
+    let head = RequestHead { method: "POST".into(), target: path.into(), headers: Vec::new().into() };
+    let api_key = api_key.map(str::to_owned);
+    let (host, path, key) = (String::new(), path.to_owned(), Some("order-7".to_owned()));
+    let call = Call { host, path, deadline: None, head, body: Vec::new(), key, api_key, respond_async: false };
+    front.step(ms(at), may_serve, FrontInput::Task { request_id: at, call })
+}
+
+fn forwarded(outputs: &[FrontOutput]) -> Option<(ForwardRequest, String)> {
+    outputs.iter().find_map(|output| match output {
+        FrontOutput::Forward { message, .. } => {
+            message.clone().into_forwarded().map(|(request, consumer)| (request, consumer.as_str().to_owned()))
+        }
+        FrontOutput::Reply { .. } => None,
+    })
+}
+
+fn headers(request: &ForwardRequest) -> Vec<(String, Vec<u8>)> {
+    let head: RequestHead = wire::from_bytes(request.head.as_slice()).expect("a head");
+    head.headers.iter().map(|field| (field.name.as_str().to_owned(), field.value.as_slice().to_vec())).collect()
+}
+
+#[test]
+fn a_consumer_is_known_by_its_key_and_named_to_instances() {
+    let mut front = front_with_header();
+    let (request, consumer) = forwarded(&ask(&mut front, 1, true, "/t/closed", Some("k-1"))).expect("it is forwarded");
+    assert_eq!(consumer, "t/ada");
+    assert_eq!(headers(&request), [("x-consumer".to_owned(), b"ADA".to_vec())]);
+}
+
+#[test_case(None; "without a key")]
+#[test_case(Some("k-2"); "with a key of nobody")]
+#[test_case(Some(""); "with two keys or none that can be read")]
+fn nobody_in_particular_gets_to_public_routes_only(api_key: Option<&str>) {
+    let mut front = front_with_header();
+    let refused = ask(&mut front, 1, true, "/t/closed", api_key);
+    assert_eq!(reply(&refused).map(|reply| reply.status), Some(401));
+    let (request, consumer) = forwarded(&ask(&mut front, 2, true, "/t/open", api_key)).expect("it is forwarded");
+    assert_eq!((consumer.as_str(), headers(&request).len()), ("", 0));
+}
+
+#[test]
+fn a_key_that_was_taken_away_admits_no_queued_request() {
+    let mut front = front_with_header();
+    let queued = ask(&mut front, 1, false, "/t/closed", Some("k-1"));
+    assert!(queued.is_empty(), "without a lease it waits");
+    front.step(ms(2), false, FrontInput::RouteTable { routes: routes(2, r#""k-2""#) });
+    let outputs = front.step(ms(40), true, FrontInput::Tick);
+    assert_eq!(reply(&outputs).map(|reply| reply.status), Some(401));
+    assert!(forwarded(&outputs).is_none());
+}
+
+#[test]
+fn without_consumers_no_key_is_asked_for() {
+    let mut front = front(1, OTHER);
+    let outputs = common::send_request(&mut front, 1, true, "/t/f");
+    assert!(matches!(&outputs[0], FrontOutput::Forward { message: ForwardMessage::Forward { .. }, .. }));
+}
--- a/crates/wire/src/downgrade.rs
+++ b/crates/wire/src/downgrade.rs
@@ -8,8 +8,9 @@
 //! | 4 | epochs and configurations in packed parts, changes of the membership, capacities, the inventory |
 //! | 5 | attempts granted with a forward, and reports on what earlier tails granted |
 //! | 6 | announcements of planned stops of registries |
+//! | 7 | whose request is forwarded |
 
-use crate::codec::{ATTEMPTS, CAPACITY, DEPARTURES};
+use crate::codec::{ATTEMPTS, CAPACITY, CONSUMERS, DEPARTURES};
 use crate::{ChainMessage, ForwardMessage, ForwardRequest, LeaseMessage, Message, PlanMessage, Text};
 
 /// The format that first told times to come back in milliseconds.
@@ -20,6 +21,9 @@
 /// The message as a peer that understands only this format is sent it, if there is a way to say it.
 pub fn downgrade(message: Message, format: u16) -> Option<Message> {
     let mut message = message;
+    if format < CONSUMERS {
+        message = without_consumers(message);
+    }
     if format < DEPARTURES && matches!(message, Message::Chain(ChainMessage::Leaving { .. })) {
         return None;
     }
@@ -38,6 +42,15 @@
     Some(message)
 }
 
+fn without_consumers(message: Message) -> Message {
+    match message {
+        Message::Forward(ForwardMessage::ForwardForConsumer { request, .. }) => {
+            Message::Forward(ForwardMessage::Forward { request })
+        }
+        same => same,
+    }
+}
+
 fn without_attempts(message: Message) -> Option<Message> {
     let older = match message {
         Message::Forward(ForwardMessage::Forward { request }) => Message::Forward(uncounted(*request)),
--- a/crates/wire/src/forward.rs
+++ b/crates/wire/src/forward.rs
@@ -1,7 +1,7 @@
 //! What routers say to each other about tasks: forwarding one to its function's owner, the whole
 //! answer on the way back, and the table a leaving owner hands to its successor.
 
-use crate::{Blob, InventoryChange, List, Text};
+use crate::{Blob, ForwardRequest, InventoryChange, List, Text};
 use deku::prelude::*;
 
 /// What may be believed about a request that is answered.
@@ -108,37 +108,6 @@
     pub is_started_complete: u8,
 }
 
-/// A request forwarded to its function's owner, with the number of attempts that its front grants.
-#[derive(Clone, Debug, PartialEq, Eq, DekuRead, DekuWrite)]
-pub struct ForwardRequest {
-    /// The front's number of it.
-    pub task: u64,
-    /// Tenant and name.
-    pub function: Text,
-    /// The binding that its route led to.
-    pub binding: Text,
-    /// The time that is left for it.
-    pub left_ms: u32,
-    /// How often the front forwarded it before.
-    pub resends: u8,
-    /// To how many instances the owner may send it before it asks for more; `UNCOUNTED` if the front
-    /// does not count.
-    pub attempts: u32,
-    /// Not 0 if the caller takes an answer that it is stored.
-    pub respond_async: u8,
-    /// The run-once key, empty for none.
-    pub key: Text,
-    /// Method, target and headers.
-    pub head: Blob,
-    /// The body.
-    pub body: Blob,
-}
-
-impl ForwardRequest {
-    /// As many attempts as the binding allows.
-    pub const UNCOUNTED: u32 = 0;
-}
-
 /// What routers say to each other about requests. `task` is the front's number of a request.
 #[derive(Clone, Debug, PartialEq, Eq, DekuRead, DekuWrite)]
 #[deku(id_type = "u8")]
@@ -198,6 +167,9 @@
     /// `NotOwner` for what was sent to so many instances, none of which ran it.
     #[deku(id = "15")]
     Returned { task: u64, attempts: u32 },
+    /// `Forward` of a consumer's request, by tenant and name.
+    #[deku(id = "16")]
+    ForwardForConsumer { request: Box<ForwardRequest>, consumer: Text },
 }
 
 impl ForwardMessage {
@@ -213,38 +185,4 @@
                 | ForwardMessage::Heartbeat
         )
     }
-
-    /// The request that is forwarded, if one is, by a front that counts its attempts or by an older one.
-    pub fn into_forwarded(self) -> Option<ForwardRequest> {
-        match self {
-            ForwardMessage::Forward { request } => Some(*request),
-            ForwardMessage::ForwardUncounted {
-                task,
-                function,
-                binding,
-                left_ms,
-                resends,
-                respond_async,
-                key,
-                head,
-                body,
-            } => {
-                let attempts = ForwardRequest::UNCOUNTED;
-                let request = ForwardRequest {
-                    task,
-                    function,
-                    binding,
-                    left_ms,
-                    resends,
-                    attempts,
-                    respond_async,
-                    key,
-                    head,
-                    body,
-                };
-                Some(request)
-            }
-            _ => None,
-        }
-    }
 }
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -7,6 +7,7 @@
 mod commands;
 mod downgrade;
 mod forward;
+mod forward_request;
 mod inventory;
 mod lease;
 mod packed;
@@ -15,14 +16,16 @@
 
 pub use chain::{ChainMessage, KeyValue, LogEntry, NodeAddress, ProposalId, View};
 pub use codec::{
-    ATTEMPTS, CAPACITY, FORMAT, Frame, FrameError, LIMIT, Message, OLDEST, decode, encode, read_frame, write_frame,
+    ATTEMPTS, CAPACITY, CONSUMERS, FORMAT, Frame, FrameError, LIMIT, Message, OLDEST, decode, encode, read_frame,
+    write_frame,
 };
 pub use commands::{Capacity, ClaimRecord, ClaimState, Command, CommandReply, DeferredRecord, OpRecord};
 pub use downgrade::downgrade;
 pub use forward::{
-    AnswerHead, ForwardMessage, ForwardRequest, HeaderField, InstanceSlots, Outcome, OwnershipTable, RequestHead,
-    StoredAnswer, StoredRequest,
+    AnswerHead, ForwardMessage, HeaderField, InstanceSlots, Outcome, OwnershipTable, RequestHead, StoredAnswer,
+    StoredRequest,
 };
+pub use forward_request::ForwardRequest;
 pub use inventory::{InstanceRecord, InventoryChange, WorkerRecord};
 pub use lease::{ConfigurationEpoch, ConfigurationItem, LeaseMessage, ProofAge};
 pub use packed::{Packed, pack, unpack};
--- a/crates/wire/tests/downgrade.rs
+++ b/crates/wire/tests/downgrade.rs
@@ -39,7 +39,7 @@
         head: vec![1].into(),
         body: vec![2].into(),
     };
-    let request = forward.clone().into_forwarded().expect("a forward");
+    let (request, _) = forward.clone().into_forwarded().expect("a forward");
     assert_eq!(request.attempts, ForwardRequest::UNCOUNTED);
     let counted = ForwardMessage::Forward { request: Box::new(ForwardRequest { attempts: 1, ..request }) };
     let heard = |message: ForwardMessage, format| downgrade(Message::Forward(message), format);
@@ -51,6 +51,26 @@
     assert_eq!(heard(ForwardMessage::AttemptGrant { task: 9, attempts: 2 }, 4), None);
 }
 
+#[test]
+fn formats_before_seven_hear_of_no_consumers() {
+    let request = ForwardRequest {
+        task: 9,
+        function: "t/f".into(),
+        binding: "t/b".into(),
+        left_ms: 700,
+        resends: 1,
+        attempts: 1,
+        respond_async: 0,
+        key: "k".into(),
+        head: Blob::default(),
+        body: Blob::default(),
+    };
+    let whose = ForwardMessage::ForwardForConsumer { request: Box::new(request.clone()), consumer: "t/c".into() };
+    let plain = ForwardMessage::Forward { request: Box::new(request) };
+    assert_eq!(downgrade(Message::Forward(whose.clone()), 6), Some(Message::Forward(plain)));
+    assert_eq!(downgrade(Message::Forward(whose.clone()), 7), Some(Message::Forward(whose)));
+}
+
 #[test]
 fn formats_before_four_fetch_the_configuration_unpacked() {
     let part_request = |offset| Message::Lease(LeaseMessage::PartRequest { request_id: 7, full: 1, number: 0, offset });
--- a/crates/wire/tests/samples/forward.rs
+++ b/crates/wire/tests/samples/forward.rs
@@ -99,6 +99,7 @@
         AttemptRequest { task: 236, attempts: 237 },
         AttemptGrant { task: 238, attempts: 239 },
         Returned { task: 240, attempts: 241 },
+        ForwardForConsumer { request: Box::new(request()), consumer: "t/c".into() },
     ]
     .into_iter()
     .map(|message| frame(Message::Forward(message)))
