Let operators say that requests need an API key even where no consumer is left

Cause: a router asked for API keys only while some consumer was declared. The removal of the last consumer, as by a revocation, would have opened every route to anybody.

Change: a field 'keys_required' of a tenant's bounds on callers; with several tenants the strictest counts. A router asks for keys if it is set or if any consumer is declared. Left out it changes nothing.

Ruled out: a kind of its own (one flag, and bounds on callers are the place for what callers must do); a consumer kept as a mark (the operator would see a tenant nobody declared).

--- a/crates/bindings/src/consumer_index.rs
+++ b/crates/bindings/src/consumer_index.rs
@@ -27,7 +27,7 @@
         self.by_name.insert(name.to_owned(), consumer);
     }
 
-    /// Whether any consumer is declared, so that requests need a key.
+    /// Whether no consumer is declared.
     pub fn is_empty(&self) -> bool {
         self.by_name.is_empty()
     }
--- a/crates/bindings/src/declarations.rs
+++ b/crates/bindings/src/declarations.rs
@@ -54,6 +54,8 @@
     pub head_ms: u32,
     /// How long a connection may stay idle.
     pub idle_ms: u32,
+    /// Whether requests need an API key even if no consumer is declared.
+    pub keys_required: bool,
     /// What the operator keeps beside it; given back as declared.
     pub notes: Map<String, Value>,
 }
@@ -61,18 +63,26 @@
 impl Default for CallerBounds {
     fn default() -> Self {
         let none = u32::MAX;
-        CallerBounds { head_bytes: none, body_bytes: none, head_ms: none, idle_ms: none, notes: Map::new() }
+        CallerBounds {
+            head_bytes: none,
+            body_bytes: none,
+            head_ms: none,
+            idle_ms: none,
+            keys_required: false,
+            notes: Map::new(),
+        }
     }
 }
 
 impl CallerBounds {
-    /// The least of each bound, where several tenants declare their own.
+    /// The strictest of each bound, where several tenants declare their own.
     pub fn least(&self, other: &CallerBounds) -> CallerBounds {
         CallerBounds {
             head_bytes: self.head_bytes.min(other.head_bytes),
             body_bytes: self.body_bytes.min(other.body_bytes),
             head_ms: self.head_ms.min(other.head_ms),
             idle_ms: self.idle_ms.min(other.idle_ms),
+            keys_required: self.keys_required || other.keys_required,
             notes: Map::new(),
         }
     }
--- a/crates/bindings/src/resources.rs
+++ b/crates/bindings/src/resources.rs
@@ -133,7 +133,7 @@
     /// Whether its functions must be declared as resources of their own.
     #[serde(default)]
     pub declared: bool,
-    /// Whether it takes requests without an API key where consumers are declared.
+    /// Whether it takes requests without an API key where others need one.
     #[serde(default)]
     pub public: bool,
     /// What the operator keeps beside it; given back as declared.
--- a/crates/bindings/src/routing.rs
+++ b/crates/bindings/src/routing.rs
@@ -172,6 +172,10 @@
     pub fn consumers(&self) -> &ConsumerIndex {
         &self.consumers
     }
+    /// Whether requests need an API key on routes that aren't public.
+    pub fn keys_required(&self) -> bool {
+        !self.consumers.is_empty() || self.bounds.as_ref().is_some_and(|bounds| bounds.keys_required)
+    }
     /// The resources as they were declared, where they are kept, by kind/tenant/name.
     pub fn declared(&self) -> impl Iterator<Item = (&str, &[u8])> {
         self.raw.iter().map(|(key, value)| (key.as_str(), value.as_slice()))
--- a/crates/traffic/src/front_consumers.rs
+++ b/crates/traffic/src/front_consumers.rs
@@ -17,11 +17,10 @@
 }
 
 pub(crate) fn identify(routes: &RouteTable, binding: &FunctionBinding, call: &Call) -> Caller {
-    let consumers = routes.consumers();
-    let known = call.api_key.as_ref().and_then(|key| consumers.name_of_key(key));
+    let known = call.api_key.as_ref().and_then(|key| routes.consumers().name_of_key(key));
     match known {
         Some(name) => Caller::Consumer(name.to_owned()),
-        None if binding.public || consumers.is_empty() => Caller::Anonymous,
+        None if binding.public || !routes.keys_required() => Caller::Anonymous,
         None => Caller::Unknown,
     }
 }
--- a/crates/traffic/tests/consumers.rs
+++ b/crates/traffic/tests/consumers.rs
@@ -87,3 +87,20 @@
     let outputs = common::send_request(&mut front, 1, true, "/t/f");
     assert!(matches!(&outputs[0], FrontOutput::Forward { message: ForwardMessage::Forward { .. }, .. }));
 }
+
+#[test]
+fn the_removal_of_the_last_consumer_opens_no_route() {
+    let mut front = front_with_header();
+    let pairs: [(&str, &[u8]); 3] = [
+        ("function-bindings/t/closed", br#"{"route":"/t/closed","function":"f","class":"once"}"#),
+        ("function-bindings/t/open", br#"{"route":"/t/open","function":"f","class":"ordinary","public":true}"#),
+        ("bounds/t/limits", br#"{"keys_required":true}"#),
+    ];
+    let emptied = Rc::new(RouteTable::build(2, 2, pairs.into_iter()));
+    front.step(ms(1), true, FrontInput::RouteTable { routes: emptied });
+    for (at, key) in [(2, None), (3, Some("k-1"))] {
+        let refused = ask(&mut front, at, true, "/t/closed", key);
+        assert_eq!(reply(&refused).map(|reply| reply.status), Some(401), "{key:?}");
+    }
+    assert!(forwarded(&ask(&mut front, 4, true, "/t/open", None)).is_some());
+}
