Tell no API key in the fault of a consumer that can't be read

Cause: a consumer that could not be parsed was answered with the parser's own words, which quote the value: of '"keys": "secret"' the fault was 'invalid type: string "secret", expected a sequence'. It went to whoever sent the change, and would go to logs once invalid changes are logged.

Change: such a consumer's fault lists the fields and their sorts. The faults of other kinds are as they were.

--- a/crates/bindings/src/check.rs
+++ b/crates/bindings/src/check.rs
@@ -28,6 +28,8 @@
 
 pub(crate) const NAME: &str = "1 to 128 letters, digits, '.', '_' or '-'";
 
+const CONSUMER: &str = "an object of keys, a list of texts; rate_per_s, burst and rank, numbers; notes, an object";
+
 /// Whether a word may name a tenant or a resource.
 pub fn check_name(name: &str) -> bool {
     let plain = |c: char| c.is_ascii_alphanumeric() || "._-".contains(c);
@@ -106,10 +108,12 @@
                 }
             }
             Some(Kind::Consumer) => {
-                if let Some(consumer) = read::<Consumer>(key, value, faults) {
-                    check_consumer(key, &consumer, faults);
-                    self.consumer(key, consumer);
-                }
+                // What the parser tells of a value may hold a key.
+                let Ok(consumer) = serde_json::from_slice::<Consumer>(value) else {
+                    return faults.push(fault(key, CONSUMER));
+                };
+                check_consumer(key, &consumer, faults);
+                self.consumer(key, consumer);
             }
             None => self.faults.push(fault(key, format!("kinds are {}", Kind::words()))),
         }
--- a/crates/bindings/tests/check.rs
+++ b/crates/bindings/tests/check.rs
@@ -79,6 +79,15 @@
     assert!(["", "a b", "a/b", "\u{17e}", "a%", &longer].iter().all(|name| !check_name(name)));
 }
 
+#[test]
+fn a_consumer_that_cannot_be_read_tells_no_key() {
+    for value in [r#"{"keys":"secret-1"}"#, r#"{"keys":[],"secret-2":1}"#, r#"{"rank":"secret-3"}"#] {
+        let faults = check([("consumers/t/a", value.as_bytes())].into_iter());
+        assert_eq!((faults.len(), faults[0].path.as_str()), (1, "consumers/t/a"));
+        assert!(!faults[0].fault.contains("secret"), "{faults:?}");
+    }
+}
+
 #[test]
 fn consumers_keys_and_limits_are_checked_and_no_key_is_told() {
     let consumer = |keys: &str, more: &str| format!(r#"{{"keys":[{keys}]{more}}}"#);
