Log and count changes of the configuration that are refused as invalid

The registry's own API logged rejections at info, below the level that the deployments run at, and only those of its core; the platform's pages logged none.

Change: E0305 at warn with the faults, up to 500 characters, invalid_changes in the status and heronlink_registry_invalid_changes_total. Noted are changes that the core refuses with 400, 403, 409 or 422, and those that the pages of either dialect can't read, also a kind that an older release doesn't know. Not noted: a race that was lost (412), 503, dry runs that reach the core, calls without a token. Pages hand a fault to the control thread by a call, so that the count is the core's and no thread shares it. A body that can't be read is now answered 401 first where the token is missing.

Ruled out: raising E0303 to warn (it is logged for lost races too, and alarms go by its level); counting in the core where an entry is refused (the adapter asks the chain by a change that can never be taken, which isn't the operator's).

--- a/crates/control/src/api.rs
+++ b/crates/control/src/api.rs
@@ -61,6 +61,15 @@
 }
 
 impl Api {
+    /// Refuses a change that can't be read, and notes it if it is an operator's.
+    async fn refuse_change(&self, headers: &HeaderMap, status: u16, detail: &str) -> Response {
+        if self.scope(headers).is_none() {
+            return refuse(401, "a bearer token is needed");
+        }
+        self.operators.note_invalid(detail).await;
+        refuse(status, detail)
+    }
+
     pub(crate) fn scope(&self, headers: &HeaderMap) -> Option<String> {
         self.tokens.scope(headers.get(header::AUTHORIZATION).and_then(|value| value.to_str().ok()))
     }
@@ -87,7 +96,7 @@
             Some(_) => return refuse(400, "Revision is the number the change declares, 1 or more"),
         };
         let call = ApiCall::Change { op: op.clone(), base, revision, full, scope, items, dry };
-        let reply = self.operators.call(call).await;
+        let reply = if dry { self.operators.call(call).await } else { self.operators.change(call).await };
         if reply.status != 200 {
             events::event!(change_rejected, "operation {op}: {}", reply.status);
         }
@@ -144,7 +153,9 @@
     uri: Uri,
     body: Bytes,
 ) -> Response {
-    let Ok(value) = serde_json::from_slice::<Value>(&body) else { return refuse(400, "the body is not JSON") };
+    let Ok(value) = serde_json::from_slice::<Value>(&body) else {
+        return api.refuse_change(&headers, 400, "the body is not JSON").await;
+    };
     api.change(&headers, &uri, false, vec![item(&format!("{kind}/{tenant}/{name}"), Some(&value))]).await
 }
 
@@ -159,7 +170,7 @@
 
 async fn replace(State(api): State<Api>, headers: HeaderMap, uri: Uri, body: Bytes) -> Response {
     let Ok(Value::Object(full)) = serde_json::from_slice::<Value>(&body) else {
-        return refuse(400, "the body is not a JSON object");
+        return api.refuse_change(&headers, 400, "the body is not a JSON object").await;
     };
     let mut items = Vec::new();
     for (kind, list) in &full {
@@ -167,7 +178,9 @@
             continue;
         }
         let (Some(_), Value::Object(list)) = (Kind::from_word(kind), list) else {
-            return refuse(422, &format!("{kind}: kinds are {}, each an object", Kind::words()));
+            return api
+                .refuse_change(&headers, 422, &format!("{kind}: kinds are {}, each an object", Kind::words()))
+                .await;
         };
         items.extend(list.iter().map(|(name, value)| item(&format!("{kind}/{name}"), Some(value))));
     }
@@ -176,21 +189,25 @@
 
 async fn patch(State(api): State<Api>, headers: HeaderMap, uri: Uri, body: Bytes) -> Response {
     let Ok(patch) = serde_json::from_slice::<Map<String, Value>>(&body) else {
-        return refuse(400, "the body is not a JSON object");
+        return api.refuse_change(&headers, 400, "the body is not a JSON object").await;
     };
     if let Some(odd) = patch.keys().find(|key| !["name", "set", "remove"].contains(&key.as_str())) {
-        return refuse(422, &format!("{odd}: a patch has name, set and remove"));
+        return api.refuse_change(&headers, 422, &format!("{odd}: a patch has name, set and remove")).await;
     }
     let mut items = Vec::new();
     match patch.get("set") {
         None => {}
         Some(Value::Object(list)) => items.extend(list.iter().map(|(key, value)| item(key, Some(value)))),
-        Some(_) => return refuse(422, "set: an object of kind/tenant/name to resource"),
+        Some(_) => return api.refuse_change(&headers, 422, "set: an object of kind/tenant/name to resource").await,
     }
     match patch.get("remove") {
         None => {}
         Some(Value::Array(list)) => items.extend(list.iter().filter_map(Value::as_str).map(|key| item(key, None))),
-        Some(_) => return refuse(422, "remove: a list of kind/tenant/name"),
+        Some(_) => return api.refuse_change(&headers, 422, "remove: a list of kind/tenant/name").await,
     }
     api.change(&headers, &uri, false, items).await
 }
+
+#[cfg(test)]
+#[path = "api_tests.rs"]
+mod api_tests;
--- a/crates/control/src/api_calls.rs
+++ b/crates/control/src/api_calls.rs
@@ -26,6 +26,10 @@
     Operation {
         op: String,
     },
+    /// A change was refused as invalid, here or by the pages it was sent to: it is counted and logged.
+    NoteInvalid {
+        fault: String,
+    },
     Status,
 }
 
--- /dev/null
+++ b/crates/control/src/api_tests.rs
@@ -0,0 +1,72 @@
+//! Which refused changes are noted as invalid, before a core that says what it is told to say.
+
+use super::*;
+use crate::control_message::ControlMessage;
+use axum::body::Body;
+use axum::http::Request;
+use hyper::service::Service;
+use hyper_util::service::TowerToHyperService;
+use kernel::inbox;
+use std::cell::RefCell;
+use std::rc::Rc;
+use test_case::test_case;
+use tokio::sync::watch;
+
+const TOKEN: &str = "Bearer long-secret";
+
+/// Sends one call to the API over a core that answers every change so; gives the answer's status and what was noted.
+fn send(core_says: u16, method: &str, path: &str, token: &str, body: &str) -> (u16, Vec<String>) {
+    let request = Request::builder().method(method).uri(path).header("authorization", token).header("if-match", "*");
+    let request = request.body(Body::from(body.to_owned())).expect("a request");
+    let noted: Rc<RefCell<Vec<String>>> = Rc::default();
+    let status = Rc::new(RefCell::new(0));
+    let (faults, told) = (noted.clone(), status.clone());
+    kernel::local(async move {
+        let (post, mut inbox) = inbox::<ControlMessage>(16);
+        tokio::task::spawn_local(async move {
+            while let Some(message) = inbox.next().await {
+                let ControlMessage::Call { call, reply } = message else { continue };
+                let status = match call {
+                    ApiCall::NoteInvalid { fault } => {
+                        faults.borrow_mut().push(fault);
+                        200
+                    }
+                    _ => core_says,
+                };
+                let _ = reply.send(ApiReply::new(status, json!({"faults": [{"path": "k/t/n", "fault": "odd"}]})));
+            }
+        });
+        let operators = Operators::new(post, watch::channel(String::new()).1);
+        let api = Api { operators, tokens: Tokens::new(&["*=long-secret".to_owned()]) };
+        let service = TowerToHyperService::new(router(api, 1000));
+        *told.borrow_mut() = service.call(request).await.expect("an answer").status().as_u16();
+    });
+    (*status.borrow(), noted.take())
+}
+
+#[test_case("PUT", "/v1/configuration", r#"{"gadgets":{}}"#, 422; "a kind that this release doesn't know")]
+#[test_case("PUT", "/v1/configuration", "[]", 400; "no object")]
+#[test_case("PATCH", "/v1/configuration", "{", 400; "half a patch")]
+#[test_case("PATCH", "/v1/configuration", r#"{"unset":[]}"#, 422; "a patch with an unknown field")]
+#[test_case("PATCH", "/v1/configuration", r#"{"set":[]}"#, 422; "a list to set")]
+#[test_case("PATCH", "/v1/configuration", r#"{"remove":{}}"#, 422; "an object to remove")]
+#[test_case("PUT", "/v1/bounds/t/n", "no JSON", 400; "a resource that is no JSON")]
+fn a_change_that_cannot_be_read_is_noted(method: &str, path: &str, body: &str, status: u16) {
+    let (told, noted) = send(200, method, path, TOKEN, body);
+    assert_eq!((told, noted.len()), (status, 1), "{noted:?}");
+    assert_eq!(send(200, method, path, "Bearer other-secret", body), (401, Vec::new()), "of nobody it isn't");
+}
+
+#[test_case(422, true; "invalid")]
+#[test_case(409, true; "a route that another tenant has")]
+#[test_case(403, true; "a resource of another tenant")]
+#[test_case(412, false; "another change came first")]
+#[test_case(503, false; "nothing was changed")]
+#[test_case(200, false; "in force")]
+fn a_change_that_the_core_refuses_as_invalid_is_noted_with_its_faults(status: u16, is_noted: bool) {
+    let (told, noted) = send(status, "PUT", "/v1/bounds/t/n", TOKEN, "{}");
+    assert_eq!((told, noted.len()), (status, usize::from(is_noted)));
+    assert!(noted.iter().all(|fault| fault.contains(r#""fault":"odd""#)), "{noted:?}");
+    let dry = send(status, "PUT", "/v1/bounds/t/n?dry-run=true", TOKEN, "{}");
+    assert_eq!(dry, (status, Vec::new()), "whoever only asks is told, and nobody else");
+}
--- a/crates/control/src/control_loop.rs
+++ b/crates/control/src/control_loop.rs
@@ -194,6 +194,7 @@
                     let (name, seconds, routers) = (wait.name(), waited.as_secs(), routers.join(" "));
                     event!(activation_delayed, "step {step} has waited {seconds} s for {name}: {routers}")
                 }
+                CoreOutput::ChangeInvalid { fault } => event!(change_invalid, "{fault}"),
                 CoreOutput::Activated { step } => {
                     event!(epoch_activated, "step {step}");
                     self.tell_active(step);
--- a/crates/control/src/core.rs
+++ b/crates/control/src/core.rs
@@ -78,6 +78,7 @@
     Activated { step: u64 },
     ActivationDelayed { step: u64, wait: ActivationWait, waited: Duration },
     CaughtUp { missed_entries: Option<usize> },
+    ChangeInvalid { fault: String },
 }
 
 /// The control plane's state machine: the coordinator of a chain replica and of what the tail does with it.
@@ -95,6 +96,7 @@
     pub(crate) duties: DutyTimers,
     pub(crate) pushes: PushState,
     pub(crate) pending_activation: Option<PendingActivation>,
+    pub(crate) invalid_changes: u64,
 }
 
 impl Core {
@@ -115,6 +117,7 @@
             duties: DutyTimers::default(),
             pushes: PushState::default(),
             pending_activation: None,
+            invalid_changes: 0,
         }
     }
 
--- a/crates/control/src/operator_calls.rs
+++ b/crates/control/src/operator_calls.rs
@@ -16,6 +16,8 @@
 const DECLARES: u16 = 3;
 /// So many calls may be open at once.
 const MAX_OPEN_CALLS: usize = 4096;
+/// So much is logged of what is wrong with a change.
+const MAX_FAULT_CHARS: usize = 500;
 
 impl Core {
     pub(crate) fn reply(&mut self, request_id: u64, reply: ApiReply) {
@@ -36,10 +38,21 @@
     }
 
     pub(crate) fn call(&mut self, request_id: u64, call: ApiCall) {
-        if matches!(call, ApiCall::Status) {
-            let body = self.status();
-            return self.reply(request_id, ApiReply::new(200, body));
+        match call {
+            ApiCall::Status => {
+                let body = self.status();
+                self.reply(request_id, ApiReply::new(200, body));
+            }
+            ApiCall::NoteInvalid { fault } => {
+                self.note_invalid_change(fault);
+                self.reply(request_id, ApiReply::new(200, json!({"outcome": "noted"})));
+            }
+            call => self.chain_call(request_id, call),
         }
+    }
+
+    /// A call that is answered from the chain's state, or changes it.
+    fn chain_call(&mut self, request_id: u64, call: ApiCall) {
         if self.proposals.len() + self.calls.len() >= MAX_OPEN_CALLS {
             return self.busy(request_id, "too many calls at once");
         }
@@ -73,10 +86,19 @@
                 let reply = self.operation_outcome(&op);
                 self.reply(request_id, reply);
             }
-            ApiCall::Latest { .. } | ApiCall::Status => {}
+            ApiCall::Latest { .. } | ApiCall::NoteInvalid { .. } | ApiCall::Status => {}
         }
     }
 
+    fn note_invalid_change(&mut self, fault: String) {
+        self.invalid_changes += 1;
+        let fault = match fault.char_indices().nth(MAX_FAULT_CHARS) {
+            Some((end, _)) => format!("{}...", &fault[..end]),
+            None => fault,
+        };
+        self.outs.push(CoreOutput::ChangeInvalid { fault });
+    }
+
     fn start_read(&mut self, request_id: u64, scope: String) {
         let due = self.now + self.timing.call;
         let (step, pairs) = (None, BTreeMap::new());
--- a/crates/control/src/operator_dialect.rs
+++ b/crates/control/src/operator_dialect.rs
@@ -9,6 +9,9 @@
 use serde_json::{Value, json};
 use tokio::sync::{oneshot, watch};
 
+/// The statuses of changes that no sending again would make valid; 412 tells only that another came first.
+const INVALID: [u16; 4] = [400, 403, 409, 422];
+
 pub type MakePages = Box<dyn FnOnce(Operators) -> Router + Send>;
 
 /// Further pages for operators and where they are served; by default there are none.
@@ -42,6 +45,22 @@
         answered.await.unwrap_or_else(|_| ApiReply::new(504, json!({"outcome": "unknown", "fault": "stopping"})))
     }
 
+    /// Asks for a change. One that is refused as invalid is logged and counted, since whoever sent it may be a
+    /// program that drops the answer.
+    pub async fn change(&self, change: ApiCall) -> ApiReply {
+        let reply = self.call(change).await;
+        if INVALID.contains(&reply.status) {
+            let told: Value = serde_json::from_str(&reply.body).unwrap_or_default();
+            self.note_invalid(&told["faults"].to_string()).await;
+        }
+        reply
+    }
+
+    /// Notes a change that the pages themselves refused. The fault must not tell an API key.
+    pub async fn note_invalid(&self, fault: &str) {
+        self.call(ApiCall::NoteInvalid { fault: fault.to_owned() }).await;
+    }
+
     /// This registry's view of the system as JSON, as it changes.
     pub fn view(&self) -> watch::Receiver<String> {
         self.view.clone()
--- a/crates/control/src/registry_metrics.rs
+++ b/crates/control/src/registry_metrics.rs
@@ -57,9 +57,10 @@
         is_leaving.into(),
     );
     add_gauge(&mut registry, "inbox_depth", "Messages waiting for the control thread", inbox.depth as i64);
-    let refused = Counter::<u64>::default();
-    refused.inc_by(inbox.refused);
-    registry.register("inbox_refused", "Messages refused because the control thread's inbox was full", refused);
+    let invalid = status.pointer("/invalid_changes").and_then(Value::as_u64).unwrap_or_default();
+    add_counter(&mut registry, "invalid_changes", "Changes of the configuration refused as invalid", invalid);
+    let refused = "Messages refused because the control thread's inbox was full";
+    add_counter(&mut registry, "inbox_refused", refused, inbox.refused);
     let mut page = String::new();
     text::encode(&mut page, &registry).expect("a string takes all that is written to it");
     page
@@ -71,6 +72,12 @@
     registry.register(name, help, gauge);
 }
 
+fn add_counter(registry: &mut Registry, name: &str, help: &str, count: u64) {
+    let counter = Counter::<u64>::default();
+    counter.inc_by(count);
+    registry.register(name, help, counter);
+}
+
 #[cfg(test)]
 #[path = "registry_metrics_tests.rs"]
 mod registry_metrics_tests;
--- a/crates/control/src/registry_metrics_tests.rs
+++ b/crates/control/src/registry_metrics_tests.rs
@@ -7,7 +7,7 @@
 fn every_figure_stands_under_its_name() {
     let status = json!({
         "view": {"number": 4}, "positions": {"synced": 9, "committed": 8},
-        "revision": {"active": 2, "latest": 3, "active_step": 5}, "roster": 6, "claims": 1, "deferred": 2,
+        "revision": {"active": 2, "latest": 3, "active_step": 5}, "roster": 6, "claims": 1, "deferred": 2, "invalid_changes": 12,
         "waits": 3, "jobs": 4, "members": [{}, {}], "leaving": {"waits_for": "successor"}, "pending": {"routers": ["a", "b", "c"], "waited_ms": 2500},
     });
     let page = metrics_text(&status, InboxLoad { depth: 7, refused: 11 });
@@ -28,6 +28,7 @@
         "activation_wait_ms 2500",
         "leaving 1",
         "inbox_depth 7",
+        "invalid_changes_total 12",
         "inbox_refused_total 11",
     ] {
         assert!(page.lines().any(|found| found == format!("heronlink_registry_{line}")), "{line} in {page}");
--- a/crates/control/src/status.rs
+++ b/crates/control/src/status.rs
@@ -53,6 +53,7 @@
             "pending": self.pending_activation.as_ref().map(|pending| pending.page(self.now)),
             "roster": keys::number(state, keys::MEMBERSHIP),
             "ticks": keys::number(state, keys::TICKS),
+            "invalid_changes": self.invalid_changes,
             "claims": keys::number(state, keys::CLAIMS),
             "deferred": keys::number(state, keys::STORED),
             "members": members,
--- a/crates/events/src/list.rs
+++ b/crates/events/src/list.rs
@@ -50,6 +50,7 @@
     epoch_activated = 302, Info, "configuration epoch activated";
     activation_delayed = 304, Warn, "staged configuration epoch waits";
     change_rejected = 303, Info, "configuration change rejected";
+    change_invalid = 305, Warn, "invalid configuration change refused";
     member_joined = 401, Info, "router joined";
     lease_expired = 402, Warn, "router lease expired";
     member_leaving = 403, Info, "router leaving";
--- a/crates/sim/src/registry_node.rs
+++ b/crates/sim/src/registry_node.rs
@@ -223,6 +223,7 @@
             CoreOutput::ActivationDelayed { step, wait, .. } => {
                 self.say(|| format!("registry {n}: step {step} waits for {}", wait.name()));
             }
+            CoreOutput::ChangeInvalid { .. } => {}
             CoreOutput::Activated { step } => {
                 let node = &mut self.registries[n];
                 let Some(core) = &node.core else { return };
