Know operations under a key at their owner, and say with a claim how long to keep it

Cause: a repeat of a run-once request that was still running asked the chain every 150 ms, one entry each; a repeat of one that was answered asked it once. Keys were kept 1800 ticks whatever the users' window. A request refused for its expected wait had claimed its key before, so that a refusal cost two entries. A claim overtaken by its own release kept its key taken.

Ruled out: a longer poll (still entries, and later answers); reading the window in apply from a setting of the registry (replicas would differ while a fleet rolls).

Change: the owner keeps what it knows by scope: who runs an operation, who waits for it, and the newest answers (8 MB). A repeat waits within its aim or half of its time, then gets 409 with Retry-After; one whose first runs elsewhere gets it after one claim. Claims say for how many ticks the key is kept (ClaimForTicks, format 7; older formats claim as before), from the router's new setting key_window (1800 s as before, and 5 ticks to spare). What would be refused for its wait is refused before the claim. A claim granted after its release is released again.

--- a/crates/control/src/apply.rs
+++ b/crates/control/src/apply.rs
@@ -3,7 +3,7 @@
 
 use crate::apply_change::{activate, change, declare, quorum};
 use crate::apply_member::{join, lapse, leaving, tick};
-use crate::apply_task::{claim, finish, record_answer, release, store};
+use crate::apply_task::{DEFAULT_KEY_TICKS, claim, finish, record_answer, release, store};
 use crate::change_validation::Change;
 use crate::keys;
 use chain::{Effect, State, Value};
@@ -66,7 +66,10 @@
         Command::Lapse { id, incarnation } => lapse(draft, id, incarnation),
         Command::Leaving { id, incarnation } => leaving(draft, id, incarnation),
         Command::Claim { scope, digest, member, incarnation, request_id } => {
-            claim(draft, scope.as_str(), digest, (member, incarnation, request_id))
+            claim(draft, scope.as_str(), digest, (member, incarnation, request_id), DEFAULT_KEY_TICKS)
+        }
+        Command::ClaimForTicks { scope, digest, member, incarnation, request_id, ticks } => {
+            claim(draft, scope.as_str(), digest, (member, incarnation, request_id), ticks)
         }
         Command::RecordAnswer { scope, member, incarnation, request_id, answer } => {
             record_answer(draft, scope.as_str(), (member, incarnation, request_id), answer)
--- a/crates/control/src/apply_task.rs
+++ b/crates/control/src/apply_task.rs
@@ -8,7 +8,10 @@
 use wire::{Blob, NodeId, Text};
 use wire::{ClaimRecord, ClaimState, CommandReply, DeferredRecord};
 
-const KEY_TICKS: u64 = 1800;
+/// How long a key is kept whose claim does not say it.
+pub const DEFAULT_KEY_TICKS: u32 = 1800;
+/// No claim keeps its key longer: a day, and what the router adds.
+const MAX_KEY_TICKS: u32 = 2 * 86_400;
 const DONE_TICKS: u64 = 3600;
 const CLAIMS: u64 = 300_000;
 const DEFERRED: u64 = 50_000;
@@ -23,7 +26,8 @@
     CommandReply::Claim { state, answer }
 }
 
-pub fn claim(draft: &mut Draft, scope: &str, digest: Blob, asker: Asker) -> CommandReply {
+/// Claims a key for a request, to be forgotten so many ticks from now.
+pub fn claim(draft: &mut Draft, scope: &str, digest: Blob, asker: Asker, ticks: u32) -> CommandReply {
     let key = format!("k/{scope}");
     let Some(record) = draft.state.get(&key).and_then(|raw| wire::from_bytes::<ClaimRecord>(raw)) else {
         let count = draft.number(keys::CLAIMS);
@@ -31,12 +35,13 @@
             return reply(ClaimState::Full, Blob::default());
         }
         let (member, incarnation, request_id) = asker;
-        let due = draft.number(keys::TICKS) + KEY_TICKS;
+        let ticks = u64::from(ticks.clamp(1, MAX_KEY_TICKS));
+        let due = draft.number(keys::TICKS) + ticks;
         let record =
             ClaimRecord { digest, member, incarnation, request_id, due, is_answered: 0, answer: Blob::default() };
         draft.put(key.clone(), wire::to_bytes(&record));
         draft.put_number(keys::CLAIMS, count + 1);
-        draft.expire(&key, KEY_TICKS);
+        draft.expire(&key, ticks);
         return reply(ClaimState::Granted, Blob::default());
     };
     if record.digest != digest {
--- a/crates/traffic/src/admission.rs
+++ b/crates/traffic/src/admission.rs
@@ -71,6 +71,9 @@
             inherits: left_ms + left_ms / 8 < bound.deadline_ms,
         };
         self.tasks.insert(number, record);
+        if bound.class == Class::Once && self.meet_operation(number) {
+            return;
+        }
         if full {
             return self.refuse(number, RefusalReason::QueueFull);
         }
@@ -80,7 +83,7 @@
         match bound.class {
             Class::Ordinary | Class::Single => self.hold(number),
             _ if !self.core_near => self.refuse(number, RefusalReason::CoreUnreachable),
-            Class::Once => self.claim(number),
+            Class::Once => self.claim_if_served_soon(number),
             Class::Deferred => self.store(number),
         }
     }
--- /dev/null
+++ b/crates/traffic/src/claims.rs
@@ -0,0 +1,178 @@
+//! Run-once keys at their function's owner: claimed through the registries before a request is sent, settled with its
+//! answer after, released only when it was sent nowhere. A repeat of an operation that this owner knows waits for it,
+//! or is answered from memory, and costs the registries nothing.
+
+use crate::function_owner::FunctionOwner;
+use crate::keyed_operations::Known;
+use crate::owner_types::{Place, StoreOperation};
+use crate::refusals::RefusalReason;
+use bindings::Class;
+use std::time::Duration;
+use wire::{ClaimState, Command, Outcome, StoredAnswer};
+
+/// A release or an answer is proposed again for so long until the registries have taken it.
+pub(crate) const LASTING: Duration = Duration::from_secs(60);
+/// Ticks by which the registries keep a key longer than it is asked for: theirs may come sooner after one another
+/// where the tail moves, and the first of them sooner after a claim.
+const SPARE_TICKS: u64 = 5;
+/// When to come back for a key whose operation is under way.
+const RUNNING_RETRY: Duration = Duration::from_millis(500);
+/// The status of a repeat whose operation is under way.
+const CONFLICT: u16 = 409;
+/// The status of a key that was used for another request.
+const UNPROCESSABLE: u16 = 422;
+
+impl FunctionOwner {
+    /// A request with a key comes. What is known of its operation is answered though the queue is full and the
+    /// registries are far; true if nothing more is to be done.
+    pub(crate) fn meet_operation(&mut self, number: u64) -> bool {
+        let Some(task) = self.tasks.get(&number) else { return true };
+        match self.keyed.meet(self.now, &task.scope, &task.digest, number) {
+            Known::Leads | Known::Contested => return false,
+            Known::Waits => self.wait_for_leader(number),
+            Known::Answered(answer) => {
+                self.counters.keyed.answered_from_memory += 1;
+                self.give_answer(number, answer);
+            }
+            Known::OtherRequest => self.answer_own(number, Outcome::NotRun, UNPROCESSABLE, Duration::ZERO),
+        }
+        true
+    }
+
+    /// A repeat waits while the first may still be answered within the repeat's aim, or half of its time.
+    fn wait_for_leader(&mut self, number: u64) {
+        self.counters.keyed.waited += 1;
+        let now = self.now;
+        let Some(task) = self.tasks.get_mut(&number) else { return };
+        let half = task.due.saturating_sub(now) / 2;
+        let patience = task.aim.map_or(half, |aim| aim.min(half));
+        task.place = Place::Following { until: now + patience };
+    }
+
+    /// Repeats that waited long enough are told that their key is in work.
+    pub(crate) fn following_pass(&mut self) {
+        let now = self.now;
+        let over = |place: &Place| matches!(place, Place::Following { until } if now >= *until);
+        let over = self.tasks.iter().filter(|(_, task)| over(&task.place)).map(|(number, _)| *number);
+        over.collect::<Vec<_>>().into_iter().for_each(|number| self.refuse_as_running(number));
+    }
+
+    /// The key is in work: nothing is said of how the operation ends.
+    pub(crate) fn refuse_as_running(&mut self, number: u64) {
+        self.counters.keyed.refused_as_running += 1;
+        let again = self.spread(number, RUNNING_RETRY);
+        self.answer_own(number, Outcome::Unknown, CONFLICT, again);
+    }
+
+    /// A request under a key leaves this owner; those that waited for it get its answer, or go back to their fronts.
+    pub(crate) fn end_operation(&mut self, number: u64, answer: Option<&StoredAnswer>, retry_after: Duration) {
+        let Some(task) = self.tasks.get(&number).filter(|task| task.class == Class::Once) else { return };
+        let lasting = answer.filter(|answer| answer.outcome == Outcome::Answered);
+        let kept = lasting.map(|answer| (answer.clone(), self.now + self.timing.key_window));
+        for waiting in self.keyed.end(&task.scope.clone(), number, kept) {
+            match answer.cloned() {
+                Some(StoredAnswer { outcome, status, head, body }) => {
+                    self.answer(waiting, outcome, status, retry_after, head.into_vec(), body.into_vec());
+                }
+                None => self.not_home(waiting),
+            }
+        }
+    }
+
+    /// Claims the key of a request, unless it would be refused after: a claim and its release are two entries.
+    pub(crate) fn claim_if_served_soon(&mut self, number: u64) {
+        match self.hopeless_wait(number) {
+            Some(wait) => self.refuse_until(number, wait, RefusalReason::ExpectedWait),
+            None => self.claim(number),
+        }
+    }
+
+    fn claim(&mut self, number: u64) {
+        let (member, incarnation) = (self.me, self.incarnation);
+        let Some(task) = self.tasks.get_mut(&number) else { return };
+        task.place = Place::Claiming;
+        task.claim = number;
+        let (scope, digest, request_id) = (task.scope.as_str().into(), task.digest.clone().into(), number);
+        let command = if self.timing.claims_for_ticks {
+            let ticks = (self.timing.key_window.as_secs() + SPARE_TICKS) as u32;
+            Command::ClaimForTicks { scope, digest, member, incarnation, request_id, ticks }
+        } else {
+            Command::Claim { scope, digest, member, incarnation, request_id }
+        };
+        let function = task.function.clone();
+        self.request_store(StoreOperation::Claim, number, &function, wire::to_bytes(&command), LASTING);
+    }
+
+    pub(crate) fn release(&mut self, number: u64) {
+        let Some(task) = self.tasks.get(&number) else { return };
+        let command = Command::Release {
+            scope: task.scope.as_str().into(),
+            member: self.me,
+            incarnation: self.incarnation,
+            request_id: task.claim,
+        };
+        let function = task.function.clone();
+        self.counters.keyed.released += 1;
+        self.request_store(StoreOperation::Release, number, &function, wire::to_bytes(&command), LASTING);
+    }
+
+    /// A claim granted after its task was given up is released, or its key would stay taken.
+    pub(crate) fn release_late(&mut self, claim: &[u8], function: &str) {
+        if let Some(
+            Command::Claim { scope, member, incarnation, request_id, .. }
+            | Command::ClaimForTicks { scope, member, incarnation, request_id, .. },
+        ) = wire::from_bytes(claim)
+        {
+            let command = Command::Release { scope, member, incarnation, request_id };
+            self.counters.keyed.released += 1;
+            self.request_store(StoreOperation::Release, 0, function, wire::to_bytes(&command), LASTING);
+        }
+    }
+
+    pub(crate) fn record_answer(&mut self, number: u64, answer: &StoredAnswer) {
+        let Some(task) = self.tasks.get(&number) else { return };
+        let command = Command::RecordAnswer {
+            scope: task.scope.as_str().into(),
+            member: self.me,
+            incarnation: self.incarnation,
+            request_id: task.claim,
+            answer: wire::to_bytes(answer).into(),
+        };
+        let function = task.function.clone();
+        self.request_store(StoreOperation::RecordAnswer, number, &function, wire::to_bytes(&command), LASTING);
+    }
+
+    /// The registries' word on a claim.
+    pub(crate) fn claimed(&mut self, number: u64, state: ClaimState, answer: &[u8]) {
+        let mine = self.tasks.get(&number).is_some_and(|task| self.is_home(&task.function));
+        let Some(task) = self.tasks.get_mut(&number) else { return };
+        match (&task.place, state) {
+            (Place::Claiming, _) => {}
+            // The release may have overtaken the claim.
+            (Place::Releasing, ClaimState::Granted) => return self.release(number),
+            _ => return,
+        }
+        match state {
+            ClaimState::Granted if !mine => {
+                self.counters.keyed.granted += 1;
+                task.place = Place::Releasing;
+                self.release(number);
+            }
+            ClaimState::Granted => {
+                self.counters.keyed.granted += 1;
+                self.hold(number)
+            }
+            ClaimState::Running => self.refuse_as_running(number),
+            ClaimState::Answered => {
+                self.counters.keyed.answered_by_registries += 1;
+                self.answer_stored(number, answer)
+            }
+            ClaimState::Unknown => {
+                self.counters.keyed.unknown += 1;
+                self.answer_own(number, Outcome::Unknown, 504, Duration::ZERO)
+            }
+            ClaimState::OtherBody => self.answer_own(number, Outcome::NotRun, UNPROCESSABLE, Duration::ZERO),
+            ClaimState::Full => self.refuse(number, RefusalReason::StoreFull),
+        }
+    }
+}
--- a/crates/traffic/src/expiry.rs
+++ b/crates/traffic/src/expiry.rs
@@ -51,7 +51,7 @@
                     self.answer_own(number, Outcome::Unknown, 504, Duration::ZERO);
                 }
                 (Class::Deferred, _) => self.accept(number),
-                (Class::Once, Place::Following { .. }) => self.answer_own(number, Outcome::Unknown, 504, again),
+                (Class::Once, Place::Following { .. }) => self.refuse_as_running(number),
                 (Class::Once, Place::Claiming) => self.answer_own(number, Outcome::NotRun, 503, again),
                 (Class::Ordinary | Class::Single, _) if task.reached => {
                     self.answer_own(number, Outcome::Unknown, 504, again)
@@ -59,13 +59,7 @@
                 _ => self.give_up(number, SOON, RefusalReason::Expired),
             }
         }
-        let follow: Vec<u64> = self
-            .tasks
-            .iter()
-            .filter(|(_, task)| matches!(task.place, Place::Following { at } if now >= at))
-            .map(|(number, _)| *number)
-            .collect();
-        follow.into_iter().for_each(|number| self.claim(number));
+        self.following_pass();
     }
 
     /// Gives a task that did not run back to its front, which finds its owner anew.
--- a/crates/traffic/src/front_passes.rs
+++ b/crates/traffic/src/front_passes.rs
@@ -7,6 +7,9 @@
 use std::time::Duration;
 use wire::{ForwardMessage, NodeId, Outcome};
 
+/// The status of a repeat whose key is in work.
+const KEY_IN_WORK: u16 = 409;
+
 pub(crate) fn unknown() -> Reply {
     Reply::own(504, Some(Outcome::Unknown), "the outcome is not known")
 }
@@ -116,7 +119,11 @@
         let doubt = self.table.get(&task).is_some_and(|record| record.doubt);
         let outcome = if outcome == Outcome::NotRun && doubt { Outcome::Unknown } else { outcome };
         let status = if outcome == Outcome::Unknown && status == 503 { 504 } else { status };
-        let detail = if outcome == Outcome::Unknown { "the outcome is not known" } else { "" };
+        let detail = match (outcome, status) {
+            (Outcome::Unknown, KEY_IN_WORK) => "the key is in work",
+            (Outcome::Unknown, _) => "the outcome is not known",
+            _ => "",
+        };
         self.answer(task, Reply { outcome: Some(outcome), status, retry_after, head, body, detail });
     }
 }
--- a/crates/traffic/src/function_owner.rs
+++ b/crates/traffic/src/function_owner.rs
@@ -6,8 +6,9 @@
 use crate::earlier_owners::MembershipHistory;
 use crate::function_scheduler::FunctionScheduler;
 use crate::inventory::Inventory;
+use crate::keyed_operations::KeyedOperations;
 use crate::owner_counters::OwnerCounters;
-use crate::owner_types::{OwnedRequest, OwnerInput, OwnerOutput, OwnerTiming, StoreOperation, StoreRequest, TaskId};
+use crate::owner_types::{OwnedRequest, OwnerInput, OwnerOutput, OwnerTiming, StoreRequest, TaskId};
 use crate::placement::Workers;
 use crate::standby::StandbyCopy;
 use bindings::RouteTable;
@@ -15,7 +16,7 @@
 use std::collections::BTreeMap;
 use std::rc::Rc;
 use std::time::Duration;
-use wire::{ForwardMessage, NodeId, Outcome, OwnershipTable, TunedParameters};
+use wire::{ForwardMessage, NodeId, OwnershipTable, TunedParameters};
 
 pub struct FunctionOwner {
     pub(crate) me: NodeId,
@@ -31,6 +32,7 @@
     pub(crate) seen: BTreeMap<TaskId, Duration>,
     pub(crate) schedulers: BTreeMap<String, FunctionScheduler>,
     pub(crate) store_requests: BTreeMap<u64, StoreRequest>,
+    pub(crate) keyed: KeyedOperations,
     pub(crate) plan_requests: BTreeMap<u64, String>,
     pub(crate) running: BTreeMap<u64, (u64, String, String, Duration, u32)>,
     pub(crate) stopped: BTreeMap<String, Duration>,
@@ -73,6 +75,7 @@
             seen: BTreeMap::new(),
             schedulers: BTreeMap::new(),
             store_requests: BTreeMap::new(),
+            keyed: KeyedOperations::default(),
             plan_requests: BTreeMap::new(),
             running: BTreeMap::new(),
             stopped: BTreeMap::new(),
@@ -184,66 +187,4 @@
     pub(crate) fn is_home(&self, function: &str) -> bool {
         self.membership.owner(function) == Some(self.me)
     }
-
-    /// Answers the caller, if one still waits, and drops the record unless it must live on.
-    pub(crate) fn answer(
-        &mut self,
-        number: u64,
-        outcome: Outcome,
-        status: u16,
-        retry_after: Duration,
-        head: Vec<u8>,
-        body: Vec<u8>,
-    ) {
-        let Some(task) = self.tasks.get_mut(&number) else { return };
-        if task.caller {
-            if outcome == Outcome::NotRun {
-                self.counters.refusals += 1;
-                if let Some(scheduler) = self.schedulers.get_mut(&task.function) {
-                    scheduler.seen.refused += 1;
-                }
-            }
-            let (to, id) = (task.id.from, task.id.task);
-            task.caller = false;
-            let retry_after_ms = retry_after.as_millis() as u32;
-            let message = ForwardMessage::Answer {
-                task: id,
-                outcome,
-                status,
-                retry_after_ms,
-                head: head.into(),
-                body: body.into(),
-            };
-            self.outs.push(OwnerOutput::Forward { to, message });
-        }
-        let lives_on = task.stored.is_some() && outcome == Outcome::Accepted;
-        if !lives_on {
-            self.forget(number);
-        }
-    }
-
-    pub(crate) fn forget(&mut self, number: u64) {
-        if let Some(task) = self.tasks.remove(&number)
-            && let Some(scheduler) = self.schedulers.get_mut(&task.function)
-        {
-            scheduler.queued.retain(|queued| *queued != number);
-        }
-    }
-
-    pub(crate) fn request_store(
-        &mut self,
-        kind: StoreOperation,
-        task: u64,
-        function: &str,
-        body: Vec<u8>,
-        lasts: Duration,
-    ) -> u64 {
-        let request_id = self.number();
-        let due = self.now + lasts;
-        let record =
-            StoreRequest { kind, task, function: function.to_owned(), body: body.clone(), sent: self.now, due };
-        self.store_requests.insert(request_id, record);
-        self.outs.push(OwnerOutput::Propose { request_id, body });
-        request_id
-    }
 }
--- /dev/null
+++ b/crates/traffic/src/keyed_operations_tests.rs
@@ -0,0 +1,99 @@
+//! Who leads, who waits, what is kept and for how long.
+
+use super::{KeyedOperations, Known, MAX_ANSWER_BYTES};
+use proptest::prelude::*;
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+use wire::{Outcome, StoredAnswer};
+
+fn answer(body: &[u8]) -> StoredAnswer {
+    StoredAnswer { outcome: Outcome::Answered, status: 200, head: Vec::new().into(), body: body.to_vec().into() }
+}
+
+fn at(seconds: u64) -> Duration {
+    Duration::from_secs(seconds)
+}
+
+#[test]
+fn a_repeat_waits_for_the_first_and_later_ones_get_its_answer_until_the_window_is_over() {
+    let mut operations = KeyedOperations::default();
+    assert_eq!(operations.meet(at(0), "a", b"1", 1), Known::Leads);
+    assert_eq!(operations.meet(at(0), "a", b"1", 2), Known::Waits);
+    assert_eq!(operations.meet(at(0), "a", b"2", 3), Known::Contested);
+    assert_eq!(operations.running(), 1);
+    assert!(operations.end("a", 3, None).is_empty(), "it leads nothing");
+    assert_eq!(operations.end("a", 1, Some((answer(b"x"), at(60)))), [2]);
+    assert_eq!((operations.running(), operations.answers()), (0, 1));
+    assert_eq!(operations.meet(at(59), "a", b"1", 4), Known::Answered(answer(b"x")));
+    assert_eq!(operations.meet(at(59), "a", b"2", 5), Known::OtherRequest);
+    assert_eq!(operations.meet(at(60), "a", b"1", 6), Known::Leads);
+    assert_eq!((operations.answers(), operations.answer_bytes()), (0, 0));
+}
+
+#[test]
+fn one_that_ends_without_an_answer_frees_its_key_here_and_names_who_waited() {
+    let mut operations = KeyedOperations::default();
+    operations.meet(at(0), "a", b"1", 1);
+    operations.meet(at(0), "a", b"1", 2);
+    operations.meet(at(0), "a", b"1", 3);
+    assert!(operations.end("a", 2, None).is_empty(), "it waited no longer");
+    assert_eq!(operations.end("a", 1, None), [3]);
+    assert_eq!(operations.meet(at(1), "a", b"1", 4), Known::Leads);
+}
+
+#[test]
+fn the_newest_answers_are_kept_within_their_bound() {
+    let mut operations = KeyedOperations::default();
+    let body = vec![7; 64 * 1024];
+    for number in 0..300 {
+        let scope = format!("k{number}");
+        operations.meet(at(0), &scope, b"1", number);
+        operations.end(&scope, number, Some((answer(&body), at(60))));
+        assert!(operations.answer_bytes() <= MAX_ANSWER_BYTES);
+    }
+    assert!(operations.answers() > 100);
+    assert_eq!(operations.meet(at(1), "k299", b"1", 999), Known::Answered(answer(&body)));
+    assert_eq!(operations.meet(at(1), "k0", b"1", 1000), Known::Leads, "the registries know it");
+}
+
+proptest! {
+    /// At most one request leads a key at a time, whoever waits is named once, and all counts agree.
+    #[test]
+    fn one_leads_at_a_time(steps in prop::collection::vec((0u8..4, 0usize..4, 0u64..40, 0u64..3), 1..200)) {
+        let mut operations = KeyedOperations::default();
+        let mut leads: BTreeMap<usize, u64> = BTreeMap::new();
+        let mut waits: BTreeMap<usize, BTreeSet<u64>> = BTreeMap::new();
+        let (mut now, mut number) = (0, 0);
+        for (step, key, who, later) in steps {
+            now += later;
+            let scope = format!("k{key}");
+            match step {
+                0 | 1 => {
+                    number += 1;
+                    match operations.meet(at(now), &scope, b"1", number) {
+                        Known::Leads => prop_assert!(leads.insert(key, number).is_none()),
+                        Known::Waits => {
+                            prop_assert!(leads.contains_key(&key));
+                            waits.entry(key).or_default().insert(number);
+                        }
+                        known => prop_assert_eq!(known, Known::Answered(answer(scope.as_bytes()))),
+                    }
+                }
+                _ => {
+                    let ends = if who % 2 == 0 { leads.get(&key).copied() } else { Some(who) };
+                    let Some(ends) = ends else { continue };
+                    let kept = (step == 2).then(|| (answer(scope.as_bytes()), at(now + 20)));
+                    let named: BTreeSet<u64> = operations.end(&scope, ends, kept).into_iter().collect();
+                    if leads.get(&key) == Some(&ends) {
+                        leads.remove(&key);
+                        prop_assert_eq!(named, waits.remove(&key).unwrap_or_default());
+                    } else {
+                        waits.entry(key).or_default().remove(&ends);
+                        prop_assert!(named.is_empty());
+                    }
+                }
+            }
+            prop_assert_eq!(operations.running(), leads.len());
+        }
+    }
+}
--- a/crates/traffic/src/ledger.rs
+++ b/crates/traffic/src/ledger.rs
@@ -1,15 +1,13 @@
-//! The owner's talk with the chain: claiming a run-once key before dispatch, settling it after,
-//! releasing it only when it was never dispatched, and storing deferred tasks before they are
+//! The owner's talk with the chain: what it was asked and what it replied, and storing deferred tasks before they are
 //! promised. Each ask may be sent again; the chain gives the same reply.
 
+use crate::claims::LASTING;
 use crate::function_owner::FunctionOwner;
-use crate::owner_types::{Place, StoreOperation};
+use crate::owner_types::{OwnerOutput, Place, StoreOperation, StoreRequest};
 use crate::refusals::RefusalReason;
 use std::time::Duration;
 use wire::{ClaimState, Command, CommandReply, LeaseMessage, Outcome, StoredAnswer, StoredRequest};
 
-const LASTING: Duration = Duration::from_secs(60);
-
 /// The name a deferred task is stored under, by its binding and key: a repeat finds the same one.
 pub fn stored_id(scope: &str) -> String {
     let halves = [leases::mix(&[scope.as_bytes(), b"1"]), leases::mix(&[b"2", scope.as_bytes()])];
@@ -17,55 +15,6 @@
 }
 
 impl FunctionOwner {
-    pub(crate) fn claim(&mut self, number: u64) {
-        let (me, incarnation) = (self.me, self.incarnation);
-        let Some(task) = self.tasks.get_mut(&number) else { return };
-        task.place = Place::Claiming;
-        task.claim = number;
-        let command = Command::Claim {
-            scope: task.scope.as_str().into(),
-            digest: task.digest.clone().into(),
-            member: me,
-            incarnation,
-            request_id: number,
-        };
-        let function = task.function.clone();
-        self.request_store(StoreOperation::Claim, number, &function, wire::to_bytes(&command), LASTING);
-    }
-
-    pub(crate) fn release(&mut self, number: u64) {
-        let Some(task) = self.tasks.get(&number) else { return };
-        let command = Command::Release {
-            scope: task.scope.as_str().into(),
-            member: self.me,
-            incarnation: self.incarnation,
-            request_id: task.claim,
-        };
-        let function = task.function.clone();
-        self.request_store(StoreOperation::Release, number, &function, wire::to_bytes(&command), LASTING);
-    }
-
-    /// A claim granted after its task was given up is released, or its key would stay taken.
-    fn release_late(&mut self, claim: &[u8], function: &str) {
-        if let Some(Command::Claim { scope, member, incarnation, request_id, .. }) = wire::from_bytes(claim) {
-            let command = Command::Release { scope, member, incarnation, request_id };
-            self.request_store(StoreOperation::Release, 0, function, wire::to_bytes(&command), LASTING);
-        }
-    }
-
-    pub(crate) fn record_answer(&mut self, number: u64, answer: &StoredAnswer) {
-        let Some(task) = self.tasks.get(&number) else { return };
-        let command = Command::RecordAnswer {
-            scope: task.scope.as_str().into(),
-            member: self.me,
-            incarnation: self.incarnation,
-            request_id: task.claim,
-            answer: wire::to_bytes(answer).into(),
-        };
-        let function = task.function.clone();
-        self.request_store(StoreOperation::RecordAnswer, number, &function, wire::to_bytes(&command), LASTING);
-    }
-
     pub(crate) fn store(&mut self, number: u64) {
         let Some(task) = self.tasks.get_mut(&number) else { return };
         task.place = Place::Storing;
@@ -155,26 +104,6 @@
         }
     }
 
-    fn claimed(&mut self, number: u64, state: ClaimState, answer: &[u8]) {
-        let mine = self.tasks.get(&number).is_some_and(|task| self.is_home(&task.function));
-        let Some(task) = self.tasks.get_mut(&number) else { return };
-        if task.place != Place::Claiming {
-            return;
-        }
-        match state {
-            ClaimState::Granted if !mine => {
-                task.place = Place::Releasing;
-                self.release(number);
-            }
-            ClaimState::Granted => self.hold(number),
-            ClaimState::Running => task.place = Place::Following { at: self.now + self.timing.follow },
-            ClaimState::Answered => self.answer_stored(number, answer),
-            ClaimState::Unknown => self.answer_own(number, Outcome::Unknown, 504, Duration::ZERO),
-            ClaimState::OtherBody => self.answer_own(number, Outcome::NotRun, 422, Duration::ZERO),
-            ClaimState::Full => self.refuse(number, RefusalReason::StoreFull),
-        }
-    }
-
     fn stored(&mut self, number: u64, state: ClaimState, answer: &[u8]) {
         let Some(task) = self.tasks.get_mut(&number) else { return };
         if task.place != Place::Storing {
@@ -211,14 +140,22 @@
         self.answer(number, Outcome::Accepted, 202, Duration::ZERO, Vec::new(), body.into_bytes());
     }
 
-    fn answer_stored(&mut self, number: u64, raw: &[u8]) {
-        match wire::from_bytes::<StoredAnswer>(raw) {
-            Some(answer) => {
-                let (head, body) = (answer.head.into_vec(), answer.body.into_vec());
-                self.answer(number, answer.outcome, answer.status, Duration::ZERO, head, body)
-            }
-            None => self.answer_own(number, Outcome::Unknown, 504, Duration::ZERO),
-        }
+    /// Proposes something, again and again while it lasts, until the chain has replied.
+    pub(crate) fn request_store(
+        &mut self,
+        kind: StoreOperation,
+        task: u64,
+        function: &str,
+        body: Vec<u8>,
+        lasts: Duration,
+    ) -> u64 {
+        let request_id = self.number();
+        let due = self.now + lasts;
+        let record =
+            StoreRequest { kind, task, function: function.to_owned(), body: body.clone(), sent: self.now, due };
+        self.store_requests.insert(request_id, record);
+        self.outs.push(OwnerOutput::Propose { request_id, body });
+        request_id
     }
 
     /// Sends again what was not answered, and lets go of what is past its time.
@@ -238,7 +175,7 @@
             true
         });
         for (request_id, body) in again {
-            self.outs.push(crate::owner_types::OwnerOutput::Propose { request_id, body });
+            self.outs.push(OwnerOutput::Propose { request_id, body });
         }
     }
 }
--- /dev/null
+++ b/crates/traffic/src/owner_answers.rs
@@ -0,0 +1,63 @@
+//! What an owner says last of a request, and the end of its record.
+
+use crate::function_owner::FunctionOwner;
+use std::time::Duration;
+use wire::{ForwardMessage, Outcome, StoredAnswer};
+
+impl FunctionOwner {
+    /// Answers the caller, if one still waits, and drops the record unless it must live on.
+    pub(crate) fn answer(
+        &mut self,
+        number: u64,
+        outcome: Outcome,
+        status: u16,
+        retry_after: Duration,
+        head: Vec<u8>,
+        body: Vec<u8>,
+    ) {
+        let answer = StoredAnswer { outcome, status, head: head.into(), body: body.into() };
+        self.end_operation(number, Some(&answer), retry_after);
+        let Some(task) = self.tasks.get_mut(&number) else { return };
+        if task.caller {
+            if outcome == Outcome::NotRun {
+                self.counters.refusals += 1;
+                if let Some(scheduler) = self.schedulers.get_mut(&task.function) {
+                    scheduler.seen.refused += 1;
+                }
+            }
+            let (to, id) = (task.id.from, task.id.task);
+            task.caller = false;
+            let retry_after_ms = retry_after.as_millis() as u32;
+            let StoredAnswer { head, body, .. } = answer;
+            let message = ForwardMessage::Answer { task: id, outcome, status, retry_after_ms, head, body };
+            self.outs.push(crate::owner_types::OwnerOutput::Forward { to, message });
+        }
+        let lives_on = task.stored.is_some() && outcome == Outcome::Accepted;
+        if !lives_on {
+            self.forget(number);
+        }
+    }
+
+    /// Gives an operation's recorded answer again.
+    pub(crate) fn give_answer(&mut self, number: u64, answer: StoredAnswer) {
+        let StoredAnswer { outcome, status, head, body } = answer;
+        self.answer(number, outcome, status, Duration::ZERO, head.into_vec(), body.into_vec());
+    }
+
+    pub(crate) fn answer_stored(&mut self, number: u64, raw: &[u8]) {
+        match wire::from_bytes::<StoredAnswer>(raw) {
+            Some(answer) => self.give_answer(number, answer),
+            None => self.answer_own(number, Outcome::Unknown, 504, Duration::ZERO),
+        }
+    }
+
+    /// Drops the record of a request. Whoever waited for it as the first under its key is given back.
+    pub(crate) fn forget(&mut self, number: u64) {
+        self.end_operation(number, None, Duration::ZERO);
+        if let Some(task) = self.tasks.remove(&number)
+            && let Some(scheduler) = self.schedulers.get_mut(&task.function)
+        {
+            scheduler.queued.retain(|queued| *queued != number);
+        }
+    }
+}
--- a/crates/traffic/src/owner_counters.rs
+++ b/crates/traffic/src/owner_counters.rs
@@ -1,8 +1,9 @@
 //! What an owner counts over all its functions since it started, for its status and metrics.
 
+use crate::keyed_operations::KeyedOperations;
 use crate::queue_wait::BlockedTime;
 use crate::refusals::RefusalCounts;
-use serde_json::{Map, Value};
+use serde_json::{Map, Value, json};
 
 /// Counts that only grow, also where a function moves to another owner.
 #[derive(Clone, Debug, Default)]
@@ -13,6 +14,39 @@
     pub refused: RefusalCounts,
     /// Time that queues were blocked, summed over functions.
     pub blocked: BlockedTime,
+    /// Operations under a key.
+    pub keyed: KeyedCounters,
+}
+
+/// Requests with a run-once key, counted by what became of them.
+#[derive(Clone, Debug, Default)]
+pub struct KeyedCounters {
+    /// Claims that the registries granted.
+    pub granted: u64,
+    /// Claims given back, since their request was sent nowhere.
+    pub released: u64,
+    /// Repeats answered from this owner's memory.
+    pub answered_from_memory: u64,
+    /// Repeats answered with what the registries had recorded.
+    pub answered_by_registries: u64,
+    /// Repeats that waited for an operation under way here.
+    pub waited: u64,
+    /// Repeats told that their key is in work.
+    pub refused_as_running: u64,
+    /// Repeats of an operation whose owner was lost before it recorded an answer.
+    pub unknown: u64,
+}
+
+impl KeyedCounters {
+    /// Counts by name, with what is kept now.
+    pub fn to_json(&self, operations: &KeyedOperations) -> Value {
+        json!({
+            "running": operations.running(), "answers": operations.answers(),
+            "answer_bytes": operations.answer_bytes(), "granted": self.granted, "released": self.released,
+            "from_memory": self.answered_from_memory, "from_registries": self.answered_by_registries,
+            "waited": self.waited, "refused_as_running": self.refused_as_running, "unknown": self.unknown,
+        })
+    }
 }
 
 impl RefusalCounts {
--- a/crates/traffic/src/owner_types.rs
+++ b/crates/traffic/src/owner_types.rs
@@ -71,7 +71,10 @@
 pub struct OwnerTiming {
     pub margin: Duration,
     pub resend: Duration,
-    pub follow: Duration,
+    /// How long an operation under a key is kept, at least.
+    pub key_window: Duration,
+    /// Whether the registries understand claims that say how long their key is kept.
+    pub claims_for_ticks: bool,
     pub adopt: Duration,
     pub sample: Duration,
     /// How often the provider's list is read for all owners.
@@ -95,7 +98,8 @@
         OwnerTiming {
             margin: Duration::from_millis(60),
             resend: Duration::from_millis(700),
-            follow: Duration::from_millis(150),
+            key_window: Duration::from_secs(1800),
+            claims_for_ticks: true,
             adopt: Duration::from_millis(1500),
             sample: Duration::from_secs(15),
             list_every: Duration::from_secs(1),
@@ -121,8 +125,9 @@
     Running {
         number: u64,
     },
+    /// Another request runs its operation, whose answer it waits for.
     Following {
-        at: Duration,
+        until: Duration,
     },
     Releasing,
     /// Its attempt failed, and its front is asked for another.
--- a/crates/traffic/src/router_metrics.rs
+++ b/crates/traffic/src/router_metrics.rs
@@ -9,7 +9,7 @@
 use std::sync::atomic::AtomicU64;
 
 /// Gauges, by name, help and where their value stands in the status.
-const GAUGES: [(&str, &str, &str); 8] = [
+const GAUGES: [(&str, &str, &str); 11] = [
     ("revision", "Revision of the configuration in force", "/revision"),
     ("step", "Configuration epoch in force", "/step"),
     ("staged", "Configuration epoch staged", "/staged"),
@@ -17,13 +17,27 @@
     ("front_tasks", "Requests of callers that are open at this front", "/traffic/front"),
     ("home_tasks", "Requests that this owner has", "/traffic/tasks"),
     ("home_running", "Requests of this owner that are on instances", "/traffic/running"),
+    ("keyed_running", "Operations under a key that are under way at this owner", "/traffic/keyed/running"),
+    ("keyed_answers", "Answers of operations under a key that this owner has in memory", "/traffic/keyed/answers"),
+    ("keyed_answer_bytes", "What these answers take", "/traffic/keyed/answer_bytes"),
     ("inbox_depth", "Messages waiting for the traffic thread", "/traffic/inbox"),
 ];
 
 /// Counters, by name, help and where their value stands in the status.
-const COUNTERS: [(&str, &str, &str); 2] = [
+const COUNTERS: [(&str, &str, &str); 9] = [
     ("front_refusals", "Requests that this front refused", "/traffic/front_refusals"),
     ("home_refusals", "Requests that this owner answered as not run", "/traffic/refusals"),
+    ("keyed_granted", "Claims of keys that the registries granted", "/traffic/keyed/granted"),
+    ("keyed_released", "Claims given back, their requests sent nowhere", "/traffic/keyed/released"),
+    ("keyed_from_memory", "Repeats answered from this owner's memory", "/traffic/keyed/from_memory"),
+    (
+        "keyed_from_registries",
+        "Repeats answered with what the registries had recorded",
+        "/traffic/keyed/from_registries",
+    ),
+    ("keyed_waited", "Repeats that waited for an operation under way", "/traffic/keyed/waited"),
+    ("keyed_refused_as_running", "Repeats told that their key is in work", "/traffic/keyed/refused_as_running"),
+    ("keyed_unknown", "Repeats whose first lost its owner unanswered", "/traffic/keyed/unknown"),
 ];
 
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
--- a/crates/traffic/src/service.rs
+++ b/crates/traffic/src/service.rs
@@ -13,7 +13,6 @@
 use crate::front_types::{ConsumerHeader, FrontLimits};
 use crate::function_owner::FunctionOwner;
 use crate::ops::{Views, ops_router};
-use crate::owner_types::OwnerTiming;
 use crate::serving_lease::ServingLease;
 use crate::settings::RouterSettings;
 use dispatch::{DispatchReport, DispatcherMessage};
@@ -95,15 +94,7 @@
     let (link_names, names, cell) = (directory.clone(), directory.clone(), pass.clone());
     let back = settings.hold + settings.hold / 6 + TAKING_OVER;
     let front_limits = FrontLimits { back, consumer_header, ..FrontLimits::default() };
-    let timing = OwnerTiming {
-        starts_per_second: settings.starts_per_second,
-        start_gb_seconds: settings.start_gb_seconds,
-        zone_losses: settings.zone_losses,
-        sample: settings.step,
-        list_every: settings.list_every,
-        allowances: settings.allowances(),
-        ..OwnerTiming::default()
-    };
+    let timing = settings.owner_timing();
     let server = CallerServer { traffic: find(&directory, "traffic"), words: door_words, limits: bounded.clone() };
     let (callers_pages, servers_stop) = (caller_server::router(server), stopping.clone());
     let traffic_thread = thread("traffic", move || {
--- a/crates/traffic/src/settings.rs
+++ b/crates/traffic/src/settings.rs
@@ -1,6 +1,7 @@
 //! The router's settings.
 
 use crate::allowances::Allowances;
+use crate::owner_types::OwnerTiming;
 use config::{address, address_or_none, any, in_range, seeds, word};
 use http_server::well_formed;
 use std::path::PathBuf;
@@ -38,6 +39,7 @@
         retry_ratio: f64 = 0.2, in_range(0.0, 10.0), "second tries to a function allowed for each of its requests, over all routers, in any window";
         retry_slack: usize = 60, in_range(0, 1_000_000), "second tries to a function allowed besides";
         retry_window: Duration = Duration::from_secs(10), in_range(Duration::from_secs(1), Duration::from_secs(600)), "length of that window";
+        key_window: Duration = Duration::from_secs(1800), in_range(Duration::from_secs(1), Duration::from_secs(86_400)), "how long requests with the same run-once key are one operation, at least; the same on every machine";
         turned_most: usize = 11, in_range(0, 1_000_000), "tasks that one function's instances may turn away in any five seconds";
         step: Duration = Duration::from_secs(15), in_range(Duration::from_millis(250), Duration::from_secs(600)), "one step of samples and plans; the same on every machine";
         format: u16 = wire::FORMAT, in_range(wire::OLDEST, wire::FORMAT), "format in which frames are written; the one before while a fleet rolls from a version that knows no newer";
@@ -52,6 +54,20 @@
         Capacity { processor_milli: milli(self.processor_share), link_kbit: milli(self.link_mbps) }
     }
 
+    pub fn owner_timing(&self) -> OwnerTiming {
+        OwnerTiming {
+            starts_per_second: self.starts_per_second,
+            start_gb_seconds: self.start_gb_seconds,
+            zone_losses: self.zone_losses,
+            sample: self.step,
+            list_every: self.list_every,
+            allowances: self.allowances(),
+            key_window: self.key_window,
+            claims_for_ticks: self.format >= wire::KEY_WINDOWS,
+            ..OwnerTiming::default()
+        }
+    }
+
     pub fn allowances(&self) -> Allowances {
         Allowances {
             retry_ratio: self.retry_ratio,
--- a/crates/traffic/src/status.rs
+++ b/crates/traffic/src/status.rs
@@ -75,6 +75,7 @@
             "tasks": tasks, "running": running, "ledger_asks": store_requests, "refusals": self.counters.refusals,
             "refused": self.counters.refused.to_json(), "blocked_ms": self.counters.blocked.to_json(),
             "core_near": self.core_near, "starts_left": self.starts_left, "functions": functions,
+            "keyed": self.counters.keyed.to_json(&self.keyed),
         })
     }
 }
--- a/crates/traffic/src/wait_queue.rs
+++ b/crates/traffic/src/wait_queue.rs
@@ -21,28 +21,47 @@
     /// Queues a request, or gives it back where its function has another owner by now: what no queue has is
     /// never sent.
     pub(crate) fn hold(&mut self, number: u64) {
-        let now = self.now;
         let Some(function) = self.tasks.get(&number).map(|task| &task.function) else { return };
         if self.schedulers.get(function).is_none_or(|scheduler| scheduler.leaving.is_some()) {
             return self.send_back(number);
         }
+        let wait = self.hopeless_wait(number);
         let Some(task) = self.tasks.get_mut(&number) else { return };
         task.place = Place::Queued;
-        let (order, refusable) = ((task.rank, task.due), task.stored.is_none() && !task.reached);
-        let left = task.due.saturating_sub(now);
-        let aim = task.aim.filter(|aim| !task.inherits && now <= task.arrived + *aim / EARLY);
+        let (ahead, refusable) = (self.place_in_queue(number), self.may_refuse(number));
+        let Some(task) = self.tasks.get(&number) else { return };
         let Some(scheduler) = self.schedulers.get_mut(&task.function) else { return };
-        let before = |queued: &u64| self.tasks.get(queued).is_some_and(|task| (task.rank, task.due) <= order);
-        let ahead = scheduler.queued.partition_point(before);
-        let wait = scheduler.expected_wait(now, ahead);
         scheduler.queued.insert(ahead, number);
+        if let Some(wait) = wait.filter(|_| refusable) {
+            self.give_up(number, wait, RefusalReason::ExpectedWait);
+        }
+    }
+
+    fn may_refuse(&self, number: u64) -> bool {
+        self.tasks.get(&number).is_some_and(|task| task.stored.is_none() && !task.reached)
+    }
+
+    /// How many would go before it.
+    fn place_in_queue(&self, number: u64) -> usize {
+        let Some(task) = self.tasks.get(&number) else { return 0 };
+        let Some(scheduler) = self.schedulers.get(&task.function) else { return 0 };
+        let order = (task.rank, task.due);
+        let before = |queued: &u64| self.tasks.get(queued).is_some_and(|task| (task.rank, task.due) <= order);
+        scheduler.queued.partition_point(before)
+    }
+
+    /// How long it would wait, where that is longer than it is worth waiting.
+    pub(crate) fn hopeless_wait(&self, number: u64) -> Option<Duration> {
+        let now = self.now;
+        let task = self.tasks.get(&number)?;
+        let scheduler = self.schedulers.get(&task.function)?;
+        let left = task.due.saturating_sub(now);
+        let aim = task.aim.filter(|aim| !task.inherits && now <= task.arrived + *aim / EARLY);
         let worth = match aim {
             Some(aim) if scheduler.has_any() => aim.saturating_sub(scheduler.mean_time).max(aim / 2).min(left),
             _ => left.mul_f64(HOPE),
         };
-        if refusable && wait > worth {
-            self.give_up(number, wait, RefusalReason::ExpectedWait);
-        }
+        Some(scheduler.expected_wait(now, self.place_in_queue(number))).filter(|wait| *wait > worth)
     }
 
     /// Up to half as long again, so that those told so together come back one by one.
@@ -77,11 +96,16 @@
     /// Tells at once that a task which was never run will not be, and when to come back: once those
     /// ahead of it are expected to be done.
     pub(crate) fn give_up(&mut self, number: u64, wait: Duration, reason: RefusalReason) {
-        self.count_refusal(number, reason);
-        let again = self.time_to_come_back(number, wait);
         if self.tasks.get(&number).is_some_and(|task| task.class == bindings::Class::Once) {
             self.release(number);
         }
+        self.refuse_until(number, wait, reason);
+    }
+
+    /// The same for one that has claimed nothing.
+    pub(crate) fn refuse_until(&mut self, number: u64, wait: Duration, reason: RefusalReason) {
+        self.count_refusal(number, reason);
+        let again = self.time_to_come_back(number, wait);
         self.answer_own(number, Outcome::NotRun, 503, again);
     }
 }
--- a/crates/traffic/tests/front.rs
+++ b/crates/traffic/tests/front.rs
@@ -127,3 +127,21 @@
     let early = refused.iter().filter(|(at, _)| *at < 5500).count();
     assert!(early > 80, "only {early} were refused before the first deadline");
 }
+
+/// Whether the owner was lost meanwhile or not, a key in work is told so.
+#[test]
+fn a_key_in_work_is_told_as_it_is() {
+    for lost in [false, true] {
+        let mut front = front(1, OTHER);
+        let (mut task, _) = forward(&send_request(&mut front, 5, true, "/t/f"));
+        if lost {
+            front.step(ms(20), true, FrontInput::Link { id: OTHER, up: false });
+            front.step(ms(40), true, FrontInput::Link { id: OTHER, up: true });
+            task = forward(&front.step(ms(60), true, FrontInput::Tick)).0;
+        }
+        let reported = front.step(ms(70), true, answer(task, Outcome::Unknown, 409));
+        let reply = reply(&reported).expect("told");
+        assert_eq!((reply.outcome, reply.status), (Some(Outcome::Unknown), 409));
+        assert!(!reply.retry_after.is_zero());
+    }
+}
--- a/crates/wire/src/codec.rs
+++ b/crates/wire/src/codec.rs
@@ -19,6 +19,8 @@
 pub const DEPARTURES: u16 = 6;
 /// The format that first told whose request is forwarded.
 pub const CONSUMERS: u16 = 7;
+/// The format in which a claim first told how long its key is kept.
+pub const KEY_WINDOWS: u16 = 7;
 /// A frame holds no more bytes than this.
 pub const LIMIT: usize = 8 * 1024 * 1024;
 
--- a/crates/wire/src/commands.rs
+++ b/crates/wire/src/commands.rs
@@ -72,6 +72,9 @@
         hashing: u8,
         capacity: Capacity,
     },
+    /// `Claim` with how many of the chain's ticks the key is kept.
+    #[deku(id = "15")]
+    ClaimForTicks { scope: Text, digest: Blob, member: NodeId, incarnation: u64, request_id: u64, ticks: u32 },
 }
 
 /// What an entry answers.
--- a/crates/wire/src/downgrade.rs
+++ b/crates/wire/src/downgrade.rs
@@ -8,7 +8,7 @@
 //! | 4 | epochs and configurations in packed parts, changes of the membership, capacities, the inventory |
 //! | 5 | attempts granted with a forward, and reports on what earlier tails granted |
 //! | 6 | announcements of planned stops of registries |
-//! | 7 | whose request is forwarded |
+//! | 7 | whose request is forwarded, how long a claimed key is kept |
 
 use crate::codec::{ATTEMPTS, CAPACITY, CONSUMERS, DEPARTURES};
 use crate::{ChainMessage, ForwardMessage, ForwardRequest, LeaseMessage, Message, PlanMessage, Text};
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -16,8 +16,8 @@
 
 pub use chain::{ChainMessage, KeyValue, LogEntry, NodeAddress, ProposalId, View};
 pub use codec::{
-    ATTEMPTS, CAPACITY, CONSUMERS, FORMAT, Frame, FrameError, LIMIT, Message, OLDEST, decode, encode, read_frame,
-    write_frame,
+    ATTEMPTS, CAPACITY, CONSUMERS, FORMAT, Frame, FrameError, KEY_WINDOWS, LIMIT, Message, OLDEST, decode, encode,
+    read_frame, write_frame,
 };
 pub use commands::{Capacity, ClaimRecord, ClaimState, Command, CommandReply, DeferredRecord, OpRecord};
 pub use downgrade::downgrade;
--- a/crates/wire/tests/samples/record.rs
+++ b/crates/wire/tests/samples/record.rs
@@ -44,6 +44,14 @@
             hashing: 9,
             capacity: capacity(),
         },
+        ClaimForTicks {
+            scope: "c".into(),
+            digest: vec![2].into(),
+            member: 325,
+            incarnation: 326,
+            request_id: 327,
+            ticks: 328,
+        },
     ]
 }
 
