Simulate consumers with API keys, and check what may be run for whom

Cause: the simulator declared no consumers, so no run showed whether a key that was taken away still admits, whether an instance is told the right name, or whether a consumer's idempotency key runs once on all routes.

Change: a sort 'consumers': five consumers with two keys each, ranks, bindings of all classes, an ordinary and a run-once one public; callers send held, removed, future, unknown and no keys, idempotency keys that another consumer uses too, and run-once keys again after a good answer, up to 25 s later, also on another route. A fault 'revoke' takes a key away by the next version while callers go on with it for six seconds. Rules: the name an instance is told and the key it is not shown; no run with a key never held, nor with one removed 3 s before the request was sent; proper requests denied; a key run twice within 60 s; a repeat answered otherwise than the first run; runs beyond a rate in 5 s; starved consumers.

What operators declare and what routers can do moved to files of their own, since theirs grew too long.

--- a/crates/sim/src/callers.rs
+++ b/crates/sim/src/callers.rs
@@ -2,6 +2,7 @@
 //! once, some trying again eagerly when they are refused.
 
 use crate::chances::Sort;
+use crate::consumers::Caller;
 use crate::router_node::Turn;
 use crate::world::{Event, World};
 use rand::RngExt;
@@ -19,6 +20,7 @@
     pub service: String,
     pub resends: u32,
     pub begun: Duration,
+    pub caller: Caller,
 }
 
 #[derive(Default)]
@@ -34,6 +36,8 @@
     pub flood_until: Duration,
     pub eager_until: Duration,
     pub short_of: [u64; 2],
+    /// Under what a consumer's deferred task is stored, by its key.
+    pub scopes: BTreeMap<String, String>,
 }
 
 pub const CLASSES: [&str; 4] = ["ordinary", "once", "deferred", "ordinary"];
@@ -52,9 +56,10 @@
 const ATTEMPTS: usize = 2;
 
 impl World {
-    /// Where links are reset, some requests may run on one instance only, and once.
+    /// Where links are reset, and for consumers, some requests may run on one instance only, and once.
     pub fn class_of(&self, function: usize) -> &'static str {
-        if self.plan.sort == Sort::Resets && function % 4 == 3 { "single" } else { CLASSES[function % 4] }
+        let has_single = matches!(self.plan.sort, Sort::Resets | Sort::Consumers);
+        if has_single && function % 4 == 3 { "single" } else { CLASSES[function % 4] }
     }
 
     /// The most instances that a try of the service is sent to; the store counts those of deferred tasks.
@@ -92,6 +97,7 @@
             service,
             resends: 1,
             begun: self.now,
+            caller: self.next_caller(function, number),
         };
         let eager = self.now < self.callers.eager_until;
         if is_keyed(task.class) && (eager || self.dice.random_ratio(1, 10)) {
@@ -134,8 +140,8 @@
                 headers: vec![header].into(),
             },
             body: task.key.clone().into_bytes(),
-            key: is_keyed(task.class).then(|| task.key.clone()),
-            api_key: None,
+            key: is_keyed(task.class).then(|| task.caller.idempotency_key.clone()),
+            api_key: task.caller.api_key.clone(),
             respond_async: task.class == "deferred" && self.dice.random_bool(0.5),
         };
         self.say(|| format!("task {} ({}) asked at router {n}", task.label, task.class));
@@ -143,6 +149,7 @@
         if task.class == "single" {
             self.rules.asked_once_per_try(&task.label);
         }
+        self.note_sent(&task);
         self.callers.open.insert((n, request_id), task);
         self.turn(n, Turn::Front(FrontInput::Task { request_id, call }));
     }
@@ -162,11 +169,15 @@
                 self.callers.answered += 1;
                 self.rules.served_well(now);
                 self.rules.answered(now, &task.label, &task.key, &reply.body);
+                self.rules.answered_consumer(now, &task.label, &reply.body);
+                self.maybe_repeat(&task);
             }
             Some(Outcome::Accepted) => {
                 self.callers.answered += 1;
                 self.rules.served_well(now);
                 self.rules.accepted(&task.key, &task.service);
+                self.rules.served_consumer(&task.label);
+                self.note_scope(&task);
                 self.moment(crate::strikes::Trigger::WorkAccepted, n);
             }
             Some(Outcome::NotRun) => {
@@ -177,6 +188,10 @@
                 }
             }
             Some(Outcome::Unknown) => self.callers.unknown += 1,
+            None if matches!(reply.status, 401 | 403 | 404) => {
+                self.callers.refused += 1;
+                self.rules.denied(now, &task.label, reply.status);
+            }
             _ => self.callers.refused += 1,
         }
         self.count_short(&task, reply.outcome);
@@ -190,6 +205,7 @@
             task.resends += 1;
             task.label = format!("{}#{}", task.key, task.resends);
             task.begun = now + Duration::from_millis(30);
+            task.caller.api_key = self.key_for_repeat(&task.caller);
             self.callers.next += 1;
             let number = self.callers.next;
             self.callers.again.insert(number, task);
--- a/crates/sim/src/chances.rs
+++ b/crates/sim/src/chances.rs
@@ -24,9 +24,11 @@
     Anything,
     Changes,
     Restarts,
+    /// Consumers with API keys, on every class of binding.
+    Consumers,
 }
 
-const WORDS: [(&str, Sort); 20] = [
+const WORDS: [(&str, Sort); 21] = [
     ("calm", Sort::Calm),
     ("core", Sort::Core),
     ("routers", Sort::Routers),
@@ -47,6 +49,7 @@
     ("anything", Sort::Anything),
     ("changes", Sort::Changes),
     ("restarts", Sort::Restarts),
+    ("consumers", Sort::Consumers),
 ];
 
 /// One failure and its drawing by weight: a sort names what may happen in it.
@@ -86,6 +89,8 @@
     Wake,
     Flood,
     ResetLinks,
+    /// A consumer's API key is taken away by a new version while callers go on using it.
+    Revoke,
     Control(crate::control_faults::ControlFault),
 }
 
@@ -121,6 +126,27 @@
             Sort::Routers => &[KillRouter, KillRouter, KillZone, FreezeRouter, LoseAnswers, Garble, Worker],
             Sort::Network => &[CutOne, CutCore, CutSome, CutInside, CutPair, CutZone, SlowLinks],
             Sort::Planned => &[LeaveRouter, StopRegistry],
+            Sort::Consumers => &[
+                Revoke,
+                Revoke,
+                Revoke,
+                KillRegistry,
+                KillCore,
+                FreezeRegistry,
+                LoseDisk,
+                KillRouter,
+                KillRouter,
+                KillZone,
+                FreezeRouter,
+                CutOne,
+                CutSome,
+                CutPair,
+                SlowLinks,
+                LoseAnswers,
+                Worker,
+                LeaveRouter,
+                Crowd,
+            ],
             Sort::Crowd => &[Crowd],
             Sort::Overload => &[Overload, Overload, Crowd, KillRouter, FreezeRouter, LeaveRouter],
             Sort::Herd => &[KillAll, KillRouters, KillCore, FreezeHerd, KillZone, Eager],
--- /dev/null
+++ b/crates/sim/src/consumer_callers.rs
@@ -0,0 +1,78 @@
+//! What the simulator notes of consumers' requests on their way, and the requests that repeat an idempotency key
+//! after a good answer: seconds later, at another router, or on another route.
+
+use crate::callers::SimTask;
+use crate::consumer_rules::{SeenByInstance, SentRequest};
+use crate::consumers::{CONSUMER_HEADER, consumer_name};
+use crate::world::{Event, World};
+use rand::RngExt;
+use std::time::Duration;
+use wire::RequestHead;
+
+/// A caller that goes no further, whatever it is answered.
+const NO_MORE_TRIES: u32 = 9;
+/// How long after a good answer its key is sent again.
+const REPEATED_AFTER_MS: std::ops::Range<u64> = 30..25_000;
+
+impl World {
+    /// A request leaves its caller.
+    pub(crate) fn note_sent(&mut self, task: &SimTask) {
+        if !self.has_consumers() {
+            return;
+        }
+        let number = task.service.rsplit('f').next().and_then(|number| number.parse().ok());
+        let request = SentRequest {
+            sent: self.now,
+            api_key: task.caller.api_key.clone(),
+            operation: (task.class == "once").then(|| task.caller.idempotency_key.clone()),
+            is_public: number.is_some_and(|function| self.is_public(function)),
+        };
+        self.rules.sent_by_consumer(&task.label, request);
+    }
+
+    /// Under what a consumer's task is kept once it is accepted.
+    pub(crate) fn note_scope(&mut self, task: &SimTask) {
+        let (Some(consumer), Some(_)) = (task.caller.consumer, &task.caller.api_key) else { return };
+        let scope = format!("consumer/{}/k-{}", consumer_name(consumer), task.caller.idempotency_key);
+        self.callers.scopes.insert(task.key.clone(), scope);
+    }
+
+    /// What the instance can read of whose request it is.
+    pub(crate) fn seen_by_instance(&self, label: &str, head: &[u8], body: &[u8]) -> SeenByInstance {
+        let fields = wire::from_bytes::<RequestHead>(head).map(|head| head.headers.into_vec()).unwrap_or_default();
+        let named: Vec<String> = fields
+            .iter()
+            .filter(|field| field.name.as_str() == CONSUMER_HEADER)
+            .map(|field| String::from_utf8_lossy(field.value.as_slice()).into_owned())
+            .collect();
+        let consumer = (!named.is_empty()).then(|| named.join(","));
+        let has_api_key = self.rules.api_key_of(label).is_some_and(|key| holds(head, key) || holds(body, key));
+        SeenByInstance { consumer, has_api_key }
+    }
+
+    /// Some run-once keys of consumers are sent again after a good answer.
+    pub(crate) fn maybe_repeat(&mut self, task: &SimTask) {
+        if !self.has_consumers() || task.class != "once" || !self.dice.random_ratio(1, 4) {
+            return;
+        }
+        let mut again = task.clone();
+        let wait = Duration::from_millis(self.dice.random_range(REPEATED_AFTER_MS));
+        self.callers.next += 1;
+        let number = self.callers.next;
+        again.caller.api_key = self.key_for_repeat(&task.caller);
+        if self.dice.random_ratio(1, 3) && again.caller.consumer.is_some() {
+            let other = self.sibling_route(&task.service);
+            again.service = other.unwrap_or(again.service);
+            again.path = format!("/{}", again.service);
+        }
+        again.label = format!("{}#later{number}", task.key);
+        again.resends = NO_MORE_TRIES;
+        again.begun = self.now + wait;
+        self.callers.again.insert(number, again);
+        self.after(wait, Event::CallerRetry { task: number });
+    }
+}
+
+fn holds(bytes: &[u8], word: &str) -> bool {
+    bytes.windows(word.len().max(1)).any(|window| window == word.as_bytes())
+}
--- /dev/null
+++ b/crates/sim/src/consumer_rules.rs
@@ -0,0 +1,184 @@
+//! The rules on consumers: whose name an instance is told, with which keys requests run, who is denied, what a
+//! repeat of a consumer's idempotency key may do, how much runs of a consumer, and whether each is served.
+
+use crate::rules::Rules;
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::time::Duration;
+
+/// After an acknowledgement a version is in force everywhere within this time.
+pub const APPLIED: Duration = Duration::from_secs(3);
+/// Proper requests that may be denied: so many, and one in so many of all.
+const MAX_DENIED: u64 = 5;
+const DENIED_SHARE: u64 = 500;
+
+/// An API key and the consumer that holds it, as `tenant/name`.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct KeyHolder {
+    /// The key.
+    pub api_key: String,
+    /// Who holds it.
+    pub consumer: String,
+}
+
+/// A request as its caller sent it.
+#[derive(Clone, Debug, Default)]
+pub struct SentRequest {
+    /// When it was sent.
+    pub sent: Duration,
+    /// Its API key, if it has one.
+    pub api_key: Option<String>,
+    /// Its idempotency key where it is to run once.
+    pub operation: Option<String>,
+    /// Whether its binding asks for no key.
+    pub is_public: bool,
+}
+
+/// What an instance sees of a request that it runs.
+#[derive(Clone, Debug, Default)]
+pub struct SeenByInstance {
+    /// The consumer it is told, without the tenant.
+    pub consumer: Option<String>,
+    /// Whether the caller's API key stands anywhere in it.
+    pub has_api_key: bool,
+}
+
+#[derive(Debug)]
+pub(crate) struct KeyRecord {
+    pub(crate) consumer: String,
+    acknowledged: Option<Duration>,
+    /// Since when a change without it may be in force.
+    doubtful: Option<Duration>,
+    /// When a version without it was acknowledged first.
+    removed: Option<Duration>,
+}
+
+#[derive(Debug, Default)]
+pub(crate) struct ServiceRecord {
+    pub(crate) asked: u64,
+    pub(crate) served: u64,
+}
+
+/// What the rules on consumers remember between steps.
+#[derive(Default)]
+pub struct ConsumerRecords {
+    pub(crate) keys: BTreeMap<String, KeyRecord>,
+    pub(crate) founded: Option<Duration>,
+    pub(crate) sent: BTreeMap<String, SentRequest>,
+    pub(crate) ran: BTreeSet<String>,
+    pub(crate) asked: u64,
+    pub(crate) denied: u64,
+    /// The labels that ran under an operation, with the times at which they were sent.
+    pub(crate) operations: BTreeMap<(String, String), Vec<(Duration, String)>>,
+    pub(crate) limits: BTreeMap<String, (f64, f64)>,
+    /// When what ran of a limited consumer had been sent.
+    pub(crate) admitted: BTreeMap<String, VecDeque<Duration>>,
+    pub(crate) service: BTreeMap<String, ServiceRecord>,
+}
+
+impl Rules {
+    /// A change was sent that declares these keys and no others. No key is declared again once it was left out.
+    pub fn keys_offered(&mut self, now: Duration, held: &[KeyHolder]) {
+        let keys = &mut self.consumers.keys;
+        for holder in held {
+            let consumer = holder.consumer.clone();
+            let record = KeyRecord { consumer, acknowledged: None, doubtful: None, removed: None };
+            keys.entry(holder.api_key.clone()).or_insert(record);
+        }
+        for (_, record) in keys.iter_mut().filter(|(key, _)| !is_held(held, key)) {
+            record.doubtful.get_or_insert(now);
+        }
+    }
+
+    /// A change that was sent at `offered`, and declares these keys and no others, was acknowledged.
+    pub fn keys_acknowledged(&mut self, now: Duration, offered: Duration, held: &[KeyHolder]) {
+        self.consumers.founded.get_or_insert(now);
+        for (key, record) in &mut self.consumers.keys {
+            if is_held(held, key) {
+                record.acknowledged.get_or_insert(now);
+            } else if record.doubtful.is_some_and(|at| at <= offered) {
+                record.removed.get_or_insert(now);
+            }
+        }
+    }
+
+    /// A request was sent, under a label of its own.
+    pub fn sent_by_consumer(&mut self, label: &str, request: SentRequest) {
+        self.consumers.asked += 1;
+        if let Some(consumer) = self.owed_to(&request, request.sent) {
+            self.consumers.service.entry(consumer).or_default().asked += 1;
+        }
+        self.consumers.sent.insert(label.to_owned(), request);
+    }
+
+    /// The consumer that holds a request's key in whichever configuration may be in force, if one surely does.
+    pub(crate) fn owed_to(&self, request: &SentRequest, until: Duration) -> Option<String> {
+        let record = request.api_key.as_ref().and_then(|key| self.consumers.keys.get(key))?;
+        let is_in_force = record.acknowledged.is_some_and(|at| request.sent > at + APPLIED);
+        let is_doubtful = record.doubtful.is_some_and(|at| until >= at);
+        (is_in_force && !is_doubtful).then(|| record.consumer.clone())
+    }
+
+    /// The API key that a request was sent with.
+    pub(crate) fn api_key_of(&self, label: &str) -> Option<&str> {
+        self.consumers.sent.get(label).and_then(|request| request.api_key.as_deref())
+    }
+
+    /// An instance runs a request.
+    pub fn ran_for_consumer(&mut self, now: Duration, label: &str, seen: &SeenByInstance) {
+        let Some(request) = self.consumers.sent.get(label).cloned() else { return };
+        if seen.has_api_key {
+            self.tell(now, format!("{label}: an instance was shown the API key"));
+        }
+        let key = request.api_key.as_ref().and_then(|key| self.consumers.keys.get(key));
+        let holder = key.map(|record| record.consumer.clone());
+        let removed = key.and_then(|record| record.removed);
+        let told = seen.consumer.clone();
+        let expected = holder.as_deref().map(short_name);
+        if told.is_some() && told.as_deref() != expected {
+            self.tell(now, format!("{label} of {holder:?} ran as {told:?}"));
+        }
+        let is_late = removed.is_some_and(|at| request.sent > at + APPLIED);
+        if told.is_some() && is_late {
+            self.tell(now, format!("{label} ran with a key taken away at {removed:?}, sent at {:?}", request.sent));
+        }
+        if told.is_none() && !request.is_public {
+            self.tell(now, format!("{label} ran as nobody's, its key is {holder:?}'s"));
+        }
+        if told.is_none() && self.owed_to(&request, now).is_some() {
+            self.tell(now, format!("{label} of {holder:?} ran as nobody's"));
+        }
+        let consumer = holder.filter(|_| told.is_some()).unwrap_or_default();
+        self.ran_as_operation(now, label, &consumer, &request);
+        if self.consumers.ran.insert(label.to_owned()) {
+            self.counted_against_limit(now, &consumer, request.sent);
+        }
+    }
+
+    /// A caller was told that it may not, or that there is no such route.
+    pub fn denied(&mut self, now: Duration, label: &str, status: u16) {
+        let Some(request) = self.consumers.sent.get(label).cloned() else { return };
+        if self.consumers.ran.contains(label) {
+            self.tell(now, format!("{label} was answered {status} though it ran"));
+        }
+        let is_founded = self.consumers.founded.is_some_and(|at| request.sent > at + APPLIED);
+        let is_open = request.is_public && is_founded;
+        if is_open || self.owed_to(&request, now).is_some() {
+            self.consumers.denied += 1;
+            let (denied, asked) = (self.consumers.denied, self.consumers.asked);
+            if denied > MAX_DENIED + asked / DENIED_SHARE {
+                self.tell(
+                    now,
+                    format!("{denied} of {asked} requests denied though proper, the last {label}, {status}"),
+                );
+            }
+        }
+    }
+}
+
+fn is_held(held: &[KeyHolder], key: &str) -> bool {
+    held.iter().any(|holder| holder.api_key == key)
+}
+
+fn short_name(consumer: &str) -> &str {
+    consumer.split_once('/').map_or(consumer, |(_, name)| name)
+}
--- /dev/null
+++ b/crates/sim/src/consumers.rs
@@ -0,0 +1,186 @@
+//! Consumers in a simulated deployment: what each declares, how its API keys are taken away from version to
+//! version, and by which key a caller calls.
+
+use crate::callers::service_of;
+use crate::chances::Sort;
+use crate::consumer_rules::KeyHolder;
+use crate::declared::line;
+use crate::world::World;
+use rand::RngExt;
+use serde_json::json;
+use std::collections::BTreeMap;
+use std::time::Duration;
+use wire::ConfigurationItem;
+
+/// How many consumers a configuration declares.
+pub const CONSUMERS: usize = 5;
+/// The header in which an instance is told whose request it runs.
+pub const CONSUMER_HEADER: &str = "x-consumer";
+/// The consumer that makes every other request.
+const LARGEST: usize = 0;
+/// Functions from this one on, and before the next bound, have public bindings: an ordinary and a run-once one.
+const PUBLIC: std::ops::Range<usize> = 4..6;
+/// For so long callers go on with a key that was taken away.
+const HABIT: Duration = Duration::from_secs(6);
+
+/// Who calls, by which API key, and under which idempotency key.
+#[derive(Clone, Debug, Default)]
+pub struct Caller {
+    /// The consumer that the caller belongs to.
+    pub consumer: Option<usize>,
+    /// What it sends as its API key.
+    pub api_key: Option<String>,
+    /// What it sends as its idempotency key.
+    pub idempotency_key: String,
+}
+
+/// The keys of each consumer. At generation `g` it holds the keys `g` and `g + 1`; a version of the next generation
+/// takes key `g` away.
+#[derive(Default)]
+pub struct KeyBook {
+    /// What operators declare from now on.
+    declared: [u64; CONSUMERS],
+    /// What the newest acknowledged version declares.
+    acknowledged: [u64; CONSUMERS],
+    by_mark: BTreeMap<String, [u64; CONSUMERS]>,
+    revoked_at: [Option<Duration>; CONSUMERS],
+    /// Whose requests come many times as often, and until when.
+    pub hot: Option<(usize, Duration)>,
+}
+
+fn api_key(consumer: usize, generation: u64) -> String {
+    format!("key-{consumer}-{generation}")
+}
+
+/// A consumer's name, as `tenant/name`.
+pub fn consumer_name(consumer: usize) -> String {
+    format!("t{}/c{consumer}", consumer % 3)
+}
+
+fn keys_of(generations: &[u64; CONSUMERS]) -> Vec<KeyHolder> {
+    let of = |(consumer, generation): (usize, &u64)| {
+        [*generation, *generation + 1]
+            .map(|number| KeyHolder { api_key: api_key(consumer, number), consumer: consumer_name(consumer) })
+    };
+    generations.iter().enumerate().flat_map(of).collect()
+}
+
+impl World {
+    /// Whether configurations declare consumers.
+    pub fn has_consumers(&self) -> bool {
+        self.plan.sort == Sort::Consumers
+    }
+
+    /// Whether a function's binding asks for no API key.
+    pub fn is_public(&self, function: usize) -> bool {
+        self.has_consumers() && PUBLIC.contains(&function)
+    }
+
+    /// The consumers as operators declare them now.
+    pub(crate) fn consumer_items(&self) -> Vec<ConfigurationItem> {
+        if !self.has_consumers() {
+            return Vec::new();
+        }
+        let item = |(consumer, generation): (usize, &u64)| {
+            let keys = [*generation, *generation + 1].map(|number| api_key(consumer, number));
+            let rank = (consumer > 0).then_some(consumer % 3);
+            let declared = json!({"keys": keys, "rate_per_s": 0.0, "burst": 0.0, "rank": rank});
+            line(&format!("consumers/{}", consumer_name(consumer)), declared)
+        };
+        self.key_book.declared.iter().enumerate().map(item).collect()
+    }
+
+    /// A change was sent with the consumers as they are declared now.
+    pub(crate) fn consumers_offered(&mut self, mark: &str) {
+        if self.has_consumers() {
+            let declared = self.key_book.declared;
+            self.key_book.by_mark.insert(mark.to_owned(), declared);
+            self.rules.keys_offered(self.now, &keys_of(&declared));
+        }
+    }
+
+    pub(crate) fn consumers_acknowledged(&mut self, mark: &str, offered: Duration) {
+        let Some(generations) = self.key_book.by_mark.get(mark).copied() else { return };
+        for (known, now) in self.key_book.acknowledged.iter_mut().zip(generations) {
+            *known = (*known).max(now);
+        }
+        self.rules.keys_acknowledged(self.now, offered, &keys_of(&generations));
+    }
+
+    /// The versions from now on take a key of one consumer away.
+    pub(crate) fn revoke_any_key(&mut self) {
+        let consumer = self.dice.random_range(0..CONSUMERS);
+        self.say(|| format!("a key of {} is taken away", consumer_name(consumer)));
+        self.key_book.declared[consumer] += 1;
+        self.key_book.revoked_at[consumer] = Some(self.now);
+    }
+
+    /// Whoever calls for a function next, under an idempotency key of its own or one that another consumer used.
+    pub(crate) fn next_caller(&mut self, function: usize, number: u64) -> Caller {
+        let mut caller = Caller { idempotency_key: number.to_string(), ..Caller::default() };
+        let is_keyed = matches!(self.class_of(function), "once" | "deferred");
+        if !self.has_consumers() || (is_keyed && self.is_public(function)) {
+            return caller;
+        }
+        let consumer = self.next_consumer();
+        caller.consumer = Some(consumer);
+        caller.api_key = self.next_api_key(consumer);
+        if is_keyed && self.dice.random_ratio(1, 10) {
+            caller.idempotency_key = self.key_of_another(consumer).unwrap_or(caller.idempotency_key);
+        }
+        caller
+    }
+
+    fn next_consumer(&mut self) -> usize {
+        let hot = self.key_book.hot.filter(|(_, until)| self.now < *until).map(|(consumer, _)| consumer);
+        let drawn = if self.dice.random_bool(0.5) { LARGEST } else { self.dice.random_range(0..CONSUMERS) };
+        hot.filter(|_| self.dice.random_ratio(19, 20)).unwrap_or(drawn)
+    }
+
+    /// A key that is held, mostly; else one that was taken away, is not there yet, was never there, or none.
+    fn next_api_key(&mut self, consumer: usize) -> Option<String> {
+        let held = self.key_book.acknowledged[consumer];
+        let revoked = self.key_book.revoked_at[consumer];
+        let is_habit = revoked.is_some_and(|at| self.now < at + HABIT) && self.dice.random_bool(0.4);
+        if is_habit {
+            return Some(api_key(consumer, self.key_book.declared[consumer].saturating_sub(1)));
+        }
+        match self.dice.random_range(0..100) {
+            0..5 => Some(api_key(consumer, held.saturating_sub(1))),
+            5..8 => Some(api_key(consumer, held + 2)),
+            8..12 => Some(format!("nobodys-{held}")),
+            12..15 => None,
+            _ => Some(api_key(consumer, held + u64::from(self.dice.random_bool(0.7)))),
+        }
+    }
+
+    /// An idempotency key that a request of another consumer carries now.
+    fn key_of_another(&mut self, consumer: usize) -> Option<String> {
+        let others = self.callers.open.values().map(|task| &task.caller);
+        let others = others.filter(|other| other.consumer.is_some_and(|other| other != consumer));
+        let keys: Vec<String> = others.map(|other| other.idempotency_key.clone()).collect();
+        let drawn = self.dice.random_range(0..keys.len().max(1));
+        keys.get(drawn).cloned()
+    }
+
+    /// The key by which a caller tries again: the same, or another that its consumer holds.
+    pub(crate) fn key_for_repeat(&mut self, caller: &Caller) -> Option<String> {
+        let Some(consumer) = caller.consumer.filter(|_| caller.api_key.is_some()) else {
+            return caller.api_key.clone();
+        };
+        let is_own = caller.api_key.as_ref().is_some_and(|key| key.starts_with("key-"));
+        if is_own && self.dice.random_ratio(1, 3) {
+            return Some(api_key(consumer, self.key_book.acknowledged[consumer] + 1));
+        }
+        caller.api_key.clone()
+    }
+
+    /// Another route of the same class that asks for a key.
+    pub(crate) fn sibling_route(&self, service: &str) -> Option<String> {
+        let class = |function: usize| self.class_of(function);
+        let is_this = |function: &usize| service_of(*function) == service;
+        let this = (0..self.plan.functions).find(is_this)?;
+        let is_sibling = |other: &usize| *other != this && class(*other) == class(this) && !self.is_public(*other);
+        (0..self.plan.functions).find(is_sibling).map(service_of)
+    }
+}
--- a/crates/sim/src/ending.rs
+++ b/crates/sim/src/ending.rs
@@ -13,6 +13,7 @@
         self.check_read_back();
         self.check_orders();
         self.check_deferred();
+        self.rules.all_served(now);
         let [flooders, others] = self.callers.short_of;
         let short = match self.plan.sort {
             Sort::Planned | Sort::Wake | Sort::Calm => flooders + others,
@@ -37,7 +38,8 @@
             .filter_map(|node| node.core.as_ref())
             .max_by_key(|core| core.member().positions().committed);
         let kept = |key: &str, service: &str| {
-            let id = traffic::stored_id(&format!("{service}/k-{key}"));
+            let scope = self.callers.scopes.get(key).cloned().unwrap_or_else(|| format!("{service}/k-{key}"));
+            let id = traffic::stored_id(&scope);
             tail.is_some_and(|core| core.state().contains_key(&format!("p/{service}/{id}")))
         };
         let lost: Vec<&String> =
--- a/crates/sim/src/faults.rs
+++ b/crates/sim/src/faults.rs
@@ -137,6 +137,7 @@
             Kind::MoveSeeds => self.move_seeds(),
             Kind::Wake => self.wake_all(),
             Kind::ResetLinks => self.reset_links(),
+            Kind::Revoke => self.revoke_any_key(),
             Kind::Control(fault) => return self.control_fault(fault, back),
             Kind::Flood => self.callers.flood_until = self.now + back,
         }
--- a/crates/sim/src/instances.rs
+++ b/crates/sim/src/instances.rs
@@ -19,6 +19,7 @@
             .find(|line| line.name.as_str() == "x-task")
             .map(|line| String::from_utf8_lossy(line.value.as_slice()).into_owned())
             .unwrap_or_default();
+        let seen = self.seen_by_instance(&label, &order.head, &order.body);
         self.say(|| format!("task {label} goes from router {n} to {}", order.address));
         let lost = self.dice.random_bool(self.yard.lose);
         let garbled = self.dice.random_bool(self.yard.garble);
@@ -52,6 +53,7 @@
                 instance.busy += 1;
                 let service = instance.service.clone();
                 self.rules.ran(now, &label, &service);
+                self.rules.ran_for_consumer(now, &label, &seen);
                 if lost || garbled {
                     let told = if lost { "lost" } else { "bytes after the answer's declared end" };
                     DispatchOutcome::InDoubt { detail: told.into(), late: false }
--- a/crates/sim/src/operators.rs
+++ b/crates/sim/src/operators.rs
@@ -2,6 +2,7 @@
 //! acknowledged, refused and left unknown kept for the rules and the read-back at the end.
 
 use crate::chances::Sort;
+use crate::declared::{line, mark_line};
 use crate::resending::Order;
 use crate::world::{Event, World};
 use checker::{Invocation, Response};
@@ -10,7 +11,6 @@
 use serde_json::{Value, json};
 use std::collections::BTreeMap;
 use std::time::Duration;
-use wire::ConfigurationItem;
 
 pub struct Asked {
     pub mark: String,
@@ -60,25 +60,7 @@
     }
 }
 
-fn line(key: &str, value: Value) -> ConfigurationItem {
-    ConfigurationItem { key: key.into(), gone: 0, value: value.to_string().into_bytes().into() }
-}
-
 impl World {
-    /// The bindings all runs share, under a mark that tells one configuration from another.
-    pub(crate) fn items(&self, mark: &str) -> Vec<ConfigurationItem> {
-        let mut items: Vec<ConfigurationItem> = (0..self.plan.functions)
-            .map(|function| {
-                let class = self.class_of(function);
-                let limit = self.plan.limit;
-                let binding = json!({"route": format!("/t{}/f{function}", function % 3), "function": format!("f{function}"), "class": class, "instance_limit": limit, "max": 6});
-                line(&format!("function-bindings/t{}/f{function}", function % 3), binding)
-            })
-            .collect();
-        items.push(mark_line(mark));
-        items
-    }
-
     pub fn operator(&mut self) {
         let quiet = self.now + Duration::from_secs(1) > self.plan.final_fault;
         if quiet {
@@ -110,8 +92,10 @@
             if self.operators.founded && std::mem::take(&mut self.operators.grows) {
                 grown = 3000;
             }
-            let any = self.dice.random_ratio(1, 5);
+            // A key that was taken away may not come back by a change that knows no revision.
+            let any = self.dice.random_ratio(1, 5) && !self.has_consumers();
             let mut items = if full { self.items(&mark) } else { vec![mark_line(&mark)] };
+            items.extend(self.consumer_items());
             if invalid {
                 items.push(line(
                     "function-bindings/t9/bad",
@@ -127,6 +111,9 @@
                     )
                 }));
             }
+            if !invalid {
+                self.consumers_offered(&mark);
+            }
             let base = (!any).then_some(base);
             let call = ApiCall::Change {
                 op: mark.clone(),
@@ -173,6 +160,7 @@
                     self.rules.tell(now, format!("two changes on revision {:?} were acknowledged", asked.base));
                 }
                 self.check_order_copies(&asked.mark);
+                self.consumers_acknowledged(&asked.mark, asked.sent);
                 self.operators.founded = true;
                 self.operators.revision = self.operators.revision.max(revision);
                 self.operators.last_ack = now;
@@ -235,9 +223,3 @@
         }
     }
 }
-
-/// A change is known by a number kept in a plan of a function that is never called.
-pub(crate) fn mark_line(mark: &str) -> ConfigurationItem {
-    let number: u64 = mark[1..].parse().unwrap_or_default();
-    line("headcount-plans/t0/mark", json!({"fixed": number % 1000}))
-}
--- a/crates/sim/src/plan.rs
+++ b/crates/sim/src/plan.rs
@@ -41,7 +41,11 @@
             registries,
             losses,
             routers: if matches!(sort, Sort::Storm | Sort::Wake) { 5 } else { 3 + (seed % 3) as usize },
-            functions: if sort == Sort::Wake { 60 } else { 8 },
+            functions: match sort {
+                Sort::Wake => 60,
+                Sort::Consumers => 12,
+                _ => 8,
+            },
             limit: if sort == Sort::Wake { 1 } else { 3 },
             bouts: match sort {
                 // Many requests at a time, for a shorter run.
--- a/crates/sim/src/resending.rs
+++ b/crates/sim/src/resending.rs
@@ -2,7 +2,8 @@
 //! and whatever has no clear answer after a second is sent again as it was, to any registry. Now and then an
 //! order that was acknowledged long ago is sent once more.
 
-use crate::operators::{Asked, mark_line};
+use crate::declared::mark_line;
+use crate::operators::Asked;
 use crate::world::{Event, World};
 use checker::{Response, anomalies};
 use control::{ApiCall, CoreInput};
--- a/crates/sim/src/router_node.rs
+++ b/crates/sim/src/router_node.rs
@@ -1,14 +1,15 @@
 //! A router in the simulator: the real follower, front and owner, fed by hand.
 
 use crate::chances::Sort;
+use crate::router_limits::{capacity, front_limits};
 use crate::world::{Event, Place, TICK, World};
 use bindings::RouteTable;
 use leases::{Follower, FollowerInput, FollowerOutput, FollowerTiming, mix};
 use rand::RngExt;
 use std::rc::Rc;
 use std::time::Duration;
-use traffic::{Front, FrontInput, FrontLimits, FunctionOwner, OwnerInput, OwnerTiming};
-use wire::{Capacity, ForwardMessage, LeaseMessage, Message, NodeId, PlanMessage};
+use traffic::{Front, FrontInput, FunctionOwner, OwnerInput, OwnerTiming};
+use wire::{ForwardMessage, LeaseMessage, Message, NodeId, PlanMessage};
 
 pub struct Machines {
     pub follower: Follower,
@@ -37,12 +38,6 @@
     }
 }
 
-/// Machines of three strengths, and some too weak to own anything.
-fn capacity(n: usize) -> Capacity {
-    let processor_milli = if n % 5 == 4 { 100 } else { 1000 / (1 + n as u32 % 3) };
-    Capacity { processor_milli, link_kbit: 1_000_000 }
-}
-
 const LAST_CALLS: Duration = Duration::from_millis(700);
 const GRACE: Duration = Duration::from_secs(8);
 
@@ -97,7 +92,7 @@
         let timing = FollowerTiming { relay_above, peer_hold, ..FollowerTiming::default() };
         node.machines = Some(Machines {
             follower: Follower::new(node.id, life, &node.address, node.zone, "", timing).able_to_own(capacity(n)),
-            front: Front::new(node.id, life, FrontLimits::default()),
+            front: Front::new(node.id, life, front_limits()),
             owner: FunctionOwner::new(node.id, life, OwnerTiming::default()),
             heard: None,
             seats: seeds,
--- a/crates/sim/src/rules.rs
+++ b/crates/sim/src/rules.rs
@@ -1,5 +1,6 @@
 //! The rules, checked after every step; the first broken one ends the run with its seed.
 
+use crate::consumer_rules::ConsumerRecords;
 use crate::world::World;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::time::Duration;
@@ -29,6 +30,7 @@
     faults: Vec<(Duration, Duration)>,
     good: Vec<Duration>,
     pub run_count: u64,
+    pub(crate) consumers: ConsumerRecords,
 }
 
 impl Rules {
--- a/crates/sim/src/strikes.rs
+++ b/crates/sim/src/strikes.rs
@@ -131,7 +131,7 @@
             self.operators.next += 1;
             let request_id = self.operators.next;
             let mark = format!("m{request_id}");
-            let items = vec![crate::operators::mark_line(&mark)];
+            let items = vec![crate::declared::mark_line(&mark)];
             let call = ApiCall::Change {
                 op: mark.clone(),
                 base,
--- a/crates/sim/src/world.rs
+++ b/crates/sim/src/world.rs
@@ -3,6 +3,7 @@
 use crate::callers::Callers;
 use crate::catch_up::CatchUp;
 use crate::chances::Sort;
+use crate::consumers::KeyBook;
 use crate::fingerprint::Fingerprint;
 use crate::net::Net;
 use crate::operators::Operators;
@@ -60,6 +61,7 @@
     pub yard: SimYard,
     pub callers: Callers,
     pub operators: Operators,
+    pub key_book: KeyBook,
     pub rules: Rules,
     pub steps: u64,
     pub judged: usize,
@@ -98,6 +100,7 @@
             yard: SimYard::default(),
             callers: Callers::default(),
             operators: Operators::default(),
+            key_book: KeyBook::default(),
             rules: Rules::default(),
             steps: 0,
             judged: 0,
--- a/crates/sim/tests/seeds.rs
+++ b/crates/sim/tests/seeds.rs
@@ -20,6 +20,7 @@
 #[test_case(Sort::Cutoff, &[26, 27]; "cutoff")]
 #[test_case(Sort::Replacement, &[1, 2]; "replacement")]
 #[test_case(Sort::Restarts, &[1, 2, 4]; "restarts")]
+#[test_case(Sort::Consumers, &[1, 2, 3]; "consumers")]
 #[test_case(Sort::Anything, &[25, 26]; "anything")]
 #[test_case(Sort::Anything, &[1220027]; "routers started after all their seeds had been replaced")]
 #[test_case(Sort::Replacement, &[1210020]; "a voter that goes before its successor has its vote")]
