Simulate hot consumers, lossy links, and routers whose connections are reset

With a hot consumer requests come ten times as often, 19 of 20 its own. A lossy link delays 8 frames in a hundred by 0.2 to 1.2 s, with all behind them, and is reset now and then; links among registries count as trouble meanwhile. A router's reset loses what is on the way to and from it, leaves what its instances do in doubt, and its callers ask again under the same idempotency key.

--- a/crates/sim/src/callers.rs
+++ b/crates/sim/src/callers.rs
@@ -71,7 +71,8 @@
     pub fn caller(&mut self) {
         let crowd = self.callers.crowd.filter(|(_, until)| self.now < *until).map(|(function, _)| function);
         let flood = self.now < self.callers.flood_until;
-        let times = if flood { 40.0 } else { f64::from(1 + 9 * u8::from(crowd.is_some())) };
+        let hot = self.key_book.hot.is_some_and(|(_, until)| self.now < until);
+        let times = if flood { 40.0 } else { f64::from(1 + 9 * u8::from(crowd.is_some()) + 9 * u8::from(hot)) };
         let rate = self.plan.rate * times;
         let wait = Duration::from_secs_f64(-(1.0 - self.dice.random::<f64>()).ln() / rate);
         if self.now < self.plan.callers_end {
--- a/crates/sim/src/chances.rs
+++ b/crates/sim/src/chances.rs
@@ -91,6 +91,12 @@
     ResetLinks,
     /// A consumer's API key is taken away by a new version while callers go on using it.
     Revoke,
+    /// One consumer sends many times its usual.
+    HotConsumer,
+    /// Links between processes lose packets.
+    Lossy,
+    /// All connections of a router are reset.
+    ResetConnections,
     Control(crate::control_faults::ControlFault),
 }
 
@@ -130,6 +136,12 @@
                 Revoke,
                 Revoke,
                 Revoke,
+                HotConsumer,
+                HotConsumer,
+                Lossy,
+                Lossy,
+                ResetConnections,
+                ResetConnections,
                 KillRegistry,
                 KillCore,
                 FreezeRegistry,
--- a/crates/sim/src/core_rules.rs
+++ b/crates/sim/src/core_rules.rs
@@ -122,7 +122,8 @@
         let registry = |place: &Place| matches!(place, Place::Registry(_));
         let touches = |(a, b): &(Place, Place)| (*a == place || *b == place) && registry(a) && registry(b);
         let net = &self.net;
-        held || node.core.is_none() || self.is_slow(place) || net.cuts.iter().chain(net.slow.keys()).any(touches)
+        let mut disturbed = net.cuts.iter().chain(net.slow.keys()).chain(net.lossy.keys());
+        held || node.core.is_none() || self.is_slow(place) || disturbed.any(touches)
     }
 
     pub(crate) fn acknowledged_by(&mut self, n: usize) {
--- a/crates/sim/src/cutoff.rs
+++ b/crates/sim/src/cutoff.rs
@@ -135,7 +135,7 @@
     }
 
     /// What was sent one way and has not arrived is lost; a router at either end is told, and dials anew.
-    fn break_connection(&mut self, from: Place, to: Place) {
+    pub(crate) fn break_connection(&mut self, from: Place, to: Place) {
         self.drop_in_flight(from, to);
         for (near, far) in [(from, to), (to, from)] {
             let (Place::Router(router), id) = (near, self.identity(far).0) else { continue };
--- a/crates/sim/src/faults.rs
+++ b/crates/sim/src/faults.rs
@@ -13,6 +13,7 @@
     StartRouter(usize),
     Heal(Vec<(Place, Place)>),
     Quicken,
+    EndLosses,
     Yard,
 }
 
@@ -138,6 +139,9 @@
             Kind::Wake => self.wake_all(),
             Kind::ResetLinks => self.reset_links(),
             Kind::Revoke => self.revoke_any_key(),
+            Kind::HotConsumer => self.heat_consumer(back),
+            Kind::Lossy => self.lose_packets(back),
+            Kind::ResetConnections => self.reset_connections_of(router),
             Kind::Control(fault) => return self.control_fault(fault, back),
             Kind::Flood => self.callers.flood_until = self.now + back,
         }
@@ -156,6 +160,10 @@
             Mending::StartRouter(n) => self.start_router(n),
             Mending::Heal(cuts) => self.heal(cuts),
             Mending::Quicken => self.net.slow.clear(),
+            Mending::EndLosses => {
+                let now = self.now;
+                self.net.lossy.retain(|_, until| *until > now);
+            }
             Mending::Yard => self.yard.behave(),
         }
     }
--- a/crates/sim/src/follow_ups.rs
+++ b/crates/sim/src/follow_ups.rs
@@ -62,6 +62,9 @@
         planned: bool,
     },
     LastBlow,
+    ResetLossyLink {
+        link: (Place, Place),
+    },
 }
 
 impl World {
@@ -81,6 +84,7 @@
             FollowUp::Stopping { registry, until } => self.await_stop(registry, until),
             FollowUp::ReplaceNext { left, planned } => self.replace_next(left, planned),
             FollowUp::LastBlow => self.last_blow_without_moment(),
+            FollowUp::ResetLossyLink { link } => self.reset_lossy_link(link),
         }
     }
 }
--- a/crates/sim/src/lib.rs
+++ b/crates/sim/src/lib.rs
@@ -20,6 +20,7 @@
 mod fingerprint;
 mod follow_ups;
 mod instances;
+mod link_faults;
 mod net;
 mod operators;
 mod plan;
--- a/crates/sim/src/net.rs
+++ b/crates/sim/src/net.rs
@@ -16,6 +16,8 @@
     pub names: BTreeMap<NodeId, Place>,
     pub sent: u64,
     pub slow: BTreeMap<(Place, Place), Duration>,
+    /// Links that lose packets, and until when.
+    pub lossy: BTreeMap<(Place, Place), Duration>,
     pub slow_machines: BTreeMap<Place, Duration>,
 }
 
@@ -42,6 +44,7 @@
         let slow = if self.dice.random_ratio(1, 400) { self.dice.random_range(1..400_000) } else { 0 };
         let mut more = self.net.slow.get(&(from, to)).copied().unwrap_or_default();
         more += SLOW_FRAME * (u32::from(self.is_slow(from)) + u32::from(self.is_slow(to)));
+        more += self.delay_by_losses(from, to);
         let mut time = self.now + Duration::from_micros(micros + slow) + more;
         let last = self.net.last.entry((from, to)).or_default();
         time = time.max(*last + Duration::from_micros(1));
--- a/crates/sim/src/standing.rs
+++ b/crates/sim/src/standing.rs
@@ -18,6 +18,7 @@
         let up = self.registries.iter().map(|node| node.life).collect::<Vec<u64>>();
         let disturbed = !net.cuts.is_empty()
             || !net.slow.is_empty()
+            || !net.lossy.is_empty()
             || self.live_registries().into_iter().any(held_up)
             || up != self.stood.1;
         if disturbed {
