Ask the quota before a request is first forwarded, and refuse early with 429

Cause: consumers' limits were declared and looked up, and held nowhere.

Ruled out: asking at the function's owner (a hop and a ticket before the refusal; owners of one consumer's functions are many); asking before the lease allows to serve (a request may still change its consumer while it waits).

Change: the front asks its meter once for each request of a consumer with a limit, before the first forward, and answers 429, not run, with the time to come back. A request that ends as not run, or whose caller left before it was forwarded, is given back. Reports and totals are forward messages 17 and 18, left out for formats before 7; they tick with the front. Settings quota_window, quota_overrun, quota_slack; the platform's bounds map to them. Metrics, status and the events E0508 and E0509.

--- a/crates/events/src/list.rs
+++ b/crates/events/src/list.rs
@@ -63,6 +63,8 @@
     platform_call_failed = 505, Warn, "platform call failed";
     function_owner_changed = 506, Info, "function owner changed";
     queue_held_beside_free_slots = 507, Warn, "requests queue beside free slots, held by the rejection limit";
+    consumer_over_limit = 508, Info, "consumer held at its limit";
+    quota_aggregator_changed = 509, Info, "another router adds up what consumers use";
     plan_received = 601, Debug, "plan received";
     plan_fallback = 602, Warn, "no plan, fallback count in force";
     plan_failed = 603, Warn, "fit or solve failed, fallback returned";
--- a/crates/sim/src/router_turns.rs
+++ b/crates/sim/src/router_turns.rs
@@ -22,7 +22,7 @@
                         match output {
                             FrontOutput::Reply { request_id, reply } => self.caller_reply(n, request_id, reply),
                             FrontOutput::Forward { to, message } => {
-                                if !matches!(message, ForwardMessage::AttemptGrant { .. }) {
+                                if is_serving(&message) {
                                     self.rules.served(self.now, revision);
                                 }
                                 if to == me {
@@ -79,3 +79,9 @@
         }
     }
 }
+
+/// Whether the message puts a configuration to use, as the forward of a request does.
+fn is_serving(message: &ForwardMessage) -> bool {
+    use ForwardMessage::{AttemptGrant, QuotaReport, QuotaTotals};
+    !matches!(message, AttemptGrant { .. } | QuotaReport { .. } | QuotaTotals { .. })
+}
--- a/crates/traffic/src/data_plane.rs
+++ b/crates/traffic/src/data_plane.rs
@@ -126,6 +126,7 @@
                 shown = Instant::now();
                 let mut status = self.owner.status();
                 status["front"] = self.front.depth().into();
+                status["quota"] = self.front.quota_status(self.started_at.elapsed());
                 status["front_refusals"] = self.front.refusals.into();
                 status["outcomes"] = serde_json::json!(self.counts);
                 status["inbox"] = inbox.depth().into();
--- a/crates/traffic/src/forwarding.rs
+++ b/crates/traffic/src/forwarding.rs
@@ -10,6 +10,9 @@
         if !self.may_serve || !self.resolve(task) {
             return;
         }
+        if !self.is_within_quota(task) {
+            return;
+        }
         let Some(record) = self.table.get_mut(&task) else { return };
         if record.attempts.is_spent() {
             return self.answer_spent(task);
--- a/crates/traffic/src/front.rs
+++ b/crates/traffic/src/front.rs
@@ -4,6 +4,7 @@
 
 use crate::attempt_count::AttemptCount;
 use crate::front_consumers::identify;
+use crate::front_quota::FrontQuota;
 use crate::front_types::{Call, FrontInput, FrontLimits, FrontOutput, Record, Reply, Stage};
 use crate::owner_liveness::Watched;
 use bindings::{Class, RouteTable};
@@ -35,12 +36,14 @@
     pub(crate) next: u64,
     pub(crate) now: Duration,
     pub(crate) may_serve: bool,
+    pub(crate) quota: FrontQuota,
     pub(crate) outs: Vec<FrontOutput>,
     pub refusals: u64,
 }
 
 impl Front {
     pub fn new(me: NodeId, incarnation: u64, limits: FrontLimits) -> Self {
+        let quota = FrontQuota::new(me, incarnation, limits.quota);
         Front {
             me,
             incarnation,
@@ -56,6 +59,7 @@
             next: first_number(incarnation),
             now: Duration::ZERO,
             may_serve: false,
+            quota,
             outs: Vec::new(),
             refusals: 0,
         }
@@ -82,13 +86,16 @@
             FrontInput::Link { id, up: false } => {
                 self.linked.remove(&id);
                 self.watched.remove(&id);
+                self.quota.handle_link_down(now, id);
                 self.doubt_home(|owner| owner == id);
             }
             FrontInput::RouteTable { routes } => {
+                self.quota.set_routes(&routes);
                 self.routes = Some(routes);
                 self.pass();
             }
             FrontInput::Membership { membership } => {
+                self.quota.set_membership(now, &membership);
                 self.membership = membership;
                 let members: BTreeSet<NodeId> = self.membership.members.iter().map(|member| member.id).collect();
                 self.doubt_home(|owner| !members.contains(&owner));
@@ -99,10 +106,14 @@
                 if let Some(task) = self.by_request_id.get(&request_id).copied()
                     && self.table.get(&task).is_some_and(|record| record.stage == Stage::Waiting && !record.doubt)
                 {
+                    self.give_back(task);
                     self.remove(task);
                 }
             }
-            FrontInput::Tick => self.pass(),
+            FrontInput::Tick => {
+                self.send_quota_reports();
+                self.pass();
+            }
         }
         std::mem::take(&mut self.outs)
     }
@@ -130,6 +141,7 @@
             function: String::new(),
             tenant: String::new(),
             consumer: String::new(),
+            counted: None,
             class: None,
             started_at: self.now,
             due: self.now + DEFAULT_DEADLINE,
@@ -176,6 +188,9 @@
             if reply.outcome == Some(Outcome::NotRun) {
                 self.refusals += 1;
             }
+            if matches!(reply.outcome, Some(Outcome::NotRun) | None) {
+                self.give_back(task);
+            }
             self.outs.push(FrontOutput::Reply { request_id, reply });
             self.remove(task);
         }
--- a/crates/traffic/src/front_passes.rs
+++ b/crates/traffic/src/front_passes.rs
@@ -70,6 +70,8 @@
 
     pub(crate) fn forwarded(&mut self, from: NodeId, message: ForwardMessage) {
         let forward = match &message {
+            ForwardMessage::QuotaReport { report } => return self.handle_quota_report(from, report),
+            ForwardMessage::QuotaTotals { totals } => return self.handle_quota_totals(from, totals),
             ForwardMessage::AttemptRequest { task, attempts } => return self.attempt_requested(from, *task, *attempts),
             ForwardMessage::Answer { task, .. }
             | ForwardMessage::AnswerInSeconds { task, .. }
--- a/crates/traffic/src/front_types.rs
+++ b/crates/traffic/src/front_types.rs
@@ -3,6 +3,7 @@
 use crate::attempt_count::AttemptCount;
 use bindings::{Class, RouteTable};
 use leases::Membership;
+use quota::{ConsumerId, QuotaBounds};
 use std::rc::Rc;
 use std::time::Duration;
 use wire::{ForwardMessage, NodeId, Outcome, RequestHead};
@@ -74,6 +75,8 @@
     /// From an owner's last heartbeat until it or another is the owner again, as a rule.
     pub back: Duration,
     pub consumer_header: Option<ConsumerHeader>,
+    /// By how much the limits of consumers may be missed.
+    pub quota: QuotaBounds,
 }
 
 impl Default for FrontLimits {
@@ -85,6 +88,7 @@
             slack: Duration::from_millis(400),
             back: Duration::from_millis(2200),
             consumer_header: None,
+            quota: QuotaBounds::default(),
         }
     }
 }
@@ -105,6 +109,8 @@
     pub tenant: String,
     /// Whose request it is, as `tenant/name`; empty for no consumer's.
     pub consumer: String,
+    /// The consumer whose limit it counts against.
+    pub counted: Option<ConsumerId>,
     pub class: Option<Class>,
     pub started_at: Duration,
     pub due: Duration,
--- a/crates/traffic/src/lib.rs
+++ b/crates/traffic/src/lib.rs
@@ -26,6 +26,7 @@
 mod front;
 mod front_consumers;
 mod front_passes;
+mod front_quota;
 mod front_types;
 mod function_owner;
 mod function_scheduler;
--- a/crates/traffic/src/router_metrics.rs
+++ b/crates/traffic/src/router_metrics.rs
@@ -9,7 +9,7 @@
 use std::sync::atomic::AtomicU64;
 
 /// Gauges, by name, help and where their value stands in the status.
-const GAUGES: [(&str, &str, &str); 8] = [
+const GAUGES: [(&str, &str, &str); 12] = [
     ("revision", "Revision of the configuration in force", "/revision"),
     ("step", "Configuration epoch in force", "/step"),
     ("staged", "Configuration epoch staged", "/staged"),
@@ -17,12 +17,25 @@
     ("front_tasks", "Requests of callers that are open at this front", "/traffic/front"),
     ("home_tasks", "Requests that this owner has", "/traffic/tasks"),
     ("home_running", "Requests of this owner that are on instances", "/traffic/running"),
+    ("quota_run_ahead", "Requests admitted that are not confirmed as counted", "/traffic/quota/run_ahead"),
+    ("quota_totals_age_milliseconds", "Age of the newest word on all routers' counts", "/traffic/quota/totals_age_ms"),
+    ("quota_silent_members", "Routers this one adds up for and has not heard lately", "/traffic/quota/silent_members"),
+    (
+        "quota_consumers_over_limit",
+        "Consumers over their limits, where this router adds up",
+        "/traffic/quota/over_limit",
+    ),
     ("inbox_depth", "Messages waiting for the traffic thread", "/traffic/inbox"),
 ];
 
 /// Counters, by name, help and where their value stands in the status.
-const COUNTERS: [(&str, &str, &str); 2] = [
+const COUNTERS: [(&str, &str, &str); 7] = [
     ("front_refusals", "Requests that this front refused", "/traffic/front_refusals"),
+    ("quota_refused", "Requests refused beyond their consumers' limits", "/traffic/quota/refused_over_limit"),
+    ("quota_refused_run_ahead", "Requests refused since too little is known", "/traffic/quota/refused_run_ahead"),
+    ("quota_aggregator_changes", "Turns to another router that adds up", "/traffic/quota/aggregator_changes"),
+    ("quota_merges", "Reports of routers merged here", "/traffic/quota/merges"),
+    ("quota_rejected_reports", "Reports or counts refused here", "/traffic/quota/rejected_reports"),
     ("home_refusals", "Requests that this owner answered as not run", "/traffic/refusals"),
 ];
 
@@ -37,6 +50,11 @@
     deadline: String,
 }
 
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct ConsumerLabel {
+    consumer: String,
+}
+
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
 struct BlockLabel {
     cause: String,
@@ -73,9 +91,26 @@
         metrics.outcomes(&page["traffic"]["outcomes"]);
         metrics.refusals(&page["traffic"]["refused"]);
         metrics.blocked(&page["traffic"]);
+        metrics.consumers(&page["traffic"]["quota"]["consumers"]);
         metrics
     }
 
+    fn consumers(&mut self, consumers: &Value) {
+        let (used, refused) =
+            (Family::<ConsumerLabel, Counter>::default(), Family::<ConsumerLabel, Counter>::default());
+        let limit = Family::<ConsumerLabel, Gauge<f64, AtomicU64>>::default();
+        for (consumer, shown) in consumers.as_object().into_iter().flatten() {
+            let label = ConsumerLabel { consumer: consumer.clone() };
+            used.get_or_create(&label).inc_by(shown["used"].as_u64().unwrap_or_default());
+            refused.get_or_create(&label).inc_by(shown["refused"].as_u64().unwrap_or_default());
+            limit.get_or_create(&label).set(shown["limit_per_s"].as_f64().unwrap_or_default());
+        }
+        let registry = &mut self.registry;
+        registry.register("consumer_used", "Requests of a consumer admitted here and not given back", used);
+        registry.register("consumer_refused", "Requests of a consumer refused here by its limit", refused);
+        registry.register("consumer_limit", "Requests a second that a consumer may make at all routers", limit);
+    }
+
     fn outcomes(&mut self, outcomes: &Value) {
         let family = Family::<OutcomeLabel, Counter>::default();
         for (outcome, count) in outcomes.as_object().into_iter().flatten() {
--- a/crates/traffic/src/router_metrics_tests.rs
+++ b/crates/traffic/src/router_metrics_tests.rs
@@ -42,3 +42,31 @@
     let text = RouterMetrics::of(&json!({})).encode();
     assert!(text.contains("heronlink_router_front_refusals_total 0\n"), "{text}");
 }
+
+#[test]
+fn limits_of_consumers_are_shown_with_what_is_used_of_them() {
+    let ada =
+        json!({"limit_per_s": 12.5, "used": 40, "refused": 3, "run_ahead": 2, "level": -1.5, "demand_per_s": 9.0});
+    let quota = json!({
+        "refused_over_limit": 3, "refused_run_ahead": 1, "run_ahead": 2, "aggregator_changes": 4,
+        "totals_age_ms": 250, "merges": 17, "rejected_reports": 5, "silent_members": 6, "over_limit": 7,
+        "consumers": {"t/ada": ada},
+    });
+    let text = RouterMetrics::of(&json!({"traffic": {"quota": quota}})).encode();
+    for line in [
+        "heronlink_router_quota_refused_total 3",
+        "heronlink_router_quota_refused_run_ahead_total 1",
+        "heronlink_router_quota_run_ahead 2",
+        "heronlink_router_quota_aggregator_changes_total 4",
+        "heronlink_router_quota_totals_age_milliseconds 250",
+        "heronlink_router_quota_merges_total 17",
+        "heronlink_router_quota_rejected_reports_total 5",
+        "heronlink_router_quota_silent_members 6",
+        "heronlink_router_quota_consumers_over_limit 7",
+        "heronlink_router_consumer_used_total{consumer=\"t/ada\"} 40",
+        "heronlink_router_consumer_refused_total{consumer=\"t/ada\"} 3",
+        "heronlink_router_consumer_limit{consumer=\"t/ada\"} 12.5",
+    ] {
+        assert!(text.lines().any(|found| found == line), "{line} is missing in\n{text}");
+    }
+}
--- a/crates/traffic/src/service.rs
+++ b/crates/traffic/src/service.rs
@@ -94,7 +94,7 @@
     let (own_limits, server_limits) = (limits.clone(), limits.server);
     let (link_names, names, cell) = (directory.clone(), directory.clone(), pass.clone());
     let back = settings.hold + settings.hold / 6 + TAKING_OVER;
-    let front_limits = FrontLimits { back, consumer_header, ..FrontLimits::default() };
+    let front_limits = FrontLimits { back, consumer_header, quota: settings.quota_bounds(), ..FrontLimits::default() };
     let timing = OwnerTiming {
         starts_per_second: settings.starts_per_second,
         start_gb_seconds: settings.start_gb_seconds,
--- a/crates/traffic/src/settings.rs
+++ b/crates/traffic/src/settings.rs
@@ -3,6 +3,7 @@
 use crate::allowances::Allowances;
 use config::{address, address_or_none, any, in_range, seeds, word};
 use http_server::well_formed;
+use quota::QuotaBounds;
 use std::path::PathBuf;
 use std::time::Duration;
 use wire::Capacity;
@@ -39,6 +40,9 @@
         retry_slack: usize = 60, in_range(0, 1_000_000), "second tries to a function allowed besides";
         retry_window: Duration = Duration::from_secs(10), in_range(Duration::from_secs(1), Duration::from_secs(600)), "length of that window";
         turned_most: usize = 11, in_range(0, 1_000_000), "tasks that one function's instances may turn away in any five seconds";
+        quota_window: Duration = Duration::from_secs(5), in_range(Duration::from_secs(1), Duration::from_secs(600)), "window in which the requests of a consumer with a limit are counted, over all routers; the same on every machine";
+        quota_overrun: f64 = 0.1, in_range(0.0, 10.0), "part of its limit by which a consumer's requests in a window may be beyond it";
+        quota_slack: f64 = 20.0, in_range(0.0, 1_000_000.0), "requests by which they may be beyond it besides";
         step: Duration = Duration::from_secs(15), in_range(Duration::from_millis(250), Duration::from_secs(600)), "one step of samples and plans; the same on every machine";
         format: u16 = wire::FORMAT, in_range(wire::OLDEST, wire::FORMAT), "format in which frames are written; the one before while a fleet rolls from a version that knows no newer";
         log_level: String = "info".into(), word, "error, warn, info, debug or trace";
@@ -52,6 +56,10 @@
         Capacity { processor_milli: milli(self.processor_share), link_kbit: milli(self.link_mbps) }
     }
 
+    pub fn quota_bounds(&self) -> QuotaBounds {
+        QuotaBounds { window: self.quota_window, overrun: self.quota_overrun, slack: self.quota_slack }
+    }
+
     pub fn allowances(&self) -> Allowances {
         Allowances {
             retry_ratio: self.retry_ratio,
--- a/crates/wire/src/downgrade.rs
+++ b/crates/wire/src/downgrade.rs
@@ -8,7 +8,7 @@
 //! | 4 | epochs and configurations in packed parts, changes of the membership, capacities, the inventory |
 //! | 5 | attempts granted with a forward, and reports on what earlier tails granted |
 //! | 6 | announcements of planned stops of registries |
-//! | 7 | whose request is forwarded |
+//! | 7 | whose request is forwarded, and what consumers used |
 
 use crate::codec::{ATTEMPTS, CAPACITY, CONSUMERS, DEPARTURES};
 use crate::{ChainMessage, ForwardMessage, ForwardRequest, LeaseMessage, Message, PlanMessage, Text};
@@ -22,7 +22,7 @@
 pub fn downgrade(message: Message, format: u16) -> Option<Message> {
     let mut message = message;
     if format < CONSUMERS {
-        message = without_consumers(message);
+        message = without_consumers(message)?;
     }
     if format < DEPARTURES && matches!(message, Message::Chain(ChainMessage::Leaving { .. })) {
         return None;
@@ -42,13 +42,15 @@
     Some(message)
 }
 
-fn without_consumers(message: Message) -> Message {
-    match message {
+fn without_consumers(message: Message) -> Option<Message> {
+    let older = match message {
         Message::Forward(ForwardMessage::ForwardForConsumer { request, .. }) => {
             Message::Forward(ForwardMessage::Forward { request })
         }
+        Message::Forward(ForwardMessage::QuotaReport { .. } | ForwardMessage::QuotaTotals { .. }) => return None,
         same => same,
-    }
+    };
+    Some(older)
 }
 
 fn without_attempts(message: Message) -> Option<Message> {
--- a/crates/wire/src/forward.rs
+++ b/crates/wire/src/forward.rs
@@ -1,7 +1,7 @@
 //! What routers say to each other about tasks: forwarding one to its function's owner, the whole
 //! answer on the way back, and the table a leaving owner hands to its successor.
 
-use crate::{Blob, ForwardRequest, InventoryChange, List, Text};
+use crate::{Blob, ForwardRequest, InventoryChange, List, QuotaReport, QuotaTotals, Text};
 use deku::prelude::*;
 
 /// What may be believed about a request that is answered.
@@ -170,10 +170,16 @@
     /// `Forward` of a consumer's request, by tenant and name.
     #[deku(id = "16")]
     ForwardForConsumer { request: Box<ForwardRequest>, consumer: Text },
+    /// A front's counts of what consumers used, to the router that adds them up.
+    #[deku(id = "17")]
+    QuotaReport { report: QuotaReport },
+    /// The answer to it: where consumers stand over all routers.
+    #[deku(id = "18")]
+    QuotaTotals { totals: QuotaTotals },
 }
 
 impl ForwardMessage {
-    /// Whether it is meant for the receiver's owner; if not, it answers the receiver's front.
+    /// Whether it is meant for the receiver's owner; if not, it is for the receiver's front.
     pub fn is_for_owner(&self) -> bool {
         !matches!(
             self,
@@ -183,6 +189,8 @@
                 | ForwardMessage::Returned { .. }
                 | ForwardMessage::AttemptRequest { .. }
                 | ForwardMessage::Heartbeat
+                | ForwardMessage::QuotaReport { .. }
+                | ForwardMessage::QuotaTotals { .. }
         )
     }
 }
--- a/crates/wire/tests/downgrade.rs
+++ b/crates/wire/tests/downgrade.rs
@@ -1,6 +1,9 @@
 //! What peers that understand only an earlier format are sent.
 
-use wire::{Blob, ForwardMessage, ForwardRequest, LeaseMessage, Message, Outcome, OwnershipTable, Text, downgrade};
+use wire::{
+    Blob, ForwardMessage, ForwardRequest, LeaseMessage, Message, Outcome, OwnershipTable, QuotaReport, QuotaTotals,
+    Text, downgrade,
+};
 
 #[test]
 fn format_one_hears_only_its_own_words() {
@@ -69,6 +72,11 @@
     let plain = ForwardMessage::Forward { request: Box::new(request) };
     assert_eq!(downgrade(Message::Forward(whose.clone()), 6), Some(Message::Forward(plain)));
     assert_eq!(downgrade(Message::Forward(whose.clone()), 7), Some(Message::Forward(whose)));
+    let report = Message::Forward(ForwardMessage::QuotaReport { report: QuotaReport::default() });
+    let totals = Message::Forward(ForwardMessage::QuotaTotals { totals: QuotaTotals::default() });
+    for message in [report, totals] {
+        assert_eq!([downgrade(message.clone(), 6), downgrade(message.clone(), 7)], [None, Some(message)]);
+    }
 }
 
 #[test]
--- a/crates/wire/tests/samples/forward.rs
+++ b/crates/wire/tests/samples/forward.rs
@@ -3,7 +3,8 @@
 use super::frame;
 use wire::{
     DemandSample, ForwardMessage, ForwardRequest, InstanceRecord, InstanceSlots, InventoryChange, Measurement, Message,
-    Outcome, OwnershipTable, PlanMessage, TunedParameters, WorkerRecord,
+    Outcome, OwnershipTable, PlanMessage, QuotaCount, QuotaReport, QuotaTotal, QuotaTotals, TunedParameters,
+    WorkerRecord,
 };
 
 fn slot() -> InstanceSlots {
@@ -76,6 +77,24 @@
     }
 }
 
+fn quota_report() -> ForwardMessage {
+    let count = QuotaCount {
+        consumer: 301,
+        admitted: 302,
+        refunded: 303,
+        arrived: 304,
+        unconfirmed_used: 305,
+        unconfirmed_arrived: 306,
+    };
+    let report = QuotaReport { incarnation: 307, number: 308, is_probe: 1, counts: vec![count].into() };
+    ForwardMessage::QuotaReport { report }
+}
+
+fn quota_totals() -> ForwardMessage {
+    let total = QuotaTotal { consumer: 309, level_centi: -310, demand_centi: 311 };
+    ForwardMessage::QuotaTotals { totals: QuotaTotals { number: 312, totals: vec![total].into() } }
+}
+
 pub fn forward_messages() -> Vec<Vec<u8>> {
     use ForwardMessage::*;
     let (head, body) = (vec![221].into(), vec![222].into());
@@ -100,6 +119,8 @@
         AttemptGrant { task: 238, attempts: 239 },
         Returned { task: 240, attempts: 241 },
         ForwardForConsumer { request: Box::new(request()), consumer: "t/c".into() },
+        quota_report(),
+        quota_totals(),
     ]
     .into_iter()
     .map(|message| frame(Message::Forward(message)))
