--- a/crates/traffic/src/claims.rs
+++ b/crates/traffic/src/claims.rs
@@ -19,9 +19,17 @@
 const RUNNING_RETRY: Duration = Duration::from_millis(500);
 /// The status of a repeat whose operation is under way.
 const CONFLICT: u16 = 409;
+/// The status of a repeat whose operation may have run, with an answer that is not known.
+const UNKNOWN: u16 = 504;
 /// The status of a key that was used for another request.
 const UNPROCESSABLE: u16 = 422;
 
+/// What the registries say of a key whose answer they do not have.
+pub(crate) fn unknown_answer() -> StoredAnswer {
+    let empty = || Vec::new().into();
+    StoredAnswer { outcome: Outcome::Unknown, status: UNKNOWN, head: empty(), body: empty() }
+}
+
 impl FunctionOwner {
     /// A request with a key comes. What is known of its operation is answered though the queue is full and the
     /// registries are far; true if nothing more is to be done.
@@ -129,8 +137,11 @@
         }
     }
 
+    /// The registries' disks keep short answers; of a longer one they only learn that there was one.
     pub(crate) fn record_answer(&mut self, number: u64, answer: &StoredAnswer) {
         let Some(task) = self.tasks.get(&number) else { return };
+        let bytes = answer.head.len() + answer.body.len();
+        let answer = if bytes > self.timing.stored_answer_bytes { &unknown_answer() } else { answer };
         let command = Command::RecordAnswer {
             scope: task.scope.as_str().into(),
             member: self.me,
--- a/crates/traffic/src/dispatch_outcomes.rs
+++ b/crates/traffic/src/dispatch_outcomes.rs
@@ -1,6 +1,7 @@
 //! What instances made of the tasks sent to them: answers go back, what has surely not run may go to
 //! another instance, and what may have run is tried again only where it may run more than once.
 
+use crate::claims::unknown_answer;
 use crate::function_owner::FunctionOwner;
 use crate::function_scheduler::FunctionScheduler;
 use crate::instance::InstanceEvent;
@@ -50,8 +51,7 @@
                 self.answer(number, Outcome::Answered, status, Duration::ZERO, head, body);
             }
             (DispatchOutcome::InDoubt { .. }, Class::Once) => {
-                let answer = StoredAnswer { outcome: Outcome::Unknown, ..stored(504, &[], &[]) };
-                self.record_answer(number, &answer);
+                self.record_answer(number, &unknown_answer());
                 self.answer_own(number, Outcome::Unknown, 504, Duration::ZERO);
             }
             (DispatchOutcome::Complete { status, head, body, turned_away }, Class::Ordinary | Class::Single) => {
--- a/crates/traffic/src/owner_types.rs
+++ b/crates/traffic/src/owner_types.rs
@@ -75,6 +75,8 @@
     pub key_window: Duration,
     /// Whether the registries understand claims that say how long their key is kept.
     pub claims_for_ticks: bool,
+    /// The longest answer that the registries store under its key.
+    pub stored_answer_bytes: usize,
     pub adopt: Duration,
     pub sample: Duration,
     /// How often the provider's list is read for all owners.
@@ -100,6 +102,7 @@
             resend: Duration::from_millis(700),
             key_window: Duration::from_secs(1800),
             claims_for_ticks: true,
+            stored_answer_bytes: usize::MAX,
             adopt: Duration::from_millis(1500),
             sample: Duration::from_secs(15),
             list_every: Duration::from_secs(1),
--- a/crates/traffic/src/settings.rs
+++ b/crates/traffic/src/settings.rs
@@ -41,6 +41,7 @@
         retry_slack: usize = 60, in_range(0, 1_000_000), "second tries to a function allowed besides";
         retry_window: Duration = Duration::from_secs(10), in_range(Duration::from_secs(1), Duration::from_secs(600)), "length of that window";
         key_window: Duration = Duration::from_secs(1800), in_range(Duration::from_secs(1), Duration::from_secs(86_400)), "how long requests with the same run-once key are one operation, at least; the same on every machine";
+        stored_answer_bytes: usize = 4 * 1024 * 1024, in_range(0, 4 * 1024 * 1024), "longest answer under a run-once key that the registries store; a longer one is given again by its function's owner alone";
         turned_most: usize = 11, in_range(0, 1_000_000), "tasks that one function's instances may turn away in any five seconds";
         quota_window: Duration = Duration::from_secs(5), in_range(Duration::from_secs(1), Duration::from_secs(600)), "window in which the requests of a consumer with a limit are counted, over all routers; the same on every machine";
         quota_overrun: f64 = 0.1, in_range(0.0, 10.0), "part of its limit by which a consumer's requests in a window may be beyond it";
@@ -72,6 +73,7 @@
             allowances: self.allowances(),
             key_window: self.key_window,
             claims_for_ticks: self.format >= wire::KEY_WINDOWS,
+            stored_answer_bytes: self.stored_answer_bytes,
             ..OwnerTiming::default()
         }
     }
--- a/crates/traffic/tests/keyed.rs
+++ b/crates/traffic/tests/keyed.rs
@@ -23,7 +23,10 @@
 
 /// An owner with one instance.
 fn owner(claims_for_ticks: bool) -> FunctionOwner {
-    let timing = OwnerTiming { key_window: WINDOW, claims_for_ticks, ..OwnerTiming::default() };
+    owner_with(OwnerTiming { key_window: WINDOW, claims_for_ticks, ..OwnerTiming::default() })
+}
+
+fn owner_with(timing: OwnerTiming) -> FunctionOwner {
     let mut owner = FunctionOwner::new(ME, 1, timing);
     owner.step(ms(0), true, OwnerInput::RouteTable { routes: routes() });
     owner.step(ms(0), true, OwnerInput::Membership { membership: membership(1, &[ME, OTHER]) });
@@ -241,3 +244,21 @@
     assert!(refused > 100, "only {refused} were refused");
     assert_eq!(owner.status()["keyed"]["released"].as_u64(), Some(0));
 }
+
+#[test_case(5, "sword", Outcome::Answered, 201; "an answer that is short enough")]
+#[test_case(4, "", Outcome::Unknown, 504; "a longer one")]
+fn the_disks_of_the_registries_keep_short_answers_only(
+    stored_answer_bytes: usize,
+    body: &str,
+    outcome: Outcome,
+    status: u16,
+) {
+    let timing = OwnerTiming { key_window: WINDOW, stored_answer_bytes, ..OwnerTiming::default() };
+    let mut owner = owner_with(timing);
+    let dispatch = first_is_sent(&mut owner);
+    let outputs = complete(&mut owner, 50, dispatch);
+    let [(_, Command::RecordAnswer { answer, .. })] = &proposals(&outputs)[..] else { panic!("it is recorded") };
+    let answer: StoredAnswer = wire::from_bytes(answer.as_slice()).expect("an answer");
+    assert_eq!((answer.outcome, answer.status, answer.body.as_slice()), (outcome, status, body.as_bytes()));
+    assert_eq!(told(&ask(&mut owner, 60, 9, b"x")), [(9, Outcome::Answered, 201, 0, b"sword".to_vec())]);
+}
