Report progress along the chain only when there is some, and measure keyed operations

Cause: each write of a replica was reported by every replica before it, also where their own positions had not moved: frames by the square of the chain's length. Seen in the new example keyed_cost (276 operations a second, answers of 1,200 B, chain of 6, 2 ms a sync, 0.5 ms a link): 3,100 frames a second at each replica.

Ruled out: reporting on a timer (commits would wait for it).

--- a/crates/chain/src/replica/replication.rs
+++ b/crates/chain/src/replica/replication.rs
@@ -103,8 +103,13 @@
             return self.handle_position(from, view, seq);
         }
         self.replication.acknowledge(seq, self.clock.now);
+        let known = self.log.positions().committed;
         self.commit(committed.min(self.log.positions().synced));
-        self.report_progress();
+        // What this replica has synced was reported when it was. One report for each write of each successor
+        // would be as many frames as the square of the chain's length.
+        if self.log.positions().committed > known {
+            self.report_progress();
+        }
         self.send_pending_entries();
     }
 
--- /dev/null
+++ b/crates/control/examples/keyed_cost.rs
@@ -0,0 +1,219 @@
+//! What operations under a key cost a chain of registries, with the real rules of the state, the real data files and
+//! frames, and simulated links and syncs:
+//! `cargo run --release -p control --example keyed_cost -- [operations a second] [seconds] [bytes of an answer] [replicas] [window]`.
+
+use chain::{ChainReplica, Input, Output, Store, Timing};
+use std::collections::BTreeMap;
+use std::path::PathBuf;
+use std::time::{Duration, Instant};
+use wire::{ChainMessage, Command, NodeAddress, NodeId, Outcome, ProposalId, StoredAnswer, from_bytes, to_bytes};
+
+const STEP: Duration = Duration::from_micros(500);
+const LINK_DELAY: Duration = Duration::from_micros(500);
+const SYNC_TIME: Duration = Duration::from_millis(2);
+const TICK_INTERVAL: Duration = Duration::from_millis(25);
+const SETTLING: Duration = Duration::from_secs(8);
+/// From a claim's proposal until the answer is recorded.
+const RUN_TIME: Duration = Duration::from_millis(60);
+
+enum Event {
+    Message { to: NodeId, from: NodeId, bytes: Vec<u8> },
+    Written { at: NodeId, ticket: u64 },
+}
+
+#[derive(Default)]
+struct Costs {
+    steps: Duration,
+    writes: Duration,
+    write_count: u64,
+    frames: u64,
+    frame_bytes: u64,
+    committed: u64,
+}
+
+struct Chain {
+    replicas: BTreeMap<NodeId, (ChainReplica, Store)>,
+    events: BTreeMap<(Duration, u64), Event>,
+    number: u64,
+    now: Duration,
+    costs: Costs,
+    proposed_at: BTreeMap<u64, Duration>,
+    latencies: Vec<Duration>,
+}
+
+fn node(id: NodeId) -> NodeAddress {
+    NodeAddress { id, address: format!("10.0.0.{id}:1").into() }
+}
+
+impl Chain {
+    fn founded(folder: &std::path::Path, count: u64) -> Chain {
+        let open = |id: NodeId| {
+            let (store, stored) = Store::open(&folder.join(format!("{id}")), "cost", node(id)).expect("a data file");
+            let replica = ChainReplica::new(node(id), stored, Timing::default(), control::apply, Duration::ZERO);
+            (id, (replica.with_founders(count as usize), store))
+        };
+        Chain {
+            replicas: (1..=count).map(open).collect(),
+            events: BTreeMap::new(),
+            number: 0,
+            now: Duration::ZERO,
+            costs: Costs::default(),
+            proposed_at: BTreeMap::new(),
+            latencies: Vec::new(),
+        }
+    }
+
+    fn later(&mut self, delay: Duration, event: Event) {
+        self.number += 1;
+        self.events.insert((self.now + delay, self.number), event);
+    }
+
+    fn send(&mut self, from: NodeId, to: NodeId, message: &ChainMessage) {
+        let bytes = to_bytes(message);
+        self.costs.frames += 1;
+        self.costs.frame_bytes += bytes.len() as u64;
+        self.later(LINK_DELAY, Event::Message { to, from, bytes });
+    }
+
+    fn step(&mut self, id: NodeId, input: Input) {
+        let begun = Instant::now();
+        let Some((replica, store)) = self.replicas.get_mut(&id) else { return };
+        let outputs = replica.step(self.now, input);
+        self.costs.steps += begun.elapsed();
+        let mut tickets = Vec::new();
+        for output in &outputs {
+            if let Output::Write { ticket, batch } = output {
+                let begun = Instant::now();
+                store.write(batch).expect("a write");
+                self.costs.writes += begun.elapsed();
+                self.costs.write_count += 1;
+                tickets.push(*ticket);
+            }
+        }
+        tickets.into_iter().for_each(|ticket| self.later(SYNC_TIME, Event::Written { at: id, ticket }));
+        let ids: Vec<NodeId> = self.replicas.keys().copied().filter(|other| *other != id).collect();
+        for output in outputs {
+            match output {
+                Output::Send { to, message } => self.send(id, to, &message),
+                Output::SendSeeds { message } => ids.iter().for_each(|to| self.send(id, *to, &message)),
+                Output::ProposalDone { op, appended, .. } => {
+                    assert!(appended, "the chain takes every proposal");
+                    self.costs.committed += 1;
+                    let proposed_at = self.proposed_at.remove(&op.number).unwrap_or_default();
+                    self.latencies.push(self.now - proposed_at);
+                }
+                _ => {}
+            }
+        }
+    }
+
+    fn run(&mut self, until: Duration, mut each_step: impl FnMut(&mut Chain)) {
+        while self.now < until {
+            self.now += STEP;
+            each_step(self);
+            if self.now.as_micros() % TICK_INTERVAL.as_micros() == 0 {
+                let ids: Vec<NodeId> = self.replicas.keys().copied().collect();
+                ids.into_iter().for_each(|id| self.step(id, Input::Tick));
+            }
+            while let Some(due) = self.events.first_entry().filter(|due| due.key().0 <= self.now) {
+                match due.remove() {
+                    Event::Message { to, from, bytes } => {
+                        let message = from_bytes(&bytes).expect("a message");
+                        self.step(to, Input::Message { from, message });
+                    }
+                    Event::Written { at, ticket } => self.step(at, Input::Written { ticket }),
+                }
+            }
+        }
+    }
+
+    /// Proposes at the tail, as routers do.
+    fn propose(&mut self, command: &Command) {
+        let Some(tail) = self.replicas[&1].0.view().chain.as_slice().last().copied() else { return };
+        self.number += 1;
+        let op = ProposalId { origin: tail, number: self.number };
+        self.proposed_at.insert(op.number, self.now);
+        self.step(tail, Input::Propose { op, body: to_bytes(command) });
+    }
+}
+
+fn claim(number: u64, ticks: u32) -> Command {
+    let scope = format!("consumer/main/tenant-{}/k-{number:016x}", number % 79);
+    let digest = vec![number as u8; 32].into();
+    Command::ClaimForTicks { scope: scope.into(), digest, member: 7, incarnation: 1, request_id: number, ticks }
+}
+
+fn answer(number: u64, bytes: usize) -> Command {
+    let scope = format!("consumer/main/tenant-{}/k-{number:016x}", number % 79);
+    let (head, body) = (vec![1; 120].into(), vec![2; bytes].into());
+    let answer = to_bytes(&StoredAnswer { outcome: Outcome::Answered, status: 200, head, body }).into();
+    Command::RecordAnswer { scope: scope.into(), member: 7, incarnation: 1, request_id: number, answer }
+}
+
+fn processor_time() -> Duration {
+    let text = std::fs::read_to_string("/proc/self/schedstat").unwrap_or_default();
+    Duration::from_nanos(text.split(' ').next().and_then(|nanos| nanos.parse().ok()).unwrap_or_default())
+}
+
+fn resident_kilobytes() -> u64 {
+    let text = std::fs::read_to_string("/proc/self/status").unwrap_or_default();
+    let line = text.lines().find_map(|line| line.strip_prefix("VmRSS:")).unwrap_or_default();
+    line.trim().trim_end_matches(" kB").parse().unwrap_or_default()
+}
+
+fn main() {
+    let given: Vec<u64> = std::env::args().skip(1).filter_map(|word| word.parse().ok()).collect();
+    let or = |at: usize, default: u64| given.get(at).copied().unwrap_or(default);
+    let (rate, seconds, bytes, count, window) = (or(0, 276), or(1, 220), or(2, 1200), or(3, 6), or(4, 65));
+    let folder: PathBuf = std::env::temp_dir().join(format!("heronlink-keyed-cost-{}", std::process::id()));
+    std::fs::create_dir_all(&folder).expect("a folder");
+    let mut chain = Chain::founded(&folder, count);
+    chain.run(SETTLING, |_| {});
+    assert_eq!(chain.replicas[&1].0.view().chain.as_slice().len() as u64, count, "the chain is whole");
+    chain.costs = Costs::default();
+    let (begun, used) = (chain.now, processor_time());
+    let (mut claimed, mut answered, mut ticked, mut largest) = (0, 0, 0, 0);
+    let file = folder.join("1");
+    chain.run(SETTLING + Duration::from_secs(seconds), |chain| {
+        let passed = chain.now - begun;
+        let due = |passed: Duration| (passed.as_secs_f64() * rate as f64) as u64;
+        while claimed < due(passed) {
+            claimed += 1;
+            chain.propose(&claim(claimed, window as u32));
+        }
+        while answered < due(passed.saturating_sub(RUN_TIME)) {
+            answered += 1;
+            if bytes > 0 {
+                chain.propose(&answer(answered, bytes as usize));
+            }
+        }
+        if passed.as_secs() > ticked {
+            ticked = passed.as_secs();
+            chain.propose(&Command::Tick { number: ticked });
+            largest = largest.max(std::fs::metadata(&file).map_or(0, |metadata| metadata.len()));
+        }
+    });
+    let used = processor_time() - used;
+    let share = |time: Duration| time.as_secs_f64() / seconds as f64 / count as f64;
+    let Costs { steps, writes, write_count, frames, frame_bytes, committed } = chain.costs;
+    chain.latencies.sort();
+    let latency = |part: usize| chain.latencies.get(chain.latencies.len() * part / 100).copied().unwrap_or_default();
+    let pairs = chain.replicas[&1].0.committed_state().len();
+    println!("{rate} operations a second for {seconds} s, answers of {bytes} B, window {window} s, {count} replicas");
+    println!("entries committed: {committed}; pairs in the state: {pairs}");
+    println!(
+        "processor, cores a replica: {:.4} in all; elapsed: steps {:.4}, writes {:.4}",
+        share(used),
+        share(steps),
+        share(writes)
+    );
+    println!(
+        "writes a second a replica: {:.0}; frames: {:.0}; bytes sent: {:.0}",
+        write_count as f64 / seconds as f64 / count as f64,
+        frames as f64 / seconds as f64 / count as f64,
+        frame_bytes as f64 / seconds as f64 / count as f64
+    );
+    println!("from proposal to reply: half {:?}, 99 of 100 {:?}", latency(50), latency(99));
+    println!("data file at most: {} KB; memory of all replicas: {} KB", largest / 1024, resident_kilobytes());
+    let _ = std::fs::remove_dir_all(&folder);
+}
