--- a/crates/control/examples/keyed_cost.rs
+++ b/crates/control/examples/keyed_cost.rs
@@ -111,7 +111,7 @@
         while self.now < until {
             self.now += STEP;
             each_step(self);
-            if self.now.as_micros() % TICK_INTERVAL.as_micros() == 0 {
+            if self.now.as_micros().is_multiple_of(TICK_INTERVAL.as_micros()) {
                 let ids: Vec<NodeId> = self.replicas.keys().copied().collect();
                 ids.into_iter().for_each(|id| self.step(id, Input::Tick));
             }
--- a/crates/traffic/src/claims.rs
+++ b/crates/traffic/src/claims.rs
@@ -8,7 +8,7 @@
 use crate::refusals::RefusalReason;
 use bindings::Class;
 use std::time::Duration;
-use wire::{ClaimState, Command, Outcome, StoredAnswer};
+use wire::{Blob, ClaimState, Command, Outcome, StoredAnswer};
 
 /// A release or an answer is proposed again for so long until the registries have taken it.
 pub(crate) const LASTING: Duration = Duration::from_secs(60);
@@ -129,7 +129,13 @@
         }
     }
 
+    /// Records that an operation is over, with its answer where that is short enough. A longer one is in this owner's
+    /// memory alone: a repeat that does not find it there hears that the outcome is not known.
     pub(crate) fn record_answer(&mut self, number: u64, answer: &StoredAnswer) {
+        let unknown =
+            StoredAnswer { outcome: Outcome::Unknown, status: 504, head: Blob::default(), body: Blob::default() };
+        let bytes = answer.head.as_slice().len() + answer.body.as_slice().len();
+        let answer = if bytes <= self.timing.recorded_answer { answer } else { &unknown };
         let Some(task) = self.tasks.get(&number) else { return };
         let command = Command::RecordAnswer {
             scope: task.scope.as_str().into(),
--- a/crates/traffic/src/owner_types.rs
+++ b/crates/traffic/src/owner_types.rs
@@ -73,6 +73,8 @@
     pub resend: Duration,
     /// How long an operation under a key is kept, at least.
     pub key_window: Duration,
+    /// The longest answer under a key that the registries record, in bytes of head and body.
+    pub recorded_answer: usize,
     /// Whether the registries understand claims that say how long their key is kept.
     pub claims_for_ticks: bool,
     pub adopt: Duration,
@@ -99,6 +101,7 @@
             margin: Duration::from_millis(60),
             resend: Duration::from_millis(700),
             key_window: Duration::from_secs(1800),
+            recorded_answer: usize::MAX,
             claims_for_ticks: true,
             adopt: Duration::from_millis(1500),
             sample: Duration::from_secs(15),
--- a/crates/traffic/src/settings.rs
+++ b/crates/traffic/src/settings.rs
@@ -40,6 +40,7 @@
         retry_slack: usize = 60, in_range(0, 1_000_000), "second tries to a function allowed besides";
         retry_window: Duration = Duration::from_secs(10), in_range(Duration::from_secs(1), Duration::from_secs(600)), "length of that window";
         key_window: Duration = Duration::from_secs(1800), in_range(Duration::from_secs(1), Duration::from_secs(86_400)), "how long requests with the same run-once key are one operation, at least; the same on every machine";
+        recorded_answer: usize = 8 * 1024 * 1024, in_range(0, 8 * 1024 * 1024), "longest answer under a run-once key that the registries record, in bytes; a longer one is kept by the function's owner alone, and a repeat that does not find it there hears that the outcome is unknown";
         turned_most: usize = 11, in_range(0, 1_000_000), "tasks that one function's instances may turn away in any five seconds";
         step: Duration = Duration::from_secs(15), in_range(Duration::from_millis(250), Duration::from_secs(600)), "one step of samples and plans; the same on every machine";
         format: u16 = wire::FORMAT, in_range(wire::OLDEST, wire::FORMAT), "format in which frames are written; the one before while a fleet rolls from a version that knows no newer";
@@ -63,6 +64,7 @@
             list_every: self.list_every,
             allowances: self.allowances(),
             key_window: self.key_window,
+            recorded_answer: self.recorded_answer,
             claims_for_ticks: self.format >= wire::KEY_WINDOWS,
             ..OwnerTiming::default()
         }
--- a/crates/traffic/tests/common/mod.rs
+++ b/crates/traffic/tests/common/mod.rs
@@ -4,6 +4,7 @@
 
 pub mod deferred;
 pub mod forwards;
+pub mod keyed;
 pub mod supplied;
 
 use bindings::RouteTable;
--- a/crates/traffic/tests/keyed.rs
+++ b/crates/traffic/tests/keyed.rs
@@ -3,113 +3,13 @@
 
 mod common;
 
-use bindings::RouteTable;
-use common::{ME, OTHER, membership, ms};
-use std::rc::Rc;
-use std::time::Duration;
-use test_case::test_case;
-use traffic::{DispatchOutcome, FunctionOwner, OwnerInput, OwnerOutput, OwnerTiming};
-use wire::{
-    ClaimState, Command, CommandReply, ForwardMessage, InstanceSlots, LeaseMessage, Outcome, OwnershipTable,
-    RequestHead, StoredAnswer,
+use common::keyed::{
+    WINDOW, ask, ask_under, claim_answered, complete, first_is_sent, owner, owner_with, proposals, sent, told,
 };
-
-const WINDOW: Duration = Duration::from_secs(60);
-
-fn routes() -> Rc<RouteTable> {
-    let binding: &[u8] = br#"{"route":"/t/f","function":"f","class":"once","aim_ms":400,"instance_limit":4}"#;
-    Rc::new(RouteTable::build(1, 1, [("function-bindings/t/f", binding)].into_iter()))
-}
-
-/// An owner with one instance.
-fn owner(claims_for_ticks: bool) -> FunctionOwner {
-    let timing = OwnerTiming { key_window: WINDOW, claims_for_ticks, ..OwnerTiming::default() };
-    let mut owner = FunctionOwner::new(ME, 1, timing);
-    owner.step(ms(0), true, OwnerInput::RouteTable { routes: routes() });
-    owner.step(ms(0), true, OwnerInput::Membership { membership: membership(1, &[ME, OTHER]) });
-    owner.step(ms(0), true, OwnerInput::Membership { membership: membership(2, &[ME]) });
-    owner.step(ms(0), true, OwnerInput::Core { near: true });
-    let slot = InstanceSlots { instance: "i".into(), address: "127.0.0.1:1".into(), ready: 1, busy: 0 };
-    let slots = vec![slot].into();
-    let table = OwnershipTable { function: "t/f".into(), membership: 2, slots, ..OwnershipTable::default() };
-    owner.step(ms(1), true, OwnerInput::Forward { from: OTHER, message: ForwardMessage::Table { table } });
-    owner
-}
-
-fn ask(owner: &mut FunctionOwner, at: u64, task: u64, body: &[u8]) -> Vec<OwnerOutput> {
-    ask_under(owner, at, task, "k-a", body)
-}
-
-fn ask_under(owner: &mut FunctionOwner, at: u64, task: u64, key: &str, body: &[u8]) -> Vec<OwnerOutput> {
-    let head = RequestHead { method: "POST".into(), target: "/t/f".into(), headers: Vec::new().into() };
-    let message = ForwardMessage::ForwardUncounted {
-        task,
-        function: "t/f".into(),
-        binding: "t/f".into(),
-        left_ms: 4000,
-        resends: 0,
-        respond_async: 0,
-        key: key.into(),
-        head: wire::to_bytes(&head).into(),
-        body: body.to_vec().into(),
-    };
-    owner.step(ms(at), true, OwnerInput::Forward { from: OTHER, message })
-}
-
-fn proposals(outputs: &[OwnerOutput]) -> Vec<(u64, Command)> {
-    let proposed = outputs.iter().filter_map(|output| match output {
-        OwnerOutput::Propose { request_id, body } => Some((*request_id, wire::from_bytes(body)?)),
-        _ => None,
-    });
-    proposed.collect()
-}
-
-fn claim_answered(
-    owner: &mut FunctionOwner,
-    at: u64,
-    claim: u64,
-    state: ClaimState,
-    answer: &[u8],
-) -> Vec<OwnerOutput> {
-    let reply = CommandReply::Claim { state, answer: answer.to_vec().into() };
-    let message = LeaseMessage::ProposalAck { request_id: claim, state: 1, body: wire::to_bytes(&reply).into() };
-    owner.step(ms(at), true, OwnerInput::StoreOperation { message })
-}
-
-/// What callers were told: task, outcome, status, time to come back, body.
-fn told(outputs: &[OwnerOutput]) -> Vec<(u64, Outcome, u16, u32, Vec<u8>)> {
-    let told = outputs.iter().filter_map(|output| match output {
-        OwnerOutput::Forward {
-            message: ForwardMessage::Answer { task, outcome, status, retry_after_ms, body, .. },
-            ..
-        } => Some((*task, *outcome, *status, *retry_after_ms, body.as_slice().to_vec())),
-        _ => None,
-    });
-    told.collect()
-}
-
-fn sent(outputs: &[OwnerOutput]) -> Vec<u64> {
-    let sent = outputs.iter().filter_map(|output| match output {
-        OwnerOutput::Dispatch(order) => Some(order.number),
-        _ => None,
-    });
-    sent.collect()
-}
-
-/// The first under the key is claimed, granted and sent; returns the number of its dispatch.
-fn first_is_sent(owner: &mut FunctionOwner) -> u64 {
-    let claims = proposals(&ask(owner, 2, 7, b"x"));
-    let [(claim, _)] = claims[..] else { panic!("one claim: {claims:?}") };
-    let dispatches = sent(&claim_answered(owner, 10, claim, ClaimState::Granted, b""));
-    let [dispatch] = dispatches[..] else { panic!("one dispatch: {dispatches:?}") };
-    dispatch
-}
-
-fn complete(owner: &mut FunctionOwner, at: u64, number: u64) -> Vec<OwnerOutput> {
-    let outcome =
-        DispatchOutcome::Complete { status: 201, head: Vec::new(), body: b"sword".to_vec(), turned_away: false };
-    owner.step(ms(at), true, OwnerInput::Dispatched { number, outcome })
-}
+use common::ms;
+use test_case::test_case;
+use traffic::{DispatchOutcome, OwnerInput, OwnerTiming};
+use wire::{ClaimState, Command, CommandReply, LeaseMessage, Outcome, StoredAnswer};
 
 #[test]
 fn repeats_wait_for_the_first_and_get_its_answer_without_asking_the_registries() {
@@ -241,3 +141,15 @@
     assert!(refused > 100, "only {refused} were refused");
     assert_eq!(owner.status()["keyed"]["released"].as_u64(), Some(0));
 }
+
+#[test]
+fn an_answer_too_long_to_be_recorded_is_given_again_by_its_owner_alone() {
+    let timing = OwnerTiming { recorded_answer: 4, ..OwnerTiming::default() };
+    let mut owner = owner_with(timing);
+    let dispatch = first_is_sent(&mut owner);
+    let outputs = complete(&mut owner, 50, dispatch);
+    let [(_, Command::RecordAnswer { answer, .. })] = &proposals(&outputs)[..] else { panic!("it is recorded") };
+    let recorded: StoredAnswer = wire::from_bytes(answer.as_slice()).expect("an answer");
+    assert_eq!((recorded.outcome, recorded.status), (Outcome::Unknown, 504));
+    assert_eq!(told(&ask(&mut owner, 60, 8, b"x"))[0].4, b"sword");
+}
