--- a/crates/traffic/src/claims.rs
+++ b/crates/traffic/src/claims.rs
@@ -8,7 +8,7 @@
 use crate::refusals::RefusalReason;
 use bindings::Class;
 use std::time::Duration;
-use wire::{ClaimState, Command, Outcome, StoredAnswer};
+use wire::{Blob, ClaimState, Command, Outcome, StoredAnswer};
 
 /// A release or an answer is proposed again for so long until the registries have taken it.
 pub(crate) const LASTING: Duration = Duration::from_secs(60);
@@ -19,17 +19,9 @@
 const RUNNING_RETRY: Duration = Duration::from_millis(500);
 /// The status of a repeat whose operation is under way.
 const CONFLICT: u16 = 409;
-/// The status of a repeat whose operation may have run, with an answer that is not known.
-const UNKNOWN: u16 = 504;
 /// The status of a key that was used for another request.
 const UNPROCESSABLE: u16 = 422;
 
-/// What the registries say of a key whose answer they do not have.
-pub(crate) fn unknown_answer() -> StoredAnswer {
-    let empty = || Vec::new().into();
-    StoredAnswer { outcome: Outcome::Unknown, status: UNKNOWN, head: empty(), body: empty() }
-}
-
 impl FunctionOwner {
     /// A request with a key comes. What is known of its operation is answered though the queue is full and the
     /// registries are far; true if nothing more is to be done.
@@ -137,11 +129,14 @@
         }
     }
 
-    /// The registries' disks keep short answers; of a longer one they only learn that there was one.
+    /// Records that an operation is over, with its answer where that is short enough. A longer one is in this owner's
+    /// memory alone: a repeat that does not find it there hears that the outcome is not known.
     pub(crate) fn record_answer(&mut self, number: u64, answer: &StoredAnswer) {
+        let unknown =
+            StoredAnswer { outcome: Outcome::Unknown, status: 504, head: Blob::default(), body: Blob::default() };
+        let bytes = answer.head.as_slice().len() + answer.body.as_slice().len();
+        let answer = if bytes <= self.timing.recorded_answer_bytes { answer } else { &unknown };
         let Some(task) = self.tasks.get(&number) else { return };
-        let bytes = answer.head.len() + answer.body.len();
-        let answer = if bytes > self.timing.stored_answer_bytes { &unknown_answer() } else { answer };
         let command = Command::RecordAnswer {
             scope: task.scope.as_str().into(),
             member: self.me,
--- a/crates/traffic/src/owner_types.rs
+++ b/crates/traffic/src/owner_types.rs
@@ -73,10 +73,10 @@
     pub resend: Duration,
     /// How long an operation under a key is kept, at least.
     pub key_window: Duration,
+    /// The longest answer under a key that the registries record, in bytes of head and body.
+    pub recorded_answer_bytes: usize,
     /// Whether the registries understand claims that say how long their key is kept.
     pub claims_for_ticks: bool,
-    /// The longest answer that the registries store under its key.
-    pub stored_answer_bytes: usize,
     pub adopt: Duration,
     pub sample: Duration,
     /// How often the provider's list is read for all owners.
@@ -101,8 +101,8 @@
             margin: Duration::from_millis(60),
             resend: Duration::from_millis(700),
             key_window: Duration::from_secs(1800),
+            recorded_answer_bytes: usize::MAX,
             claims_for_ticks: true,
-            stored_answer_bytes: usize::MAX,
             adopt: Duration::from_millis(1500),
             sample: Duration::from_secs(15),
             list_every: Duration::from_secs(1),
