Simulator: Tell which membership a router has, and who rejected a request

Told are now each membership a router takes up, with its members, and each rejection, with the function, the instance and how many requests that has.

--- a/crates/sim/src/instances.rs
+++ b/crates/sim/src/instances.rs
@@ -39,8 +39,9 @@
             Some(instance) if instance.ready_at > now => DispatchOutcome::NotSent,
             Some(instance) if instance.busy >= limit(&instance.service) || rejections => {
                 let service = instance.service.clone();
-                let over = instance.busy >= declared;
+                let (busy, over) = (instance.busy, instance.busy >= declared);
                 self.rules.turned_away(now, &service, over);
+                self.say(|| format!("task {label} of {service} rejected by {}, which has {busy}", order.address));
                 DispatchOutcome::Complete {
                     status: 503,
                     head: empty(),
--- a/crates/sim/src/router_node.rs
+++ b/crates/sim/src/router_node.rs
@@ -229,12 +229,7 @@
                 self.turn(n, Turn::FunctionOwner(OwnerInput::RouteTable { routes: routes.clone() }));
                 self.turn(n, Turn::Front(FrontInput::RouteTable { routes }));
             }
-            FollowerOutput::MembershipUpdated { .. } => {
-                let Some(machines) = &self.routers[n].machines else { return };
-                let membership = Rc::new(machines.follower.membership().clone());
-                self.turn(n, Turn::FunctionOwner(OwnerInput::Membership { membership: membership.clone() }));
-                self.turn(n, Turn::Front(FrontInput::Membership { membership }));
-            }
+            FollowerOutput::MembershipUpdated { .. } => self.membership_updated(n),
             FollowerOutput::RegistryAddresses { addresses } => {
                 if let Some(machines) = &mut self.routers[n].machines {
                     let seeds = self.seeds.iter().cloned();
--- a/crates/sim/src/router_turns.rs
+++ b/crates/sim/src/router_turns.rs
@@ -4,7 +4,8 @@
 use crate::router_node::Turn;
 use crate::world::{Place, World};
 use std::collections::VecDeque;
-use traffic::{FrontOutput, OwnerOutput};
+use std::rc::Rc;
+use traffic::{FrontInput, FrontOutput, OwnerInput, OwnerOutput};
 use wire::{ForwardMessage, LeaseMessage, Message, NodeId, PlanMessage};
 
 impl World {
@@ -73,6 +74,17 @@
         }
     }
 
+    pub fn membership_updated(&mut self, n: usize) {
+        let Some(machines) = &self.routers[n].machines else { return };
+        let membership = Rc::new(machines.follower.membership().clone());
+        self.say(|| {
+            let ids: Vec<String> = membership.members.iter().map(|line| format!("{:016x}", line.id)).collect();
+            format!("router {n} has membership {} of {}", membership.number, ids.join(" "))
+        });
+        self.turn(n, Turn::FunctionOwner(OwnerInput::Membership { membership: membership.clone() }));
+        self.turn(n, Turn::Front(FrontInput::Membership { membership }));
+    }
+
     fn ask_tail(&mut self, n: usize, tail: Option<NodeId>, message: LeaseMessage) {
         if let Some(tail) = tail {
             self.send(Place::Router(n), tail, Message::Lease(message));
