Confirm the membership too where routers confirm each other's leases

Cause: an owner follows from the membership, and a lease by peers confirmed the configuration step alone. Routers that the core had dropped without their hearing it were confirmed by those that it had told, and were owners beside their successors for as long as the core was away.

Ruled out: instances that bear less, instances of an old list, one owner beyond its allowance (docs/incidents/rejections-after-lapse.md).

Change: routers tell the number of their membership with what they ask each other and reply; a reply with a newer one confirms nothing, and whoever is asked by an earlier one sends its own first, so that the asker goes on within the round. Relays alike. E0407 tells of a membership learnt so.

Open: a majority of routers cut off together from the core and from all whom it tells goes by its membership for as long as it may go by its peers; two owners for the 200 ms of one confirmation.

--- a/crates/events/src/list.rs
+++ b/crates/events/src/list.rs
@@ -56,6 +56,7 @@
     serving_lease_lost = 404, Warn, "serving lease lost, requests wait";
     serving_lease_renewed = 405, Info, "serving lease renewed";
     lease_confirmed_by_peers = 406, Warn, "serving lease confirmed by peers, core not reached";
+    membership_from_peer = 407, Warn, "newer membership learnt from a peer, core not reached";
     start_ordered = 501, Info, "instance start ordered";
     stop_ordered = 502, Info, "instance stop ordered";
     instance_answer_in_doubt = 503, Warn, "instance answer in doubt, connection dropped";
--- a/crates/leases/src/lib.rs
+++ b/crates/leases/src/lib.rs
@@ -10,6 +10,7 @@
 mod follower_types;
 mod lease;
 mod membership;
+mod peer_messages;
 mod peer_quorum;
 mod registry_messages;
 mod renewal;
--- a/crates/leases/src/peer_quorum.rs
+++ b/crates/leases/src/peer_quorum.rs
@@ -1,6 +1,7 @@
 //! Proof without the core: a majority of the machines of the active step's quorum say that they
 //! hold nothing newer, staged included. A step can only be activated once a majority of that same
-//! quorum has staged it, so the two majorities share a machine.
+//! quorum has staged it, so the two majorities share a machine. Nor may they hold a newer membership: owners
+//! follow from it, and this router may have been dropped without knowing.
 //!
 //! Where the quorum is large, not all ask all: a few able machines ask a majority on behalf of whoever
 //! asks them, in rounds, and each ask is answered by a round begun after it came. Who answered before is
@@ -29,6 +30,13 @@
     done: bool,
 }
 
+/// The newest that a peer holds.
+pub(crate) struct Held {
+    /// Active, staged or known.
+    pub epoch: u64,
+    pub membership: u64,
+}
+
 /// A peer that asked for a majority's word.
 struct WaitingPeer {
     peer: NodeId,
@@ -123,14 +131,13 @@
         if to == self.me {
             self.collect(to, request_id, self.epochs.active());
         } else {
-            self.outs.push(FollowerOutput::ToPeer {
-                to,
-                message: LeaseMessage::MajorityRequest { request_id, active: self.epochs.active() },
-            });
+            let (active, membership) = (self.epochs.active(), self.membership.number);
+            let message = LeaseMessage::MajorityRequest { request_id, active, membership };
+            self.outs.push(FollowerOutput::ToPeer { to, message });
         }
     }
 
-    fn collect(&mut self, from: NodeId, request_id: u64, active: u64) {
+    pub(crate) fn collect(&mut self, from: NodeId, request_id: u64, active: u64) {
         if active == self.epochs.active() && self.answers_peers() && self.peers.waiting.len() < MAX_WAITING {
             self.peers.waiting.retain(|waiting| waiting.peer != from);
             self.peers.waiting.push(WaitingPeer { peer: from, request_id, since: self.now });
@@ -161,36 +168,24 @@
         self.peers.answering.retain(|id| !requested_at.contains(id));
         self.peers.round = Some(PeerRound { request_id, requested_at: now, agreeing: [self.me].into(), done: false });
         for to in requested_at {
-            let message = LeaseMessage::PeerRequest { request_id, active: self.epochs.active() };
+            let (active, membership) = (self.epochs.active(), self.membership.number);
+            let message = LeaseMessage::PeerRequest { request_id, active, membership };
             self.outs.push(FollowerOutput::ToPeer { to, message });
         }
     }
 
-    pub(crate) fn peer(&mut self, from: NodeId, message: LeaseMessage) {
-        match message {
-            LeaseMessage::PeerRequest { request_id, .. } if self.epochs.is_initialized => {
-                let latest = self.epochs.newest_known();
-                let message = LeaseMessage::PeerReply { request_id, active: self.epochs.active(), latest };
-                self.outs.push(FollowerOutput::ToPeer { to: from, message });
-            }
-            LeaseMessage::PeerReply { request_id, latest, .. } => self.handle_peer_reply(from, request_id, latest),
-            LeaseMessage::MajorityRequest { request_id, active } => self.collect(from, request_id, active),
-            LeaseMessage::MajorityReply { request_id, active }
-                if active == self.epochs.active() && !self.is_guarded() =>
-            {
-                if let Some((_, requested_at)) = self.peers.relayed.filter(|(number, _)| *number == request_id) {
-                    self.peers.unanswered = 0;
-                    self.lease.peers_confirmed = self.lease.peers_confirmed.max(Some(requested_at));
-                }
-            }
-            _ => {}
+    pub(crate) fn handle_majority_reply(&mut self, request_id: u64) {
+        if let Some((_, requested_at)) = self.peers.relayed.filter(|(number, _)| *number == request_id) {
+            self.peers.unanswered = 0;
+            self.lease.peers_confirmed = self.lease.peers_confirmed.max(Some(requested_at));
         }
     }
 
-    fn handle_peer_reply(&mut self, from: NodeId, request_id: u64, latest: u64) {
+    pub(crate) fn handle_peer_reply(&mut self, from: NodeId, request_id: u64, held: Held) {
         let guarded = self.is_guarded();
         let Some(round) = self.peers.round.as_mut().filter(|round| round.request_id == request_id) else { return };
-        if latest > self.epochs.active() || !self.epochs.quorum().contains(&from) {
+        let is_newer = held.epoch > self.epochs.active() || held.membership > self.membership.number;
+        if is_newer || !self.epochs.quorum().contains(&from) {
             return;
         }
         self.peers.answering.insert(from);
@@ -201,12 +196,12 @@
         round.done = true;
         let requested_at = round.requested_at;
         self.lease.peers_confirmed = self.lease.peers_confirmed.max(Some(requested_at));
-        let active = self.epochs.active();
+        let (active, membership) = (self.epochs.active(), self.membership.number);
         // Whoever asked after the round began is answered by the next.
         let answered: Vec<WaitingPeer> =
             self.peers.waiting.extract_if(.., |waiting| waiting.since <= requested_at).collect();
         for WaitingPeer { peer: to, request_id, .. } in answered {
-            let message = LeaseMessage::MajorityReply { request_id, active };
+            let message = LeaseMessage::MajorityReply { request_id, active, membership };
             if to == self.me {
                 self.peers.unanswered = 0;
             } else {
--- a/crates/leases/tests/follower.rs
+++ b/crates/leases/tests/follower.rs
@@ -106,7 +106,7 @@
         peer.expect("without the core, peers are asked")
     };
     let first = last_ask(3000);
-    let answer = |request_id, latest| LeaseMessage::PeerReply { request_id, active: 1, latest };
+    let answer = |request_id, latest| LeaseMessage::PeerReply { request_id, active: 1, latest, membership: 0 };
     one.step(ms(3001), FollowerInput::Peer { from: 8, message: answer(first, 2) });
     assert_eq!(one.serving_status_at(ms(3002)), ServingStatus::Waiting);
     one.step(ms(3003), FollowerInput::Peer { from: 55, message: answer(first, 1) });
--- a/crates/leases/tests/split_membership.rs
+++ b/crates/leases/tests/split_membership.rs
@@ -163,3 +163,23 @@
         assert!(!behind || fleet.now <= dropped_at + GUARD, "at {:?}", fleet.now);
     });
 }
+
+/// A router of an earlier format tells no membership: its word counts as it did.
+#[test]
+fn peers_that_tell_no_membership_still_confirm() {
+    let mut fleet = Fleet::new(4, 12);
+    fleet.has_core = false;
+    fleet.cut_off = vec![2, 3, 4];
+    fleet.pass(Duration::from_millis(2000), |_| {});
+    let asked = fleet.routers.get_mut(&1).map(|router| router.step(fleet.now + GUARD, FollowerInput::Tick));
+    let request_id = asked.into_iter().flatten().find_map(|output| match output {
+        FollowerOutput::ToPeer { message: LeaseMessage::PeerRequest { request_id, .. }, .. } => Some(request_id),
+        _ => None,
+    });
+    let request_id = request_id.expect("without the core, peers are asked");
+    fleet.now += GUARD;
+    for from in [2, 3] {
+        fleet.tell(1, from, LeaseMessage::PeerEpochReply { request_id, active: 1, latest: 1 });
+    }
+    assert_eq!(fleet.serving(), [(1, 1)]);
+}
--- a/crates/traffic/src/control_loop.rs
+++ b/crates/traffic/src/control_loop.rs
@@ -119,6 +119,11 @@
         match event {
             LinkEvent::Frame { from, message: Message::Lease(message), .. } => {
                 let peer = message.is_from_peer();
+                if let LeaseMessage::PeerMembership { number, .. } = &message
+                    && *number > self.follower.membership().number
+                {
+                    event!(membership_from_peer, "membership {number} from {from:016x}");
+                }
                 if peer {
                     return self.feed(FollowerInput::Peer { from, message });
                 }
--- a/crates/wire/src/codec.rs
+++ b/crates/wire/src/codec.rs
@@ -8,7 +8,7 @@
 use tokio::io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt};
 
 /// The newest format.
-pub const FORMAT: u16 = 6;
+pub const FORMAT: u16 = 8;
 /// The oldest format that is still understood.
 pub const OLDEST: u16 = 1;
 /// The format that first told what a machine can carry, and in which owners heartbeat only whom they serve.
@@ -17,6 +17,8 @@
 pub const ATTEMPTS: u16 = 5;
 /// The format in which a registry first announced that it is to stop.
 pub const DEPARTURES: u16 = 6;
+/// The format in which routers first confirmed the membership to each other, beside the epoch.
+pub const PEER_MEMBERSHIPS: u16 = 8;
 /// A frame holds no more bytes than this.
 pub const LIMIT: usize = 8 * 1024 * 1024;
 
--- a/crates/wire/src/downgrade.rs
+++ b/crates/wire/src/downgrade.rs
@@ -8,8 +8,9 @@
 //! | 4 | epochs and configurations in packed parts, changes of the membership, capacities, the inventory |
 //! | 5 | attempts granted with a forward, and reports on what earlier tails granted |
 //! | 6 | announcements of planned stops of registries |
+//! | 8 | memberships in what routers confirm to each other |
 
-use crate::codec::{ATTEMPTS, CAPACITY, DEPARTURES};
+use crate::codec::{ATTEMPTS, CAPACITY, DEPARTURES, PEER_MEMBERSHIPS};
 use crate::{ChainMessage, ForwardMessage, ForwardRequest, LeaseMessage, Message, PlanMessage, Text};
 
 /// The format that first told times to come back in milliseconds.
@@ -20,6 +21,9 @@
 /// The message as a peer that understands only this format is sent it, if there is a way to say it.
 pub fn downgrade(message: Message, format: u16) -> Option<Message> {
     let mut message = message;
+    if format < PEER_MEMBERSHIPS {
+        message = without_peer_memberships(message)?;
+    }
     if format < DEPARTURES && matches!(message, Message::Chain(ChainMessage::Leaving { .. })) {
         return None;
     }
@@ -38,6 +42,23 @@
     Some(message)
 }
 
+fn without_peer_memberships(message: Message) -> Option<Message> {
+    use LeaseMessage::{
+        MajorityEpochReply, MajorityEpochRequest, MajorityReply, MajorityRequest, PeerEpochReply, PeerEpochRequest,
+        PeerMembership, PeerReply, PeerRequest,
+    };
+    let Message::Lease(message) = message else { return Some(message) };
+    let older = match message {
+        PeerRequest { request_id, active, .. } => PeerEpochRequest { request_id, active },
+        PeerReply { request_id, active, latest, .. } => PeerEpochReply { request_id, active, latest },
+        MajorityRequest { request_id, active, .. } => MajorityEpochRequest { request_id, active },
+        MajorityReply { request_id, active, .. } => MajorityEpochReply { request_id, active },
+        PeerMembership { .. } => return None,
+        same => same,
+    };
+    Some(Message::Lease(older))
+}
+
 fn without_attempts(message: Message) -> Option<Message> {
     let older = match message {
         Message::Forward(ForwardMessage::Forward { request }) => Message::Forward(uncounted(*request)),
@@ -53,7 +74,7 @@
 
 fn without_parts(message: Message) -> Option<Message> {
     use ForwardMessage::{HeartbeatRequest, Inventory, InventoryRequest};
-    use LeaseMessage::{MajorityReply, MajorityRequest, MembershipChange, Part, PartRequest};
+    use LeaseMessage::{MajorityEpochReply, MajorityEpochRequest, MembershipChange, Part, PartRequest};
     let older = match message {
         Message::Lease(LeaseMessage::JoinWithCapacity { address, zone, ops, .. }) => {
             Message::Lease(LeaseMessage::Join { address, zone, ops })
@@ -63,7 +84,11 @@
             Message::Lease(LeaseMessage::ConfigurationRequest { request_id, from: Text::default() })
         }
         Message::Lease(
-            PartRequest { .. } | Part { .. } | MembershipChange { .. } | MajorityRequest { .. } | MajorityReply { .. },
+            PartRequest { .. }
+            | Part { .. }
+            | MembershipChange { .. }
+            | MajorityEpochRequest { .. }
+            | MajorityEpochReply { .. },
         ) => return None,
         same => same,
     };
--- a/crates/wire/src/lease.rs
+++ b/crates/wire/src/lease.rs
@@ -97,12 +97,12 @@
     /// As `Leaving`, in format 1.
     #[deku(id = "15")]
     Leave { successor: NodeId },
-    /// Asks a peer which epochs it has.
+    /// As `PeerRequest`, before format 8.
     #[deku(id = "16")]
-    PeerRequest { request_id: u64, active: u64 },
-    /// The epochs that the peer has active and knows of.
+    PeerEpochRequest { request_id: u64, active: u64 },
+    /// As `PeerReply`, before format 8.
     #[deku(id = "17")]
-    PeerReply { request_id: u64, active: u64, latest: u64 },
+    PeerEpochReply { request_id: u64, active: u64, latest: u64 },
     /// Where the registries are; the sender is not the tail.
     #[deku(id = "18")]
     RegistryAddresses { addresses: List<Text> },
@@ -115,12 +115,12 @@
     /// Asks for the part at an offset; number 0 for whichever step is active.
     #[deku(id = "21")]
     PartRequest { request_id: u64, full: u8, number: u64, offset: u32 },
-    /// Asks a peer to ask a majority of the quorum of the active step.
+    /// As `MajorityRequest`, before format 8.
     #[deku(id = "23")]
-    MajorityRequest { request_id: u64, active: u64 },
-    /// A majority of that step's quorum held nothing newer, asked after the ask.
+    MajorityEpochRequest { request_id: u64, active: u64 },
+    /// As `MajorityReply`, before format 8.
     #[deku(id = "24")]
-    MajorityReply { request_id: u64, active: u64 },
+    MajorityEpochReply { request_id: u64, active: u64 },
     /// What differs in the membership from the one under an earlier number, packed; from none where it is 0.
     #[deku(id = "22")]
     MembershipChange { since: u64, number: u64, size: u32, body: Blob },
@@ -131,12 +131,62 @@
     /// long ago tails before both can last have granted one.
     #[deku(id = "31")]
     Proofs { view: u64, earlier_millis: u64, proofs: List<ProofAge> },
+    /// Asks a peer which epochs and which membership it has.
+    #[deku(id = "32")]
+    PeerRequest { request_id: u64, active: u64, membership: u64 },
+    /// The epochs that the peer has active and knows of, and its membership.
+    #[deku(id = "33")]
+    PeerReply { request_id: u64, active: u64, latest: u64, membership: u64 },
+    /// Asks a peer to ask a majority of the quorum of the active step.
+    #[deku(id = "34")]
+    MajorityRequest { request_id: u64, active: u64, membership: u64 },
+    /// A majority of that step's quorum held no newer step and no newer membership, asked after the ask.
+    #[deku(id = "35")]
+    MajorityReply { request_id: u64, active: u64, membership: u64 },
+    /// The complete membership, packed, for a peer that asked by an earlier one.
+    #[deku(id = "36")]
+    PeerMembership { number: u64, size: u32, body: Blob },
 }
 
 impl LeaseMessage {
+    /// A request by a router of an earlier format says nothing of its membership: none is newer.
+    const NEWEST: u64 = u64::MAX;
+    /// A reply by a router of an earlier format says nothing of its membership: it is taken to hold none.
+    const NONE: u64 = 0;
+
     /// Said among routers, not by a registry.
     pub fn is_from_peer(&self) -> bool {
-        use LeaseMessage::{MajorityReply, MajorityRequest, PeerReply, PeerRequest};
-        matches!(self, PeerRequest { .. } | PeerReply { .. } | MajorityRequest { .. } | MajorityReply { .. })
+        use LeaseMessage::{
+            MajorityEpochReply, MajorityEpochRequest, MajorityReply, MajorityRequest, PeerEpochReply, PeerEpochRequest,
+            PeerMembership, PeerReply, PeerRequest,
+        };
+        matches!(
+            self,
+            PeerEpochRequest { .. }
+                | PeerEpochReply { .. }
+                | MajorityEpochRequest { .. }
+                | MajorityEpochReply { .. }
+                | PeerRequest { .. }
+                | PeerReply { .. }
+                | MajorityRequest { .. }
+                | MajorityReply { .. }
+                | PeerMembership { .. }
+        )
+    }
+
+    /// What peers say about epochs alone, as if they spoke of memberships too.
+    pub fn with_membership(self) -> Self {
+        use LeaseMessage::*;
+        match self {
+            PeerEpochRequest { request_id, active } => PeerRequest { request_id, active, membership: Self::NEWEST },
+            PeerEpochReply { request_id, active, latest } => {
+                PeerReply { request_id, active, latest, membership: Self::NONE }
+            }
+            MajorityEpochRequest { request_id, active } => {
+                MajorityRequest { request_id, active, membership: Self::NEWEST }
+            }
+            MajorityEpochReply { request_id, active } => MajorityReply { request_id, active, membership: Self::NONE },
+            same => same,
+        }
     }
 }
--- a/crates/wire/tests/downgrade.rs
+++ b/crates/wire/tests/downgrade.rs
@@ -76,3 +76,20 @@
     }
     assert_eq!(downgrade(answer.clone(), 3), Some(answer));
 }
+
+#[test]
+fn formats_before_eight_confirm_epochs_only() {
+    let request = Message::Lease(LeaseMessage::PeerRequest { request_id: 1, active: 2, membership: 3 });
+    let reply = Message::Lease(LeaseMessage::PeerReply { request_id: 1, active: 2, latest: 4, membership: 3 });
+    let membership = Message::Lease(LeaseMessage::PeerMembership { number: 3, size: 0, body: Blob::default() });
+    let request_by_epoch = LeaseMessage::PeerEpochRequest { request_id: 1, active: 2 };
+    let reply_by_epoch = LeaseMessage::PeerEpochReply { request_id: 1, active: 2, latest: 4 };
+    assert_eq!(downgrade(request.clone(), 7), Some(Message::Lease(request_by_epoch)));
+    assert_eq!(downgrade(reply, 7), Some(Message::Lease(reply_by_epoch)));
+    assert_eq!(downgrade(request.clone(), 8), Some(request));
+    assert_eq!(downgrade(membership, 7), None);
+    let majority = Message::Lease(LeaseMessage::MajorityRequest { request_id: 1, active: 2, membership: 3 });
+    let majority_by_epoch = LeaseMessage::MajorityEpochRequest { request_id: 1, active: 2 };
+    assert_eq!(downgrade(majority.clone(), 7), Some(Message::Lease(majority_by_epoch)));
+    assert_eq!(downgrade(majority, 3), None);
+}
--- a/crates/wire/tests/samples/lease.rs
+++ b/crates/wire/tests/samples/lease.rs
@@ -40,8 +40,8 @@
         Read { request_id: 133, prefix: "p".into(), from: "q".into() },
         ReadReply { request_id: 134, state: 3, items: vec![item()].into() },
         Leave { successor: 135 },
-        PeerRequest { request_id: 136, active: 137 },
-        PeerReply { request_id: 138, active: 139, latest: 140 },
+        PeerEpochRequest { request_id: 136, active: 137 },
+        PeerEpochReply { request_id: 138, active: 139, latest: 140 },
         RegistryAddresses { addresses: vec!["t:4".into()].into() },
         Leaving,
     ]
@@ -57,8 +57,8 @@
     vec![
         Part { request_id: 141, full: 1, number: 142, size: 143, packed: 144, offset: 145, bytes: vec![146].into() },
         PartRequest { request_id: 147, full: 1, number: 148, offset: 149 },
-        MajorityRequest { request_id: 150, active: 151 },
-        MajorityReply { request_id: 152, active: 153 },
+        MajorityEpochRequest { request_id: 150, active: 151 },
+        MajorityEpochReply { request_id: 152, active: 153 },
         MembershipChange { since: 154, number: 155, size: 156, body: vec![157].into() },
         JoinWithCapacity {
             address: "b:5".into(),
@@ -72,5 +72,10 @@
             earlier_millis: 160,
             proofs: vec![ProofAge { id: 161, incarnation: 162, millis: 163 }].into(),
         },
+        PeerRequest { request_id: 164, active: 165, membership: 166 },
+        PeerReply { request_id: 167, active: 168, latest: 169, membership: 170 },
+        MajorityRequest { request_id: 171, active: 172, membership: 173 },
+        MajorityReply { request_id: 174, active: 175, membership: 176 },
+        PeerMembership { number: 177, size: 178, body: vec![179].into() },
     ]
 }
