Send an attempt in doubt again to services that know keys themselves

Cause: a run-once attempt that broke off ended in 504 also where the function's service keeps its own record of keys (`deduplicates`), and could not run twice.

Ruled out: doing so for every function (it may run twice); releasing the claim after a second attempt that did not run (the first one may have).

Change: in doubt at such a function, the request goes on to another attempt within the route's attempts and the retry budget. One that may have run is never released: refused, late, given back or lapsed, it is recorded as unknown.

Tests: traffic keyed, 3 more (sent again and answered; five times in doubt; a lapse between two attempts). cargo test -p traffic: passed.

--- a/crates/traffic/src/claims.rs
+++ b/crates/traffic/src/claims.rs
@@ -22,6 +22,10 @@
 /// The status of a key that was used for another request.
 const UNPROCESSABLE: u16 = 422;
 
+fn unknown() -> StoredAnswer {
+    StoredAnswer { outcome: Outcome::Unknown, status: 504, head: Blob::default(), body: Blob::default() }
+}
+
 impl FunctionOwner {
     /// A request with a key comes. What is known of its operation is answered though the queue is full and the
     /// registries are far; true if nothing more is to be done.
@@ -129,11 +133,15 @@
         }
     }
 
+    /// Records that an operation may have run and has no answer, so that it is never run again.
+    pub(crate) fn record_unknown(&mut self, number: u64) {
+        self.record_answer(number, &unknown());
+    }
+
     /// Records that an operation is over, with its answer where that is short enough. A longer one is in this owner's
     /// memory alone: a repeat that does not find it there hears that the outcome is not known.
     pub(crate) fn record_answer(&mut self, number: u64, answer: &StoredAnswer) {
-        let unknown =
-            StoredAnswer { outcome: Outcome::Unknown, status: 504, head: Blob::default(), body: Blob::default() };
+        let unknown = unknown();
         let bytes = answer.head.as_slice().len() + answer.body.as_slice().len();
         let answer = if bytes <= self.timing.recorded_answer { answer } else { &unknown };
         let Some(task) = self.tasks.get(&number) else { return };
--- a/crates/traffic/src/dispatch_outcomes.rs
+++ b/crates/traffic/src/dispatch_outcomes.rs
@@ -21,6 +21,7 @@
         let now = self.now;
         let Some((number, name, instance_id, begun, level)) = self.running.remove(&order) else { return };
         self.note(&name, &instance_id, order, (begun, level), &outcome);
+        let deduplicates = self.deduplicates(&name);
         let Some(task) = self.tasks.get_mut(&number) else { return };
         let class = task.class;
         task.avoid = instance_id;
@@ -49,9 +50,11 @@
                 self.record_answer(number, &answer);
                 self.answer(number, Outcome::Answered, status, Duration::ZERO, head, body);
             }
+            (DispatchOutcome::InDoubt { .. }, Class::Once) if deduplicates => {
+                self.retry(number, true, Failure::unknown(504));
+            }
             (DispatchOutcome::InDoubt { .. }, Class::Once) => {
-                let answer = StoredAnswer { outcome: Outcome::Unknown, ..stored(504, &[], &[]) };
-                self.record_answer(number, &answer);
+                self.record_unknown(number);
                 self.answer_own(number, Outcome::Unknown, 504, Duration::ZERO);
             }
             (DispatchOutcome::Complete { status, head, body, turned_away }, Class::Ordinary | Class::Single) => {
@@ -87,6 +90,11 @@
         }
     }
 
+    /// Whether a function's instances know a key again by themselves, so that what may have run may be sent again.
+    fn deduplicates(&self, name: &str) -> bool {
+        self.schedulers.get(name).is_some_and(|scheduler| scheduler.function.deduplicates)
+    }
+
     /// What the scheduler learns of its instance from an outcome.
     fn note(
         &mut self,
--- a/crates/traffic/src/expiry.rs
+++ b/crates/traffic/src/expiry.rs
@@ -53,6 +53,7 @@
                 (Class::Deferred, _) => self.accept(number),
                 (Class::Once, Place::Following { .. }) => self.refuse_as_running(number),
                 (Class::Once, Place::Claiming) => self.answer_own(number, Outcome::NotRun, 503, again),
+                (Class::Once, _) if task.reached => self.fail(number),
                 (Class::Ordinary | Class::Single, _) if task.reached => {
                     self.answer_own(number, Outcome::Unknown, 504, again)
                 }
@@ -68,7 +69,7 @@
         if let Some(scheduler) = self.schedulers.get_mut(&task.function) {
             scheduler.queued.retain(|queued| *queued != number);
         }
-        if task.class == Class::Once && task.claim != 0 {
+        if task.class == Class::Once && task.claim != 0 && !task.reached {
             task.place = Place::Releasing;
             return self.release(number);
         }
--- a/crates/traffic/src/retrying.rs
+++ b/crates/traffic/src/retrying.rs
@@ -68,8 +68,10 @@
         let failure = task.failure.take().unwrap_or_else(|| Failure::unknown(504));
         // An instance that did not run it says nothing of the ones before.
         let failure = if failure.outcome == Outcome::NotRun && reached { Failure::unknown(504) } else { failure };
-        if class == Class::Once {
-            self.release(number);
+        match class {
+            Class::Once if reached => self.record_unknown(number),
+            Class::Once => self.release(number),
+            _ => {}
         }
         let Failure { outcome, status, retry_after, head, body } = failure;
         self.answer(number, outcome, status, retry_after, head, body);
--- a/crates/traffic/tests/common/keyed.rs
+++ b/crates/traffic/tests/common/keyed.rs
@@ -12,19 +12,21 @@
 
 pub const WINDOW: Duration = Duration::from_secs(60);
 
-pub fn routes() -> Rc<RouteTable> {
+pub fn routes(deduplicates: bool) -> Rc<RouteTable> {
+    let function = format!(r#"{{"memory_mb":128,"boot_ms":900,"instance_limit":4,"deduplicates":{deduplicates}}}"#);
     let binding: &[u8] = br#"{"route":"/t/f","function":"f","class":"once","aim_ms":400,"instance_limit":4}"#;
-    Rc::new(RouteTable::build(1, 1, [("function-bindings/t/f", binding)].into_iter()))
+    let pairs = [("functions/t/f", function.as_bytes()), ("function-bindings/t/f", binding)];
+    Rc::new(RouteTable::build(1, 1, pairs.into_iter()))
 }
 
 /// An owner with one instance.
 pub fn owner(claims_for_ticks: bool) -> FunctionOwner {
-    owner_with(OwnerTiming { key_window: WINDOW, claims_for_ticks, ..OwnerTiming::default() })
+    owner_with(OwnerTiming { key_window: WINDOW, claims_for_ticks, ..OwnerTiming::default() }, false)
 }
 
-pub fn owner_with(timing: OwnerTiming) -> FunctionOwner {
+pub fn owner_with(timing: OwnerTiming, deduplicates: bool) -> FunctionOwner {
     let mut owner = FunctionOwner::new(ME, 1, timing);
-    owner.step(ms(0), true, OwnerInput::RouteTable { routes: routes() });
+    owner.step(ms(0), true, OwnerInput::RouteTable { routes: routes(deduplicates) });
     owner.step(ms(0), true, OwnerInput::Membership { membership: membership(1, &[ME, OTHER]) });
     owner.step(ms(0), true, OwnerInput::Membership { membership: membership(2, &[ME]) });
     owner.step(ms(0), true, OwnerInput::Core { near: true });
--- a/crates/traffic/tests/keyed.rs
+++ b/crates/traffic/tests/keyed.rs
@@ -8,7 +8,7 @@
 };
 use common::ms;
 use test_case::test_case;
-use traffic::{DispatchOutcome, OwnerInput, OwnerTiming};
+use traffic::{DispatchOutcome, FunctionOwner, OwnerInput, OwnerOutput, OwnerTiming};
 use wire::{ClaimState, Command, CommandReply, LeaseMessage, Outcome, StoredAnswer};
 
 #[test]
@@ -145,7 +145,7 @@
 #[test]
 fn an_answer_too_long_to_be_recorded_is_given_again_by_its_owner_alone() {
     let timing = OwnerTiming { recorded_answer: 4, ..OwnerTiming::default() };
-    let mut owner = owner_with(timing);
+    let mut owner = owner_with(timing, false);
     let dispatch = first_is_sent(&mut owner);
     let outputs = complete(&mut owner, 50, dispatch);
     let [(_, Command::RecordAnswer { answer, .. })] = &proposals(&outputs)[..] else { panic!("it is recorded") };
@@ -153,3 +153,44 @@
     assert_eq!((recorded.outcome, recorded.status), (Outcome::Unknown, 504));
     assert_eq!(told(&ask(&mut owner, 60, 8, b"x"))[0].4, b"sword");
 }
+
+fn in_doubt(owner: &mut FunctionOwner, at: u64, may_serve: bool, number: u64) -> Vec<OwnerOutput> {
+    let outcome = DispatchOutcome::InDoubt { detail: "closed".into(), late: false };
+    owner.step(ms(at), may_serve, OwnerInput::Dispatched { number, outcome })
+}
+
+#[test]
+fn instances_that_know_keys_again_are_sent_an_attempt_in_doubt_once_more() {
+    let mut owner = owner_with(OwnerTiming::default(), true);
+    let first = first_is_sent(&mut owner);
+    let again = sent(&in_doubt(&mut owner, 50, true, first));
+    let [second] = again[..] else { panic!("it is sent again: {again:?}") };
+    let answered = complete(&mut owner, 90, second);
+    assert_eq!(told(&answered), [(7, Outcome::Answered, 201, 0, b"sword".to_vec())]);
+}
+
+#[test]
+fn an_attempt_in_doubt_is_never_released() {
+    let mut owner = owner_with(OwnerTiming::default(), true);
+    let mut dispatch = first_is_sent(&mut owner);
+    let mut all = Vec::new();
+    for at in [50, 100, 150, 200, 250] {
+        let outputs = in_doubt(&mut owner, at, true, dispatch);
+        dispatch = sent(&outputs).first().copied().unwrap_or_default();
+        all.extend(outputs);
+    }
+    all.extend(owner.step(ms(260), false, OwnerInput::Lapsed));
+    assert_eq!(told(&all).iter().map(|told| told.2).collect::<Vec<_>>(), [504]);
+    assert!(matches!(proposals(&all)[..], [(_, Command::RecordAnswer { .. })]), "over, and not to be run again");
+}
+
+#[test]
+fn one_that_waits_for_its_next_attempt_when_the_lease_lapses_is_recorded_as_unknown() {
+    let mut owner = owner_with(OwnerTiming::default(), true);
+    let dispatch = first_is_sent(&mut owner);
+    let held = in_doubt(&mut owner, 50, false, dispatch);
+    assert!(sent(&held).is_empty() && told(&held).is_empty());
+    let lapsed = owner.step(ms(60), false, OwnerInput::Lapsed);
+    assert_eq!(told(&lapsed).iter().map(|told| (told.1, told.2)).collect::<Vec<_>>(), [(Outcome::Unknown, 504)]);
+    assert!(matches!(proposals(&lapsed)[..], [(_, Command::RecordAnswer { .. })]));
+}
