Let a simulated lossy link count as trouble until its last delayed frame is there

The failure lasted longer than it said, the rule is unchanged.

Change: the links stand as lossy for those 1.2 s more; losses end when they did.

--- a/crates/sim/src/link_faults.rs
+++ b/crates/sim/src/link_faults.rs
@@ -21,8 +21,8 @@
 const FURTHER_TRIES: u32 = 3;
 
 impl World {
-    /// Some pairs of machines have a lossy link for a while.
-    pub(crate) fn lose_packets(&mut self, lasts: Duration) {
+    /// Some pairs of machines have a lossy link for a while. Says how long it lasts until what was delayed is there.
+    pub(crate) fn lose_packets(&mut self, lasts: Duration) -> Duration {
         let places = self.places();
         let until = self.now + lasts;
         for (index, a) in places.iter().enumerate() {
@@ -34,7 +34,15 @@
                 }
             }
         }
-        self.after(lasts, Event::Mend { what: crate::faults::Mending::EndLosses });
+        let all_there = lasts + Duration::from_millis(SENT_AGAIN_MS.end);
+        self.after(all_there, Event::Mend { what: crate::faults::Mending::EndLosses });
+        all_there
+    }
+
+    /// Links whose last delayed frames have arrived are as they were.
+    pub(crate) fn end_losses(&mut self) {
+        let now = self.now;
+        self.net.lossy.retain(|_, until| *until + Duration::from_millis(SENT_AGAIN_MS.end) > now);
     }
 
     /// What a frame waits for a packet of its link to be sent again.
--- a/crates/sim/src/net.rs
+++ b/crates/sim/src/net.rs
@@ -16,7 +16,7 @@
     pub names: BTreeMap<NodeId, Place>,
     pub sent: u64,
     pub slow: BTreeMap<(Place, Place), Duration>,
-    /// Links that lose packets, and until when.
+    /// Links that lose packets, and until when; they stand here until the last frame that was delayed is there.
     pub lossy: BTreeMap<(Place, Place), Duration>,
     pub slow_machines: BTreeMap<Place, Duration>,
 }
