--- a/crates/quota/tests/fleet.rs
+++ b/crates/quota/tests/fleet.rs
@@ -58,6 +58,7 @@
 
 #[test_case(79; "79 routers")]
 #[test_case(300; "300 routers")]
+#[test_case(430; "430 routers")]
 fn usual_load_is_refused_nothing(routers: usize) {
     let errors = measure("usual load", routers, fleet(1, routers, 0.5));
     assert!(errors.allowance_used <= 1.0 && errors.refused < 0.002, "{errors:?}");
@@ -78,6 +79,8 @@
 #[test_case(300, HOT, 0.0; "300 routers, the largest, without a burst")]
 #[test_case(300, 20, 0.5; "300 routers, a middle one")]
 #[test_case(300, 78, 0.0; "300 routers, the smallest")]
+#[test_case(430, HOT, 0.5; "430 routers, the largest")]
+#[test_case(430, 78, 0.0; "430 routers, the smallest")]
 fn a_hot_consumer_is_held_and_others_are_not_refused(routers: usize, consumer: usize, burst_s: f64) {
     let mut fleet = fleet(3, routers, burst_s);
     surge(&mut fleet, consumer, 7.5, 0.0);
