Take any other incarnation of a router for the newer one in the merged counts

Found in review: incarnations are drawn at random, and the aggregator refused reports of a lower one than it knew; a router restarted before the membership let go of it was refused for good in half of the cases, turned to the second aggregator alone, and its share was kept as a silent one's at the first.

Change: any incarnation but the one just replaced is the newer.

--- a/crates/quota/src/aggregator.rs
+++ b/crates/quota/src/aggregator.rs
@@ -52,6 +52,8 @@
     used_at: Option<Duration>,
     surveyed_at: Duration,
     counts: MergedCounts,
+    /// The incarnation that was known of a router before its present one.
+    replaced: BTreeMap<NodeId, u64>,
     origins: BTreeMap<NodeId, Origin>,
     buckets: BTreeMap<ConsumerId, ConsumerBucket>,
     statistics: AggregatorStatistics,
@@ -68,6 +70,7 @@
             used_at: None,
             surveyed_at: Duration::ZERO,
             counts: MergedCounts::default(),
+            replaced: BTreeMap::new(),
             origins: BTreeMap::new(),
             buckets: BTreeMap::new(),
             statistics: AggregatorStatistics::default(),
@@ -91,12 +94,12 @@
         self.origins.retain(|id, origin| members.contains(id) || !is_gone(origin));
         let origins = &self.origins;
         self.counts.retain(|id| origins.contains_key(&id));
+        self.replaced.retain(|id, _| origins.contains_key(id));
     }
 
     /// Takes a report in and answers it; none to one of an earlier incarnation.
     pub fn handle_report(&mut self, now: Duration, from: NodeId, report: &QuotaReport) -> Option<QuotaTotals> {
-        let is_earlier = self.counts.incarnation(from).is_some_and(|known| report.incarnation < known);
-        if is_earlier {
+        if self.replaced.get(&from) == Some(&report.incarnation) {
             self.statistics.rejected += 1;
             return None;
         }
@@ -106,6 +109,7 @@
         self.maybe_begin_anew(now);
         self.used_at = Some(now);
         self.statistics.merges += 1;
+        self.maybe_replace(from, report.incarnation);
         let origin = self.origins.entry(from).or_insert_with(|| Origin { heard_at: now, rates: BTreeMap::new() });
         let absent = now.saturating_sub(std::mem::replace(&mut origin.heard_at, now));
         // Of what it admitted meanwhile, a part was kept for it as for one that is silent.
@@ -123,6 +127,13 @@
         self.statistics
     }
 
+    /// Incarnations are drawn at random: any other than the known one is the newer, except the one it replaced.
+    fn maybe_replace(&mut self, from: NodeId, incarnation: u64) {
+        let Some(known) = self.counts.incarnation(from).filter(|known| *known != incarnation) else { return };
+        self.replaced.insert(from, known);
+        self.counts.retain(|id| id != from);
+    }
+
     fn maybe_begin_anew(&mut self, now: Duration) {
         if self.used_at.is_some_and(|at| now <= at + UNUSED_AFTER) {
             return;
--- a/crates/quota/src/meter.rs
+++ b/crates/quota/src/meter.rs
@@ -179,6 +179,11 @@
         self.consumers.get(&consumer).map(ConsumerMeter::usage)
     }
 
+    /// How often another aggregator was turned to.
+    pub fn aggregator_changes(&self) -> u64 {
+        self.statistics.aggregator_changes
+    }
+
     /// Numbers for operators.
     pub fn statistics(&self, now: Duration) -> MeterStatistics {
         MeterStatistics {
