Give an answer kept from an earlier request the id of the one it answers

Found in review: a repeat under a key was given the first's headers with the first's request id, by which callers tell whose answer it is. The test failed before. The id is set as the answer leaves, wherever it was kept.

--- a/crates/traffic/src/caller_server.rs
+++ b/crates/traffic/src/caller_server.rs
@@ -39,6 +39,7 @@
         Err(refused) => return refused,
     };
     let path = parts.uri.path().to_owned();
+    let request_id = server.words.request_id.as_ref().and_then(|name| parts.headers.get(name)).cloned();
     if let Some(id) = server.words.task_path.and_then(|below| path.strip_prefix(below)) {
         return server.status(id).await;
     }
@@ -50,10 +51,15 @@
         let busy = Reply::own(503, Some(Outcome::NotRun), "this router is busy");
         return server.answer(busy.again(Duration::from_millis(500)));
     }
-    match detail.await {
-        Ok(reply) => server.answer(reply),
-        Err(_) => server.answer(Reply::own(504, Some(Outcome::Unknown), "the outcome is not known")),
+    let unknown = || Reply::own(504, Some(Outcome::Unknown), "the outcome is not known");
+    let mut response = server.answer(detail.await.unwrap_or_else(|_| unknown()));
+    // The answer of an operation under a key may be that to an earlier request, with another id.
+    if let (Some(name), Some(id)) = (&server.words.request_id, request_id)
+        && response.headers().contains_key(name)
+    {
+        response.headers_mut().insert(name, id);
     }
+    response
 }
 
 impl CallerServer {
--- a/crates/traffic/src/caller_server_tests.rs
+++ b/crates/traffic/src/caller_server_tests.rs
@@ -108,6 +108,15 @@
     assert_eq!(response.headers()["heronlink-outcome"], "answered");
 }
 
+#[test]
+fn an_answer_kept_from_an_earlier_request_bears_the_id_of_this_one() {
+    let line = wire::HeaderField { name: "x-id".into(), value: b"first".to_vec().into() };
+    let head = wire::to_bytes(&AnswerHead { headers: vec![line].into() });
+    let kept = Reply { head, ..done() };
+    let (_, response) = exchange(another_dialect(), request(&[("x-id", "second")], ""), kept);
+    assert_eq!(text(response.headers(), "x-id"), "second");
+}
+
 #[test_case(Words::default() => true; "where the state of a task can be asked")]
 #[test_case(another_dialect() => false; "where it cannot")]
 fn an_answer_is_put_off_as_preferred(words: Words) -> bool {
