Answer a request in doubt at once where its key, route or consumer changed

Found in review, by schedule: a request under a key is forwarded, its owner is lost, and the API key moves to another consumer: forwarded anew it would be another operation and run twice. The same where the binding of a request without a consumer changed. With its route or key gone it was held until its time was out.

Change: what may have run and would be another operation, or none, is answered 504 at once. A claim waits for no longer than a queued request may; what was surely not appended is proposed again after 50 ms, not 700.

--- a/crates/traffic/src/expiry.rs
+++ b/crates/traffic/src/expiry.rs
@@ -13,7 +13,7 @@
 const STALE: f64 = 0.45;
 
 fn is_stale(now: Duration, task: &OwnedRequest) -> bool {
-    let unsent = task.place == Place::Queued && task.dispatches == 0 && !task.reached;
+    let unsent = matches!(task.place, Place::Queued | Place::Claiming) && task.dispatches == 0 && !task.reached;
     let whole = task.due.saturating_sub(task.arrived);
     unsent && task.aim.is_some() && now >= task.arrived + whole.mul_f64(STALE)
 }
--- a/crates/traffic/src/front.rs
+++ b/crates/traffic/src/front.rs
@@ -4,6 +4,7 @@
 
 use crate::attempt_count::AttemptCount;
 use crate::front_consumers::identify;
+use crate::front_passes::unknown;
 use crate::front_quota::FrontQuota;
 use crate::front_types::{Call, FrontInput, FrontLimits, FrontOutput, Record, Reply, Stage};
 use crate::owner_liveness::Watched;
@@ -200,13 +201,15 @@
     pub(crate) fn resolve(&mut self, task: u64) -> bool {
         let (Some(routes), Some(record)) = (self.routes.clone(), self.table.get_mut(&task)) else { return false };
         let Some((name, binding)) = routes.find_route(&record.call.host, &record.call.path) else {
-            if record.doubt {
-                return false;
-            }
-            self.answer(task, Reply::own(404, None, "no such route"));
+            let reply = if record.doubt { unknown() } else { Reply::own(404, None, "no such route") };
+            self.answer(task, reply);
             return false;
         };
         let caller = identify(&routes, binding, &record.call);
+        if record.is_other_operation(name, binding.class, &caller) {
+            self.answer(task, unknown());
+            return false;
+        }
         if !self.authenticate(task, caller) {
             return false;
         }
--- a/crates/traffic/src/front_consumers.rs
+++ b/crates/traffic/src/front_consumers.rs
@@ -2,8 +2,9 @@
 //! so that a key that was taken away admits nothing more.
 
 use crate::front::Front;
-use crate::front_types::{Call, Reply};
-use bindings::{FunctionBinding, RouteTable};
+use crate::front_passes::unknown;
+use crate::front_types::{Call, Record, Reply};
+use bindings::{Class, FunctionBinding, RouteTable};
 use wire::{HeaderField, RequestHead};
 
 /// What a request's API key says.
@@ -25,17 +26,26 @@
     }
 }
 
+impl Record {
+    /// Whether a request under a key that may have run would be another operation by the newest configuration: the
+    /// key is remembered under its consumer, or else under its binding.
+    pub(crate) fn is_other_operation(&self, binding: &str, class: Class, caller: &Caller) -> bool {
+        let consumer = if let Caller::Consumer(name) = caller { name.as_str() } else { "" };
+        let is_moved = consumer != self.consumer || consumer.is_empty() && binding != self.binding;
+        self.doubt && self.class == Some(Class::Once) && (is_moved || class != Class::Once)
+    }
+}
+
 impl Front {
-    /// Notes whose request it is. One that nobody may make is answered, unless it may have run.
+    /// Notes whose request it is. One that nobody may make is answered at once.
     pub(crate) fn authenticate(&mut self, task: u64, caller: Caller) -> bool {
         let Some(record) = self.table.get_mut(&task) else { return false };
         match caller {
             Caller::Consumer(name) => record.consumer = name,
             Caller::Anonymous => record.consumer.clear(),
             Caller::Unknown => {
-                if !record.doubt {
-                    self.answer(task, Reply::own(401, None, "no consumer has this key"));
-                }
+                let reply = if record.doubt { unknown() } else { Reply::own(401, None, "no consumer has this key") };
+                self.answer(task, reply);
                 return false;
             }
         }
--- a/crates/traffic/src/front_passes.rs
+++ b/crates/traffic/src/front_passes.rs
@@ -120,7 +120,9 @@
     ) {
         let doubt = self.table.get(&task).is_some_and(|record| record.doubt);
         let outcome = if outcome == Outcome::NotRun && doubt { Outcome::Unknown } else { outcome };
-        let status = if outcome == Outcome::Unknown && status == 503 { 504 } else { status };
+        // Whoever had the key in work may be the owner that was lost with this very request.
+        let untold = status == 503 || doubt && status == KEY_IN_WORK;
+        let status = if outcome == Outcome::Unknown && untold { 504 } else { status };
         let detail = match (outcome, status) {
             (Outcome::Unknown, KEY_IN_WORK) => "the key is in work",
             (Outcome::Unknown, _) => "the outcome is not known",
--- a/crates/traffic/src/front_quota.rs
+++ b/crates/traffic/src/front_quota.rs
@@ -138,7 +138,7 @@
         for (to, report) in self.quota.meter.report(self.now) {
             self.outs.push(FrontOutput::Forward { to, message: ForwardMessage::QuotaReport { report } });
         }
-        let changes = self.quota.meter.statistics(self.now).aggregator_changes;
+        let changes = self.quota.meter.aggregator_changes();
         if changes > std::mem::replace(&mut self.quota.aggregator_changes, changes) {
             event!(quota_aggregator_changed, "{changes} times so far");
         }
--- a/crates/traffic/src/ledger.rs
+++ b/crates/traffic/src/ledger.rs
@@ -8,6 +8,12 @@
 use std::time::Duration;
 use wire::{ClaimState, Command, CommandReply, LeaseMessage, Outcome, StoredAnswer, StoredRequest};
 
+/// What a registry says of a proposal: it was surely not appended, or it is committed.
+const NOT_APPENDED: u8 = 0;
+const COMMITTED: u8 = 1;
+/// When what was not appended is proposed again.
+const REPROPOSE: Duration = Duration::from_millis(50);
+
 /// The name a deferred task is stored under, by its binding and key: a repeat finds the same one.
 pub fn stored_id(scope: &str) -> String {
     let halves = [leases::mix(&[scope.as_bytes(), b"1"]), leases::mix(&[b"2", scope.as_bytes()])];
@@ -67,7 +73,12 @@
             }
             _ => return,
         };
-        if state != 1 {
+        if state == NOT_APPENDED
+            && let Some(record) = self.store_requests.get_mut(&request_id)
+        {
+            record.sent = (self.now + REPROPOSE).saturating_sub(self.timing.resend);
+        }
+        if state != COMMITTED {
             return;
         }
         let Some(record) = self.store_requests.remove(&request_id) else { return };
--- a/crates/traffic/tests/consumers.rs
+++ b/crates/traffic/tests/consumers.rs
@@ -81,6 +81,36 @@
     assert!(forwarded(&outputs).is_none());
 }
 
+/// Its key was taken away or given to another consumer, or its route is gone, after it may have run.
+#[test_case(r#""k-2""#, true; "the key is nobody's")]
+#[test_case(r#""k-1""#, false; "the route is gone")]
+fn a_request_in_doubt_is_answered_so_at_once(keys: &str, has_route: bool) {
+    let mut front = front_with_header();
+    forwarded(&ask(&mut front, 1, true, "/t/closed", Some("k-1"))).expect("it is forwarded");
+    front.step(ms(20), true, FrontInput::Link { id: OTHER, up: false });
+    let table = if has_route { routes(2, keys) } else { Rc::new(RouteTable::build(2, 2, [].into_iter())) };
+    let outputs = front.step(ms(60), true, FrontInput::RouteTable { routes: table });
+    let outputs = if outputs.is_empty() { front.step(ms(90), true, FrontInput::Tick) } else { outputs };
+    assert_eq!(reply(&outputs).map(|reply| reply.status), Some(504));
+    assert!(forwarded(&outputs).is_none());
+}
+
+#[test]
+fn a_key_that_went_to_another_consumer_is_no_second_operation() {
+    let mut front = front_with_header();
+    forwarded(&ask(&mut front, 1, true, "/t/closed", Some("k-1"))).expect("it is forwarded");
+    front.step(ms(20), true, FrontInput::Link { id: OTHER, up: false });
+    let pairs: [(&str, &[u8]); 2] = [
+        ("function-bindings/t/closed", br#"{"route":"/t/closed","function":"f","class":"once"}"#),
+        ("consumers/t/bob", br#"{"keys":["k-1"]}"#),
+    ];
+    let moved = Rc::new(RouteTable::build(2, 2, pairs.into_iter()));
+    let mut outputs = front.step(ms(60), true, FrontInput::RouteTable { routes: moved });
+    outputs.extend(front.step(ms(90), true, FrontInput::Tick));
+    assert_eq!(reply(&outputs).map(|reply| reply.status), Some(504));
+    assert!(forwarded(&outputs).is_none());
+}
+
 #[test]
 fn without_consumers_no_key_is_asked_for() {
     let mut front = front(1, OTHER);
