--- a/crates/sim/tests/seeds.rs
+++ b/crates/sim/tests/seeds.rs
@@ -22,6 +22,8 @@
 #[test_case(Sort::Restarts, &[1, 2, 4]; "restarts")]
 #[test_case(Sort::Consumers, &[1, 2, 3]; "consumers")]
 #[test_case(Sort::Anything, &[25, 26]; "anything")]
+#[test_case(Sort::Consumers, &[6100017, 6100187, 6400195]; "a registry not caught up after lossy links")]
+#[test_case(Sort::Anything, &[8100161]; "accepted requests that stood still while a step waited for its quorum")]
 #[test_case(Sort::Anything, &[1220027]; "routers started after all their seeds had been replaced")]
 #[test_case(Sort::Replacement, &[1210020]; "a voter that goes before its successor has its vote")]
 #[test_case(Sort::Anything, &[3100032]; "a leaver that goes while it is one of two in the chain")]
