Quota: A consumer at its limit that jumps to twelve times its usual, at 5 and 79 routers

Asked by reading the bound's argument: a window that began at the limit has no room for what routers run ahead.

--- a/crates/quota/tests/fleet.rs
+++ b/crates/quota/tests/fleet.rs
@@ -99,6 +99,17 @@
     assert!(errors.allowance_used <= 1.0 && errors.refused < 0.02, "{errors:?}");
 }
 
+#[test_case(5; "5 routers")]
+#[test_case(79; "79 routers")]
+fn one_at_its_limit_that_jumps_is_held(routers: usize) {
+    let mut fleet = fleet(12, routers, 0.5);
+    let jump = Surge { from: s(10.0), to: s(14.0), factor: 12.0, on_and_off: s(0.0) };
+    fleet.consumers[HOT].surges.push(jump);
+    surge(&mut fleet, HOT, 1.6, 0.0);
+    let errors = measure("one at its limit jumps to 12 times its usual", routers, fleet);
+    assert!(errors.allowance_used <= 1.0 && errors.refused < 0.02, "{errors:?}");
+}
+
 #[test_case(79; "79 routers")]
 #[test_case(300; "300 routers")]
 fn all_consumers_a_little_over_their_limits_are_held(routers: usize) {
