Show two holders that order starts and stops of a function under one fence

Cause: stop_drained goes over schedulers whose function has moved too, and takes the number of the newest membership as the fence; the new holder uses the same number. Done: a script with stand-ins, and its claim. Nothing of the product is changed.

--- a/review/standin/standin.rs
+++ b/review/standin/standin.rs
@@ -12,6 +12,7 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
+mod fence;
 mod http;
 mod instances;
 mod machines;
@@ -109,6 +110,7 @@
     let trouble = std::env::var("TROUBLE").map_or(true, |value| value != "0");
     record.line(&format!("case {}, with the disruption: {trouble}", arguments[1]));
     let verdict = match arguments[1].as_str() {
+        "fence" => fence::run(&record, trouble),
         "stop" => stop::run(&record, trouble),
         _ => Verdict::CannotRun("no such case".into()),
     };
