Show that a disk lost at the first start keeps the core from ever forming

Cause: a cluster is founded by all three seeds together; a seed that comes back with an empty disk and is not told to found one waits to be let in, and the two others wait for it. Ruled out: that the start itself is at fault; without the loss the same start is served. Done: a script with stand-ins, and its claim, in the place of the lesser case of callers that left. Nothing of the product is changed.

--- a/review/standin/machines.rs
+++ b/review/standin/machines.rs
@@ -162,6 +162,14 @@
         self.record.line(&format!("machine {} has ended", self.machines[number].name));
     }
 
+    /// Loses the disk of a machine whose processes have ended.
+    pub fn empty_disk(&mut self, number: usize) {
+        let data = self.machines[number].folder.join("data");
+        let _ = std::fs::remove_dir_all(&data);
+        std::fs::create_dir_all(&data).expect("a data folder");
+        self.record.line(&format!("machine {} has lost its disk", self.machines[number].name));
+    }
+
     pub fn front(&self, number: usize) -> SocketAddr {
         format!("{}:{}", self.machines[number].ip, self.ports.front).parse().unwrap()
     }
--- a/review/standin/standin.rs
+++ b/review/standin/standin.rs
@@ -13,7 +13,7 @@
 use std::time::{Duration, Instant};
 
 mod fence;
-mod gone;
+mod found;
 mod http;
 mod instances;
 mod machines;
@@ -112,7 +112,7 @@
     record.line(&format!("case {}, with the disruption: {trouble}", arguments[1]));
     let verdict = match arguments[1].as_str() {
         "fence" => fence::run(&record, trouble),
-        "gone" => gone::run(&record, trouble),
+        "found" => found::run(&record, trouble),
         "stop" => stop::run(&record, trouble),
         _ => Verdict::CannotRun("no such case".into()),
     };
--- a/review/standin/stop.rs
+++ b/review/standin/stop.rs
@@ -121,7 +121,9 @@
     };
     // A 409 is true if a run of its key was at work between its try and the answer, or had just ended.
     let is_false = |one: &Try| {
-        let at_work = |run: &&Run| run.key == one.key && run.at <= one.answered && end_of(run).saturating_add(SLACK_MS) >= one.sent;
+        let at_work = |run: &&Run| {
+            run.key == one.key && run.at <= one.answered && end_of(run).saturating_add(SLACK_MS) >= one.sent
+        };
         one.status == 409 && !runs.iter().any(|run| at_work(&run))
     };
     let mut tries = tries.lock().unwrap();
