--- a/crates/events/src/list.rs
+++ b/crates/events/src/list.rs
@@ -34,6 +34,7 @@
     settings_applied = 5, Info, "changed settings applied";
     settings_rejected = 6, Error, "changed settings rejected, earlier ones stay in force";
     inbox_full = 4, Warn, "inbox full, message rejected";
+    inbox_closed = 7, Warn, "inbox closed, its thread has ended, message lost";
     link_up = 101, Info, "link up";
     link_down = 102, Info, "link down";
     frame_rejected = 103, Warn, "frame rejected, link closed";
--- a/crates/kernel/src/directory.rs
+++ b/crates/kernel/src/directory.rs
@@ -47,4 +47,13 @@
         assert_eq!(sender.send(8), Err(SendError::Full(8)));
         assert_eq!((sender.refused(), sender.depth(), inbox.ready()), (1, 1, Some(7)));
     }
+
+    #[test]
+    fn the_inbox_of_an_ended_service_rejects_messages_as_closed_and_not_as_full() {
+        let mut directory = Directory::default();
+        let inbox = directory.announce::<u32>("counter", 1);
+        let sender = directory.find::<u32>("counter").unwrap();
+        drop(inbox);
+        assert_eq!((sender.send(7), sender.refused()), (Err(SendError::Closed(7)), 0));
+    }
 }
--- a/crates/traffic/src/control_loop.rs
+++ b/crates/traffic/src/control_loop.rs
@@ -3,6 +3,7 @@
 //! acknowledged while the traffic thread still has a longer lease.
 
 use crate::data_plane::TrafficMessage;
+use crate::rejected_messages::log_rejected_message;
 use crate::serving_lease::ServingLease;
 use bindings::RouteTable;
 use events::event;
@@ -212,14 +213,14 @@
     }
 
     fn send_to_node(&self, to: NodeId, message: LeaseMessage) {
-        if self.links.send(LinkOrder::Send { to, message: Message::Lease(message) }).is_err() {
-            event!(inbox_full, "links");
+        if let Err(error) = self.links.send(LinkOrder::Send { to, message: Message::Lease(message) }) {
+            log_rejected_message(&error, "links");
         }
     }
 
     fn send_to_traffic(&self, message: TrafficMessage) {
-        if self.traffic.send(message).is_err() {
-            event!(inbox_full, "traffic");
+        if let Err(error) = self.traffic.send(message) {
+            log_rejected_message(&error, "traffic");
         }
     }
 
@@ -241,8 +242,8 @@
         let members = self.follower.membership().members.iter();
         let members = members.map(|line| (line.id, line.address.as_str().to_owned())).collect();
         for order in [LinkOrder::KeepConnected { addresses }, LinkOrder::SetKnownPeers { members }] {
-            if self.links.send(order).is_err() {
-                event!(inbox_full, "links");
+            if let Err(error) = self.links.send(order) {
+                log_rejected_message(&error, "links");
             }
         }
     }
--- a/crates/traffic/src/data_plane_outputs.rs
+++ b/crates/traffic/src/data_plane_outputs.rs
@@ -4,16 +4,16 @@
 use crate::data_plane::{DataPlane, Input};
 use crate::front_types::{FrontOutput, Reply};
 use crate::owner_types::{OwnerInput, OwnerOutput};
+use crate::rejected_messages::log_rejected_message;
 use dispatch::{DispatchOutcome, DispatcherMessage};
-use events::event;
 use links::LinkOrder;
 use std::collections::VecDeque;
 use wire::{LeaseMessage, Message, PlanMessage};
 
 impl DataPlane {
     pub(crate) fn send_link_order(&self, order: LinkOrder) {
-        if self.links.send(order).is_err() {
-            event!(inbox_full, "links");
+        if let Err(error) = self.links.send(order) {
+            log_rejected_message(&error, "links");
         }
     }
 
@@ -84,8 +84,8 @@
                 self.send_to_dispatcher(DispatcherMessage::Forget { id });
             }
             OwnerOutput::ProviderOrder(order) => {
-                if self.platform.send(order).is_err() {
-                    event!(inbox_full, "platform");
+                if let Err(error) = self.platform.send(order) {
+                    log_rejected_message(&error, "platform");
                 }
             }
             OwnerOutput::PlanRequest { message } => self.send_to_registries(Message::Plan(message)),
@@ -100,11 +100,11 @@
     }
 
     fn send_to_dispatcher(&self, message: DispatcherMessage) -> bool {
-        let is_sent = self.dispatcher.send(message).is_ok();
-        if !is_sent {
-            event!(inbox_full, "dispatcher");
+        let sent = self.dispatcher.send(message);
+        if let Err(error) = &sent {
+            log_rejected_message(error, "dispatcher");
         }
-        is_sent
+        sent.is_ok()
     }
 
     fn send_to_registries(&self, message: Message) {
--- a/crates/traffic/src/lib.rs
+++ b/crates/traffic/src/lib.rs
@@ -49,6 +49,7 @@
 mod queue_wait;
 mod quota_status;
 mod refusals;
+mod rejected_messages;
 mod rejection_limit;
 mod retrying;
 mod router_metrics;
