End the traffic thread with its last request, and give up in order at the grace

Callers saw: after SIGTERM of a router that has no callers of its own, the keyed operations that it ran for callers of other routers were dropped 0.7 s later (504), and their repeats were told 409 although nothing was at work.

Cause: the main future of the traffic thread was the HTTP server for callers. It ended with the last connection of a caller, and the thread then dropped data plane, dispatcher and links, with all that ran for others. The control thread waited for a channel whose other end was gone, which read like 'not yet finished', until the grace; it kept renewing the lease in vain, so the registries took the operations for running.

Change: the thread runs until the data plane is drained (listener closed, no request open at front or owner, every outcome confirmed), then closes the links once what is queued on them is written. A service that ends beside the data plane, or the thread itself, now ends the process with an error: the control thread tells 'finished' from 'gone'. Stages of the stop are one enum, decided in PlannedStop. 0.7 s before the grace ends, owner and front give up what is open: run-once operations are recorded as unknown, so that repeats get 504 and are neither run again nor told 409; what was not dispatched goes back to its front; callers get 504, or 503 with Retry-After; E0512 says what was given up and for whom.

Tests: the two in traffic_thread_tests.rs fail on the order of before (the end of the server for callers ends the thread): no answer, in place of 201 and of 504; giving_up.rs.

--- a/crates/events/src/list.rs
+++ b/crates/events/src/list.rs
@@ -68,6 +68,10 @@
     queue_held_beside_free_slots = 507, Warn, "requests queue beside free slots, held by the rejection limit";
     consumer_over_limit = 508, Info, "consumer held at its limit";
     quota_granters_changed = 509, Info, "the granters of consumers' limits changed";
+    callers_closed = 510, Info, "listener for callers closed, their connections have ended";
+    requests_drained = 511, Info, "planned stop, no request is open";
+    requests_given_up = 512, Warn, "planned stop near its deadline, requests given up";
+    stop_overdue = 513, Warn, "planned stop at its deadline, requests or connections are cut";
     plan_received = 601, Debug, "plan received";
     plan_fallback = 602, Warn, "no plan, fallback count in force";
     plan_failed = 603, Warn, "fit or solve failed, fallback returned";
--- a/crates/links/src/interface.rs
+++ b/crates/links/src/interface.rs
@@ -2,6 +2,7 @@
 //! are always kept open; a peer in `SetKnownPeers` is dialled when something is sent to it, and the
 //! connection is closed when both sides are idle.
 
+use tokio::sync::oneshot;
 use wire::{Message, NodeId};
 
 /// Identity of this process, sent on each connection.
@@ -47,6 +48,12 @@
         /// Node id and `IP:port` of each peer.
         members: Vec<(NodeId, String)>,
     },
+    /// Ends the service: nothing more is dialled or accepted, and each connection is closed once the messages queued on
+    /// it are written.
+    Close {
+        /// Notified once every connection is closed on both sides.
+        closed: oneshot::Sender<()>,
+    },
 }
 
 /// An event that the link service reports to the owner of the links.
--- a/crates/links/src/service.rs
+++ b/crates/links/src/service.rs
@@ -15,7 +15,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::mpsc;
+use tokio::sync::{mpsc, watch};
 use tokio::task::spawn_local;
 use wire::{FrameError, Message, NodeId};
 
@@ -47,9 +47,40 @@
     pub on_demand: RefCell<OnDemandDials>,
     last_connection_id: Cell<u64>,
     accepted_count: Cell<usize>,
+    is_closing: Cell<bool>,
+    /// Number of running connections, watched while the service closes.
+    running_count: watch::Sender<usize>,
+}
+
+/// Counts a connection as running until it is dropped.
+pub struct RunningConnection {
+    service: Rc<LinkService>,
+}
+
+impl Drop for RunningConnection {
+    fn drop(&mut self) {
+        self.service.running_count.send_modify(|count| *count -= 1);
+    }
 }
 
 impl LinkService {
+    /// Counts a new connection; returns `None` if the service is closing.
+    pub fn begin_connection(self: &Rc<Self>) -> Option<RunningConnection> {
+        if self.is_closing.get() {
+            return None;
+        }
+        self.running_count.send_modify(|count| *count += 1);
+        Some(RunningConnection { service: self.clone() })
+    }
+
+    /// Closes the queue of each connection, which then ends once its messages are written, and waits for their ends.
+    async fn close(&self) {
+        self.is_closing.set(true);
+        self.kept_open.borrow_mut().clear();
+        self.connections.borrow_mut().clear();
+        let _ = self.running_count.subscribe().wait_for(|count| *count == 0).await;
+    }
+
     /// Adds a connection, drops those of the peer's other incarnations, and returns its id.
     pub fn add_connection(
         &self,
@@ -61,6 +92,9 @@
     ) -> u64 {
         let connection_id = self.last_connection_id.get() + 1;
         self.last_connection_id.set(connection_id);
+        if self.is_closing.get() {
+            return connection_id;
+        }
         let mut connections = self.connections.borrow_mut();
         let list = connections.entry(id).or_default();
         list.retain(|old| old.incarnation == incarnation);
@@ -122,7 +156,7 @@
     }
 }
 
-/// Runs the service on the current thread until its inbox of orders is closed.
+/// Runs the service on the current thread until it is told to close or its inbox of orders is closed.
 pub async fn start(local_node: LocalNode, listener: TcpListener, mut orders: Inbox<LinkOrder>, deliver: Deliver) {
     let service = Rc::new(LinkService {
         local_node,
@@ -134,8 +168,10 @@
         on_demand: RefCell::default(),
         last_connection_id: Cell::new(0),
         accepted_count: Cell::new(0),
+        is_closing: Cell::new(false),
+        running_count: watch::Sender::new(0),
     });
-    spawn_local(accept_connections(service.clone(), listener));
+    let accepting = spawn_local(accept_connections(service.clone(), listener));
     while let Some(order) = orders.next().await {
         match order {
             LinkOrder::Send { to, message } => service.send(to, message),
@@ -146,6 +182,12 @@
                 }
             }
             LinkOrder::SetKnownPeers { members } => service.on_demand.borrow_mut().set_known_peers(members),
+            LinkOrder::Close { closed } => {
+                accepting.abort();
+                service.close().await;
+                let _ = closed.send(());
+                return;
+            }
             LinkOrder::KeepConnected { addresses } => {
                 let wanted: BTreeSet<String> =
                     addresses.into_iter().filter(|a| *a != service.local_node.address).collect();
--- a/crates/links/src/stream.rs
+++ b/crates/links/src/stream.rs
@@ -59,6 +59,7 @@
     stream: TcpStream,
     dialled: Option<String>,
 ) -> Result<(), FrameError> {
+    let Some(_running) = service.begin_connection() else { return Ok(()) };
     stream.set_nodelay(true)?;
     kernel::set_silence_timeout(&stream, UNACKNOWLEDGED_TIMEOUT)?;
     let local_node = service.local_node.clone();
--- a/crates/sim/src/lib.rs
+++ b/crates/sim/src/lib.rs
@@ -31,6 +31,7 @@
 mod resending_operators;
 mod restarts;
 mod rolling_restarts;
+mod router_leaving;
 mod router_limits;
 mod router_node;
 mod router_steps;
--- a/crates/sim/src/router_node.rs
+++ b/crates/sim/src/router_node.rs
@@ -1,7 +1,6 @@
 //! Simulated router: the product's follower, front and owner, with inputs from the simulator.
 
 use crate::router_limits::{capacity, front_limits};
-use crate::sorts::Sort;
 use crate::world::{Event, NodeRef, TICK, World};
 use bindings::RouteTable;
 use leases::{Follower, FollowerInput, FollowerOutput, FollowerTiming, stable_hash};
@@ -29,6 +28,7 @@
     pub drift: f64,
     pub down_since: Duration,
     pub leaving_since: Option<Duration>,
+    pub has_given_up: bool,
     pub process: Option<RouterProcess>,
 }
 
@@ -38,9 +38,6 @@
     }
 }
 
-const MIN_LEAVE_TIME: Duration = Duration::from_millis(700);
-const GRACE: Duration = Duration::from_secs(8);
-
 pub enum RouterInput {
     Front(FrontInput),
     FunctionOwner(OwnerInput),
@@ -68,6 +65,7 @@
             drift: 1.0,
             down_since: Duration::ZERO,
             leaving_since: None,
+            has_given_up: false,
             process: None,
         });
         self.start_router(n);
@@ -87,6 +85,7 @@
         node.started_at = self.now;
         node.frozen_until = Duration::ZERO;
         node.leaving_since = None;
+        node.has_given_up = false;
         // On some seeds even a small fleet sends its proofs through relays.
         let relay_above = if self.seed & 4 != 0 { 2 } else { 12 };
         let timing = FollowerTiming { relay_above, peer_hold, ..FollowerTiming::default() };
@@ -147,32 +146,13 @@
         let now = self.router_now(n);
         let Some(process) = &self.routers[n].process else { return };
         let reachable = process.last_proof.is_some_and(|at| now < at + Duration::from_millis(2500));
+        self.maybe_give_up(n);
         self.end_leaving(n);
         self.feed_router(n, RouterInput::FunctionOwner(OwnerInput::RegistriesReachable { reachable }));
         self.feed_router(n, RouterInput::Front(FrontInput::Tick));
         self.feed_router(n, RouterInput::FunctionOwner(OwnerInput::Tick));
     }
 
-    /// Stops a leaving router as the real program does: once the time for last calls has passed and nothing is open,
-    /// or when the grace period ends.
-    fn end_leaving(&mut self, n: usize) {
-        let (Some(since), Some(process)) = (self.routers[n].leaving_since, &self.routers[n].process) else { return };
-        let waited = self.now - since;
-        let me = self.routers[n].id;
-        let handed_over = process.follower.membership().member(me).is_none_or(|line| line.leaving != 0);
-        let idle = process.front.request_count() == 0 && process.owner.is_idle();
-        if (waited > MIN_LEAVE_TIME && handed_over && idle) || waited > GRACE {
-            let depths = (process.front.request_count(), process.owner.depths());
-            self.log(|| format!("router {n} stops, open: {depths:?}"));
-            if !idle && self.plan.sort == Sort::Planned && self.now < self.plan.final_fault {
-                self.rules.report_violation(self.now, format!("router {n} left with work open"));
-            }
-            self.kill_router(n);
-            let back = Duration::from_millis(self.rng.random_range(300..3000));
-            self.schedule_after(back, Event::Repair { repair: crate::faults::Repair::StartRouter(n) });
-        }
-    }
-
     pub fn deliver_to_router(&mut self, n: usize, from: NodeId, _incarnation: u64, message: Message) {
         let now = self.router_now(n);
         match message {
--- a/crates/traffic/src/admission.rs
+++ b/crates/traffic/src/admission.rs
@@ -43,7 +43,7 @@
         let (Some(resolved), Some(scheduler)) = (resolved, scheduler) else {
             return self.outs.push(OwnerOutput::Forward { to: from, message: ForwardMessage::NotOwner { task } });
         };
-        if !resolved.sends_to(service) || scheduler.leaving.is_some() {
+        if !resolved.sends_to(service) || scheduler.leaving.is_some() || self.has_given_up {
             return self.outs.push(OwnerOutput::Forward { to: from, message: ForwardMessage::NotOwner { task } });
         }
         scheduler.arrivals += 1;
--- a/crates/traffic/src/caller_server.rs
+++ b/crates/traffic/src/caller_server.rs
@@ -2,8 +2,8 @@
 //! answer, with the outcome in a separate header if the dialect has one.
 
 use crate::caller_limits::CallerLimits;
-use crate::data_plane::TrafficMessage;
 use crate::front_types::{Call, Reply};
+use crate::traffic_message::TrafficMessage;
 use axum::Router;
 use axum::body::{Body, HttpBody};
 use axum::extract::{Request, State};
--- a/crates/traffic/src/control_loop.rs
+++ b/crates/traffic/src/control_loop.rs
@@ -2,9 +2,13 @@
 //! step of the follower, its serving lease is written before any of its outputs is sent, so that a staged epoch is never
 //! acknowledged while the traffic thread still has a longer lease.
 
-use crate::data_plane::TrafficMessage;
+use crate::control_message::ControlMessage;
+use crate::errors::RunError;
 use crate::rejected_messages::log_rejected_message;
 use crate::serving_lease::ServingLease;
+use crate::stop_signals::StopSignals;
+use crate::stop_stage::PlannedStop;
+use crate::traffic_message::TrafficMessage;
 use bindings::RouteTable;
 use events::event;
 use kernel::{Inbox, InboxSender};
@@ -22,16 +26,6 @@
 const STATUS_LOG_DELAY: Duration = Duration::from_millis(400);
 /// Time after a proof for which the registries count as reachable.
 const REACHABLE_FOR: Duration = Duration::from_millis(2500);
-/// Minimum time that a leaving router still accepts callers.
-const MIN_LEAVE_TIME: Duration = Duration::from_millis(700);
-
-/// Message to the control thread.
-pub enum ControlMessage {
-    Link(LinkEvent),
-    Seeds(Result<Vec<String>, String>),
-    Stop,
-}
-
 /// State of the control thread.
 pub struct Control {
     pub started_at: Instant,
@@ -57,43 +51,48 @@
 }
 
 impl Control {
-    /// Runs until a planned stop is complete, and returns the time by which the process must have ended.
-    pub async fn run(mut self, mut inbox: Inbox<ControlMessage>, stop: watch::Sender<bool>) -> Option<Instant> {
+    /// Runs until a planned stop is complete, and returns the time by which the process must have ended. If the traffic
+    /// thread ends without a message, it has failed.
+    pub async fn run(
+        mut self,
+        mut inbox: Inbox<ControlMessage>,
+        signals: StopSignals,
+        mut traffic_end: oneshot::Receiver<()>,
+    ) -> Result<Option<Instant>, RunError> {
         self.update_link_addresses();
         let mut last_tick = Instant::now();
-        let mut leaving: Option<(Instant, oneshot::Receiver<()>)> = None;
+        let mut planned_stop: Option<PlannedStop> = None;
         loop {
             tokio::select! {
                 biased;
-                _ = tokio::time::sleep_until(self.next_tick(last_tick, leaving.is_some()).into()) => {
+                _ = tokio::time::sleep_until(self.next_tick(last_tick, planned_stop.is_some()).into()) => {
                     last_tick = Instant::now();
                     self.step_follower(FollowerInput::Tick);
                     self.publish_reachability();
                     self.maybe_log_serving_status();
                 }
+                end = &mut traffic_end => return match end {
+                    Ok(()) => Ok(planned_stop.map(|stop| stop.deadline())),
+                    Err(_) => Err(RunError::ThreadEnded { name: "traffic" }),
+                },
                 message = inbox.next() => match message {
                     Some(ControlMessage::Link(event)) => self.handle_link_event(event),
-                    Some(ControlMessage::Stop) if leaving.is_none() => {
+                    Some(ControlMessage::Stop) if planned_stop.is_none() => {
                         event!(shutdown_started);
                         self.step_follower(FollowerInput::Leave);
-                        let (drained, finished) = oneshot::channel();
-                        let _ = self.traffic.send(TrafficMessage::Drain { drained });
-                        leaving = Some((Instant::now(), finished));
+                        planned_stop = Some(PlannedStop::new(Instant::now(), self.grace));
                     }
                     Some(ControlMessage::Stop) => {}
                     Some(ControlMessage::Seeds(seeds)) => self.handle_seeds(seeds),
-                    None => return None,
+                    None => return Ok(None),
                 },
             }
-            if let Some((since, finished)) = &mut leaving {
-                let may_stop =
-                    since.elapsed() > MIN_LEAVE_TIME && (self.is_handed_over() || since.elapsed() > self.grace / 2);
-                if may_stop && !*stop.borrow() {
-                    let _ = stop.send(true);
-                }
-                let finished = *stop.borrow() && finished.try_recv().is_ok();
-                if finished || since.elapsed() > self.grace {
-                    return Some(*since + self.grace);
+            if let Some(stop) = &mut planned_stop {
+                let now = Instant::now();
+                signals.set_stage(stop.advance(now, self.is_handed_over()));
+                if now >= stop.deadline() {
+                    event!(stop_overdue);
+                    return Ok(Some(stop.deadline()));
                 }
             }
         }
--- a/crates/traffic/src/data_plane.rs
+++ b/crates/traffic/src/data_plane.rs
@@ -4,21 +4,22 @@
 use crate::caller_limits::CallerLimits;
 use crate::declared_views::DeclaredViews;
 use crate::front::Front;
-use crate::front_types::{Call, FrontInput, Reply};
+use crate::front_types::{FrontInput, Reply};
 use crate::function_owner::FunctionOwner;
 use crate::owner_types::OwnerInput;
 use crate::serving_lease::ServingLease;
-use bindings::RouteTable;
+use crate::stop_stage::StopStage;
+use crate::traffic_message::TrafficMessage;
 use dispatch::{DispatchReport, DispatcherMessage};
+use events::event;
 use instance_provider::{ProviderOrder, ProviderReport};
 use kernel::{Inbox, InboxSender};
-use leases::Membership;
 use links::{LinkEvent, LinkOrder};
 use std::collections::BTreeMap;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 use tokio::sync::{oneshot, watch};
-use wire::{DeferredRecord, ForwardMessage, LeaseMessage, Message, NodeId, StoredAnswer};
+use wire::{ForwardMessage, LeaseMessage, Message, NodeId};
 
 const TICK: Duration = Duration::from_millis(20);
 /// Tick interval while nothing waits here; messages are still handled as they arrive.
@@ -28,35 +29,6 @@
 /// Set in the ids of the store reads for status queries, to tell them from the owner's reads.
 const STATUS_QUERY_BIT: u64 = 1 << 62;
 
-/// Message to the traffic thread.
-pub enum TrafficMessage {
-    Task {
-        call: Call,
-        reply: oneshot::Sender<Reply>,
-    },
-    /// A query for the state of a deferred task.
-    TaskStatus {
-        id: String,
-        reply: oneshot::Sender<Reply>,
-    },
-    Link(LinkEvent),
-    Dispatcher(DispatchReport),
-    Platform(ProviderReport),
-    RouteTable(Box<RouteTable>),
-    /// A later epoch with an unchanged route table.
-    Epoch(u64),
-    Membership(Box<Membership>),
-    Registries {
-        tail: Option<NodeId>,
-        reachable: bool,
-        registries: Vec<NodeId>,
-    },
-    MembershipLost,
-    Drain {
-        drained: oneshot::Sender<()>,
-    },
-}
-
 /// State of the traffic thread.
 pub struct DataPlane {
     pub me: NodeId,
@@ -79,8 +51,10 @@
     pub replies: BTreeMap<u64, oneshot::Sender<Reply>>,
     pub status_queries: BTreeMap<u64, (oneshot::Sender<Reply>, Duration)>,
     pub last_request_id: u64,
-    /// Notified once a leaving router has no open request.
-    pub drained: Option<oneshot::Sender<()>>,
+    /// Stage of a planned stop, set by the control thread.
+    pub stop_stage: watch::Receiver<StopStage>,
+    /// Whether the listener for callers is closed and their connections have ended.
+    pub has_closed_callers: bool,
     pub outcome_counts: BTreeMap<&'static str, u64>,
 }
 
@@ -100,7 +74,10 @@
 }
 
 impl DataPlane {
+    /// Runs until a planned stop has closed the listener for callers and no request is open, neither of this router's
+    /// callers nor of others.
     pub async fn run(mut self, mut inbox: Inbox<TrafficMessage>) {
+        let mut stop_stage = self.stop_stage.clone();
         let tick = tokio::time::sleep(TICK);
         tokio::pin!(tick);
         let mut is_idle = false;
@@ -113,11 +90,7 @@
                     self.process(Input::FunctionOwner(OwnerInput::Tick));
                     let now = self.started_at.elapsed();
                     self.status_queries.retain(|_, (reply, due)| now < *due && !reply.is_closed());
-                    if self.drained.is_some() && self.front.request_count() == 0 && self.owner.is_idle()
-                        && let Some(drained) = self.drained.take() {
-                        let _ = drained.send(());
-                    }
-                    is_idle = self.drained.is_none() && !self.front.has_waiting_requests() && !self.owner.has_waiting_work();
+                    is_idle = !self.is_stopping() && !self.front.has_waiting_requests() && !self.owner.has_waiting_work();
                     tick.as_mut().reset(tokio::time::Instant::now() + if is_idle { IDLE_TICK } else { TICK });
                 }
                 message = inbox.next() => match message {
@@ -130,6 +103,11 @@
                     }
                     None => return,
                 },
+                Ok(()) = stop_stage.changed() => self.enter_stop_stage(*stop_stage.borrow_and_update()),
+            }
+            if self.has_closed_callers && self.is_drained() {
+                event!(requests_drained);
+                return;
             }
             if published_at.elapsed() >= STATUS_INTERVAL {
                 published_at = Instant::now();
@@ -221,27 +199,10 @@
                 self.process(Input::FunctionOwner(OwnerInput::MembershipLost));
                 self.process(Input::Front(FrontInput::MembershipLost));
             }
-            TrafficMessage::Drain { drained } => self.drained = Some(drained),
+            TrafficMessage::CallersClosed => {
+                event!(callers_closed, "{} requests open at the owner", self.owner.depths().0);
+                self.has_closed_callers = true;
+            }
         }
     }
-
-    fn answer_status_query(&mut self, request_id: u64, record: Option<Vec<u8>>) {
-        let Some((reply, _)) = self.status_queries.remove(&request_id) else { return };
-        let answer = match record.and_then(|raw| wire::from_bytes::<DeferredRecord>(&raw)) {
-            None => Reply::from_router(404, None, "no such task"),
-            Some(record) if record.is_answered == 0 => Reply {
-                body: b"{\"state\":\"pending\"}".to_vec(),
-                ..Reply::from_router(200, Some(wire::Outcome::Accepted), "")
-            },
-            Some(record) => match wire::from_bytes::<StoredAnswer>(record.answer.as_slice()) {
-                Some(stored) => Reply {
-                    head: stored.head.into_vec(),
-                    body: stored.body.into_vec(),
-                    ..Reply::from_router(stored.status, Some(stored.outcome), "")
-                },
-                None => Reply::from_router(500, None, "the stored answer cannot be read"),
-            },
-        };
-        let _ = reply.send(answer);
-    }
 }
--- a/crates/traffic/src/dispatch_pass.rs
+++ b/crates/traffic/src/dispatch_pass.rs
@@ -19,7 +19,7 @@
 impl FunctionOwner {
     /// Sends requests from each queue until it is empty or blocked.
     pub(crate) fn dispatch_pass(&mut self) {
-        if !self.may_serve {
+        if !self.may_serve || self.has_given_up {
             return;
         }
         let may_send = |scheduler: &FunctionScheduler| {
--- a/crates/traffic/src/front.rs
+++ b/crates/traffic/src/front.rs
@@ -40,6 +40,8 @@
     pub(crate) last_id: u64,
     pub(crate) now: Duration,
     pub(crate) may_serve: bool,
+    /// Whether this router has given up its requests near the end of a planned stop.
+    pub(crate) has_given_up: bool,
     pub(crate) quota: FrontQuota,
     pub(crate) outputs: Vec<FrontOutput>,
     /// Number of requests refused as not run.
@@ -65,6 +67,7 @@
             last_id: first_request_number(incarnation),
             now: Duration::ZERO,
             may_serve: false,
+            has_given_up: false,
             quota,
             outputs: Vec::new(),
             refusals: 0,
@@ -112,17 +115,8 @@
                 self.process_requests();
             }
             FrontInput::MembershipLost => self.quota.granter.handle_membership_loss(now),
-            FrontInput::CallerGone { request_id } => {
-                if let Some(task) = self.task_by_request_id.get(&request_id).copied()
-                    && self
-                        .requests
-                        .get(&task)
-                        .is_some_and(|record| record.stage == Stage::Waiting && !record.may_have_run)
-                {
-                    self.refund_credit(task);
-                    self.remove(task);
-                }
-            }
+            FrontInput::CallerGone { request_id } => self.drop_unsent_request(request_id),
+            FrontInput::GiveUp => self.give_up(),
             FrontInput::Tick => {
                 self.maintain_quota();
                 self.process_requests();
@@ -133,6 +127,9 @@
     }
 
     fn admit(&mut self, request_id: u64, call: Call) {
+        if self.has_given_up {
+            return self.refuse_while_stopping(request_id);
+        }
         if self.requests.len() >= self.limits.max_requests {
             let reply = Reply::from_router(503, Some(Outcome::NotRun), "this router is full")
                 .with_retry_after(self.add_jitter(request_id, BASE_RETRY_AFTER * 2));
--- a/crates/traffic/src/front_passes.rs
+++ b/crates/traffic/src/front_passes.rs
@@ -149,6 +149,16 @@
         self.answer(task, Reply { outcome: Some(outcome), status, retry_after, head, body, detail });
     }
 
+    /// Drops a request whose caller has left, if it was not forwarded.
+    pub(crate) fn drop_unsent_request(&mut self, request_id: u64) {
+        let Some(task) = self.task_by_request_id.get(&request_id).copied() else { return };
+        let record = self.requests.get(&task);
+        if record.is_some_and(|record| record.stage == Stage::Waiting && !record.may_have_run) {
+            self.refund_credit(task);
+            self.remove(task);
+        }
+    }
+
     /// Answers a caller and removes the record of its request. The credit of a request that did not run is refunded.
     pub(crate) fn answer(&mut self, task: u64, reply: Reply) {
         if let Some(record) = self.requests.get(&task) {
--- a/crates/traffic/src/front_types.rs
+++ b/crates/traffic/src/front_types.rs
@@ -76,6 +76,8 @@
     MembershipLost,
     /// The caller closed its connection before it was answered.
     CallerGone { request_id: u64 },
+    /// A planned stop is near its deadline: all open requests are answered.
+    GiveUp,
     /// Time has passed.
     Tick,
 }
--- a/crates/traffic/src/function_owner.rs
+++ b/crates/traffic/src/function_owner.rs
@@ -9,7 +9,7 @@
 use crate::keyed_operations::KeyedOperations;
 use crate::owner_counters::OwnerCounters;
 use crate::owner_settings::OwnerSettings;
-use crate::owner_types::{OwnedRequest, OwnerInput, OwnerOutput, StoreRequest, TaskId};
+use crate::owner_types::{OwnedRequest, OwnerInput, OwnerOutput, StoreOperation, StoreRequest, TaskId};
 use crate::placement::Workers;
 use crate::standby::StandbyCopy;
 use bindings::RouteTable;
@@ -26,6 +26,8 @@
     pub(crate) settings: OwnerSettings,
     pub(crate) now: Duration,
     pub(crate) may_serve: bool,
+    /// Whether this router has given up its requests near the end of a planned stop.
+    pub(crate) has_given_up: bool,
     pub(crate) registries_reachable: bool,
     pub(crate) routes: Option<Rc<RouteTable>>,
     pub(crate) membership: Rc<Membership>,
@@ -78,6 +80,7 @@
             settings,
             now: Duration::ZERO,
             may_serve: false,
+            has_given_up: false,
             registries_reachable: false,
             routes: None,
             membership: Rc::default(),
@@ -176,6 +179,7 @@
             }
             OwnerInput::MembershipLost => self.handle_membership_loss(),
             OwnerInput::RegistriesReachable { reachable } => self.registries_reachable = reachable,
+            OwnerInput::GiveUp => self.give_up(),
             OwnerInput::Tick => self.tick(),
         }
         self.dispatch_pass();
@@ -187,11 +191,11 @@
         (self.tasks.len(), self.running.len(), self.store_requests.len())
     }
 
-    /// Returns whether no caller waits and nothing is in flight.
+    /// Returns whether no caller waits, nothing is in flight and the registries have confirmed every outcome.
     pub fn is_idle(&self) -> bool {
         self.tasks.values().all(|task| !task.is_caller_waiting)
             && self.running.is_empty()
-            && self.store_requests.is_empty()
+            && self.store_requests.values().all(|request| request.kind == StoreOperation::ReadDeferred)
     }
 
     /// Returns whether any request waits for something other than the answer of its instance.
--- a/crates/traffic/src/owner_types.rs
+++ b/crates/traffic/src/owner_types.rs
@@ -58,6 +58,8 @@
     /// The registries have removed this router from the members, as its lease had run out; other owners have taken
     /// over.
     MembershipLost,
+    /// A planned stop is near its deadline: all open requests are given up.
+    GiveUp,
     /// Time has passed.
     Tick,
 }
--- a/crates/traffic/src/service.rs
+++ b/crates/traffic/src/service.rs
@@ -1,36 +1,37 @@
-//! Startup of a router and its threads. The control thread runs the follower. The traffic thread runs the HTTP server for
-//! callers, links, dispatcher and data plane together, because each request passes through all of them and waking
-//! another thread would cost more than the work itself. The instance provider and the operations port have their own
-//! threads. Threads find each other's inboxes by name.
+//! Startup of a router and its threads. The control thread runs the follower, the traffic thread everything that requests
+//! pass through. The instance provider and the operations port have their own threads. Threads find each other's inboxes
+//! by name.
 
 use crate::caller_limits::CallerLimits;
 use crate::caller_server::{self, CallerServer};
-use crate::control_loop::{Control, ControlMessage};
-use crate::data_plane::{DataPlane, TrafficMessage};
-use crate::declared_views::DeclaredViews;
+use crate::control_loop::Control;
+use crate::control_message::ControlMessage;
 use crate::dialect::Dialect;
 use crate::errors::RunError;
-use crate::front::Front;
 use crate::front_types::{ConsumerHeader, FrontLimits};
-use crate::function_owner::FunctionOwner;
 use crate::ops::{Views, ops_router};
+use crate::plane_setup::PlaneSetup;
 use crate::serving_lease::ServingLease;
 use crate::settings::RouterSettings;
-use dispatch::{DispatchReport, DispatcherMessage};
+use crate::stop_signals::StopSignals;
+use crate::stop_stage::StopStage;
+use crate::traffic_message::TrafficMessage;
+use crate::traffic_thread::{CallerListener, TrafficInboxes, TrafficThread};
+use dispatch::DispatcherMessage;
 use events::event;
 use http_server::{ResourceIndex, ServerLimits, Tokens};
 use instance_provider::{InstanceProvider, OwnInstanceProvider, ProviderOrder};
-use kernel::{Directory, InboxSender, SendError, adopt, find, listen, listen_address, local, thread, wait_for_signal};
+use kernel::{Directory, adopt, find, listen, listen_address, local, thread, wait_for_signal};
 use leases::{Follower, FollowerTiming, ServingStatus, stable_hash};
-use links::{LinkEvent, LinkOrder, LocalNode};
+use links::{LinkOrder, LocalNode};
 use std::cell::Cell;
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeSet;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
-use tokio::sync::watch;
-use tokio::task::spawn_local;
-use wire::{LeaseMessage, Message, NodeId};
+use tokio::sync::{oneshot, watch};
+use tokio::task::{JoinSet, spawn_local};
+use wire::NodeId;
 
 /// Time from the end of an owner's lease until the next owner has listed the running instances.
 const OWNER_TAKEOVER_TIME: Duration = Duration::from_millis(400);
@@ -63,6 +64,7 @@
     let has_declared_views = !tokens.is_empty();
     let (index, index_updates) = watch::channel(ResourceIndex::new(incarnation));
     let (stop, stop_signal) = watch::channel(false);
+    let (stop_stage_sender, stop_stage) = watch::channel(StopStage::Serving);
     let lease = ServingLease::default();
 
     let local_node = LocalNode {
@@ -91,51 +93,48 @@
         local(async move { instance_provider::run(provider, platform_inbox, report).await });
     })?;
     let limits = caller_limits(&settings);
+    let server_limits = limits.server;
     let (limits_sender, limits_updates) = watch::channel(limits.clone());
-    let (own_limits, server_limits) = (limits.clone(), limits.server);
-    let (link_directory, traffic_directory, traffic_lease) = (directory.clone(), directory.clone(), lease.clone());
     let owner_recovery_time = settings.hold + settings.hold / 6 + OWNER_TAKEOVER_TIME;
     let front_limits =
         FrontLimits { owner_recovery_time, consumer_header, quota: settings.quota_bounds(), ..FrontLimits::default() };
-    let timing = settings.owner_settings();
+    let plane = PlaneSetup {
+        me,
+        incarnation,
+        started_at,
+        front_limits,
+        owner_settings: settings.owner_settings(),
+        lease: lease.clone(),
+        view,
+        caller_limits: (limits, limits_sender),
+        index: has_declared_views.then_some(index),
+        stop_stage,
+    };
     let server =
         CallerServer { traffic: find(&directory, "traffic"), dialect: server_dialect, limits: limits_updates.clone() };
-    let (caller_routes, server_stop) = (caller_server::router(server), stop_signal.clone());
+    let callers = CallerListener {
+        listener: caller_listener,
+        routes: caller_server::router(server),
+        limits: limits_updates,
+        stop: stop_signal.clone(),
+    };
+    let inboxes = TrafficInboxes { traffic: traffic_inbox, links: links_inbox, dispatcher: dispatch_inbox };
+    let traffic = TrafficThread {
+        plane,
+        directory: directory.clone(),
+        local_node,
+        peer_listener,
+        http_dialect,
+        callers,
+        inboxes,
+    };
+    let (traffic_ended, traffic_end) = oneshot::channel();
     let traffic_thread = thread("traffic", move || {
-        let plane = DataPlane {
-            me,
-            started_at,
-            lease: traffic_lease,
-            front: Front::new(me, incarnation, front_limits),
-            owner: FunctionOwner::new(me, incarnation, timing),
-            links: find(&traffic_directory, "links"),
-            dispatcher: find(&traffic_directory, "dispatcher"),
-            platform: find(&traffic_directory, "platform"),
-            view,
-            caller_limits: (own_limits, limits_sender),
-            declared_views: has_declared_views.then(|| DeclaredViews::new(index)),
-            epoch: 0,
-            tail: None,
-            registries: Vec::new(),
-            replies: BTreeMap::new(),
-            status_queries: BTreeMap::new(),
-            last_request_id: 0,
-            drained: None,
-            outcome_counts: BTreeMap::new(),
-        };
-        let traffic = find::<TrafficMessage>(&traffic_directory, "traffic");
-        let report: dispatch::ReportHandler = Rc::new(move |report| send_report(&traffic, report));
-        let limits = move || limits_updates.borrow().server;
         local(async move {
-            spawn_local(links::start(
-                local_node,
-                adopt(peer_listener),
-                links_inbox,
-                link_event_handler(link_directory),
-            ));
-            spawn_local(dispatch::run(http_dialect, dispatch_inbox, report));
-            spawn_local(plane.run(traffic_inbox));
-            http_server::serve_with_dynamic_limits(adopt(caller_listener), caller_routes, limits, server_stop).await;
+            // Without this message the control thread takes the end as a failure.
+            if traffic.run().await.is_ok() {
+                let _ = traffic_ended.send(());
+            }
         });
     })?;
     let ops_limits = ServerLimits { connections: 64, life: Duration::from_secs(86_400), ..server_limits };
@@ -143,11 +142,18 @@
     let (views, ops_stop) = (Views { traffic: view_updates, control: control_updates }, stop_signal);
     thread("operations", move || {
         local(async move {
+            let mut servers = JoinSet::new();
             if let (Some(make), Some(listener)) = (dialect.pages, pages_listener) {
-                spawn_local(http_server::serve(adopt(listener), make(views.clone()), ops_limits, ops_stop.clone()));
+                servers.spawn_local(http_server::serve(
+                    adopt(listener),
+                    make(views.clone()),
+                    ops_limits,
+                    ops_stop.clone(),
+                ));
             }
-            http_server::serve(adopt(ops_listener), ops_router(views).merge(resource_pages), ops_limits, ops_stop)
-                .await;
+            let ops_routes = ops_router(views).merge(resource_pages);
+            servers.spawn_local(http_server::serve(adopt(ops_listener), ops_routes, ops_limits, ops_stop));
+            while servers.join_next().await.is_some() {}
         })
     })?;
 
@@ -174,8 +180,8 @@
         has_declared_views,
     };
     let control_sender = find::<ControlMessage>(&directory, "control");
-    let deadline = Rc::new(Cell::new(None));
-    let ended = deadline.clone();
+    let result = Rc::new(Cell::new(Ok(None)));
+    let ended = result.clone();
     local(async move {
         if let Some(reread) = dialect.reread {
             let (control_sender, read) = (control_sender.clone(), move || reread().map(|settings| settings.seeds));
@@ -187,10 +193,12 @@
             wait_for_signal().await;
             control_sender.send_waiting(ControlMessage::Stop).await;
         });
-        ended.set(control.run(control_inbox, stop).await);
+        let signals = StopSignals { stage: stop_stage_sender, close_listeners: stop };
+        ended.set(control.run(control_inbox, signals, traffic_end).await);
     });
+    let deadline = result.replace(Ok(None))?;
     // Callers' connections have a grace period of their own, which starts later than that of the process.
-    kernel::join_until(traffic_thread, deadline.get());
+    kernel::join_until(traffic_thread, deadline);
     event!(stopped);
     Ok(())
 }
@@ -206,45 +214,3 @@
     };
     CallerLimits { server, body_bytes: settings.body, body_time: settings.body_time, keep_alive: None }
 }
-
-fn send_report(traffic: &InboxSender<TrafficMessage>, report: DispatchReport) {
-    if let Err(SendError::Full(message)) = traffic.send(TrafficMessage::Dispatcher(report)) {
-        let traffic = traffic.clone();
-        spawn_local(async move { traffic.send_waiting(message).await });
-    }
-}
-
-fn link_event_handler(directory: Directory) -> links::Deliver {
-    let control = find::<ControlMessage>(&directory, "control");
-    let traffic = find::<TrafficMessage>(&directory, "traffic");
-    Rc::new(move |event| {
-        let (control, traffic) = (control.clone(), traffic.clone());
-        Box::pin(async move {
-            match event {
-                LinkEvent::Up { id, incarnation, address } => {
-                    let copy = LinkEvent::Up { id, incarnation, address: address.clone() };
-                    traffic.send_waiting(TrafficMessage::Link(copy)).await;
-                    control.send_waiting(ControlMessage::Link(LinkEvent::Up { id, incarnation, address })).await;
-                }
-                LinkEvent::Down { id } => {
-                    traffic.send_waiting(TrafficMessage::Link(LinkEvent::Down { id })).await;
-                    control.send_waiting(ControlMessage::Link(LinkEvent::Down { id })).await;
-                }
-                LinkEvent::Frame { from, incarnation, message } => {
-                    let is_for_traffic = matches!(
-                        message,
-                        Message::Forward(_)
-                            | Message::Plan(_)
-                            | Message::Lease(LeaseMessage::ProposalAck { .. } | LeaseMessage::ReadReply { .. })
-                    );
-                    let event = LinkEvent::Frame { from, incarnation, message };
-                    if is_for_traffic {
-                        traffic.send_waiting(TrafficMessage::Link(event)).await;
-                    } else {
-                        control.send_waiting(ControlMessage::Link(event)).await;
-                    }
-                }
-            }
-        })
-    })
-}
