--- a/crates/fleet/src/command_line.rs
+++ b/crates/fleet/src/command_line.rs
@@ -10,6 +10,7 @@
        fleet prove --deployment DIR [options]       load, scheduled faults, check
        fleet soak --deployment DIR [options]        random faults from a seed, check
        fleet smoke --deployment DIR [options]       basic calls of callers and operators
+       fleet stops --deployment DIR [options]       planned stops of routers that run operations for others' callers
 
   --deployment DIR   folder with deployment.toml, configuration.json, services.json
   --folder DIR       folder for data, logs and records [run]
@@ -43,6 +44,8 @@
     Soak,
     /// Basic calls of callers and operators.
     Smoke,
+    /// Planned stops of routers that run operations for callers of other routers.
+    Stops,
 }
 
 /// Parsed command line; the fields correspond to the options in `HELP`.
@@ -130,7 +133,8 @@
         "prove" => Mode::Prove,
         "soak" => Mode::Soak,
         "smoke" => Mode::Smoke,
-        _ => return Err("expected up, prove, soak or smoke; see --help".into()),
+        "stops" => Mode::Stops,
+        _ => return Err("expected up, prove, soak, smoke or stops; see --help".into()),
     };
     Ok(Some(options))
 }
--- a/crates/fleet/src/configure.rs
+++ b/crates/fleet/src/configure.rs
@@ -128,7 +128,7 @@
         });
         let mut routers: Vec<Node> = routers.collect();
         let mut registries = registries;
-        if options.mode == Mode::Soak {
+        if [Mode::Soak, Mode::Stops].contains(&options.mode) {
             let grace = format!("{}ms", crate::process_monitor::STOP_GRACE.as_millis());
             let nodes = routers.iter_mut().chain(&mut registries);
             nodes.for_each(|node| node.arguments.extend(["--grace".to_owned(), grace.clone()]));
--- a/crates/fleet/src/main.rs
+++ b/crates/fleet/src/main.rs
@@ -7,6 +7,7 @@
 mod deployment;
 mod faults;
 mod folder;
+mod planned_stops;
 mod ports;
 mod process_monitor;
 mod processes;
--- a/crates/fleet/src/prove.rs
+++ b/crates/fleet/src/prove.rs
@@ -48,6 +48,9 @@
     if options.mode == Mode::Smoke {
         return crate::smoke::run(options, deployment, fleet).await;
     }
+    if options.mode == Mode::Stops {
+        return crate::planned_stops::run(options, deployment, fleet).await;
+    }
     start_fleet(deployment, fleet).await?;
     println!("operators: {} (token {OPERATOR_TOKEN})", fleet.registries[0].client_address);
     println!("callers: {}", caller_addresses(fleet));
