--- a/crates/links/tests/closing.rs
+++ b/crates/links/tests/closing.rs
@@ -11,7 +11,7 @@
 #[test]
 fn messages_queued_before_the_close_are_delivered() {
     local(async {
-        let (mut one, mut two) = (start_peer(1).await, start_peer(2).await);
+        let (one, mut two) = (start_peer(1).await, start_peer(2).await);
         one.orders.send(LinkOrder::SetKnownPeers { members: vec![(2, two.address.clone())] }).unwrap();
         one.orders.send(LinkOrder::Send { to: 2, message: staged_message(0) }).unwrap();
         assert_eq!(next_message(&mut two).await, staged_message(0));
--- a/crates/traffic/src/control_loop.rs
+++ b/crates/traffic/src/control_loop.rs
@@ -26,6 +26,7 @@
 const STATUS_LOG_DELAY: Duration = Duration::from_millis(400);
 /// Time after a proof for which the registries count as reachable.
 const REACHABLE_FOR: Duration = Duration::from_millis(2500);
+
 /// State of the control thread.
 pub struct Control {
     pub started_at: Instant,
