--- a/crates/traffic/src/data_plane.rs
+++ b/crates/traffic/src/data_plane.rs
@@ -53,6 +53,8 @@
     pub last_request_id: u64,
     /// Stage of a planned stop, set by the control thread.
     pub stop_stage: watch::Receiver<StopStage>,
+    /// Latest stage that the data plane has entered.
+    pub entered_stage: StopStage,
     /// Whether the listener for callers is closed and their connections have ended.
     pub has_closed_callers: bool,
     pub outcome_counts: BTreeMap<&'static str, u64>,
@@ -77,7 +79,6 @@
     /// Runs until a planned stop has closed the listener for callers and no request is open, neither of this router's
     /// callers nor of others.
     pub async fn run(mut self, mut inbox: Inbox<TrafficMessage>) {
-        let mut stop_stage = self.stop_stage.clone();
         let tick = tokio::time::sleep(TICK);
         tokio::pin!(tick);
         let mut is_idle = false;
@@ -86,6 +87,7 @@
             tokio::select! {
                 biased;
                 () = &mut tick => {
+                    self.maybe_enter_stop_stage();
                     self.process(Input::Front(FrontInput::Tick));
                     self.process(Input::FunctionOwner(OwnerInput::Tick));
                     let now = self.started_at.elapsed();
@@ -103,7 +105,6 @@
                     }
                     None => return,
                 },
-                Ok(()) = stop_stage.changed() => self.enter_stop_stage(*stop_stage.borrow_and_update()),
             }
             if self.has_closed_callers && self.is_drained() {
                 event!(requests_drained);
--- a/crates/traffic/src/plane_setup.rs
+++ b/crates/traffic/src/plane_setup.rs
@@ -55,6 +55,7 @@
             status_queries: BTreeMap::new(),
             last_request_id: 0,
             stop_stage: self.stop_stage,
+            entered_stage: StopStage::Serving,
             has_closed_callers: false,
             outcome_counts: BTreeMap::new(),
         }
--- a/crates/traffic/src/stopping.rs
+++ b/crates/traffic/src/stopping.rs
@@ -17,10 +17,11 @@
         self.front.request_count() == 0 && self.owner.is_idle()
     }
 
-    /// Does what the stage of a planned stop asks for when it begins. The owner gives up first, since its answers also
+    /// Does what a new stage of a planned stop asks for when it begins. The owner gives up first, since its answers also
     /// go to the front of this router.
-    pub(crate) fn enter_stop_stage(&mut self, stage: StopStage) {
-        if stage == StopStage::GivingUp {
+    pub(crate) fn maybe_enter_stop_stage(&mut self) {
+        let stage = *self.stop_stage.borrow();
+        if std::mem::replace(&mut self.entered_stage, stage) != stage && stage == StopStage::GivingUp {
             self.process(Input::FunctionOwner(OwnerInput::GiveUp));
             self.process(Input::Front(FrontInput::GiveUp));
         }
--- a/crates/traffic/src/traffic_thread.rs
+++ b/crates/traffic/src/traffic_thread.rs
@@ -86,9 +86,11 @@
     }
 }
 
-/// What the end of a service of the traffic thread means.
+/// What the end of a task of the traffic thread means.
 #[derive(Clone, Copy, PartialEq, Eq)]
 enum ServiceEnd {
+    /// The data plane has no open request left in a planned stop.
+    Drained,
     /// The service of callers is over; the data plane was notified.
     CallersClosed,
     /// The service should have run as long as the data plane.
@@ -119,18 +121,21 @@
         });
     }
 
-    /// Runs the data plane beside the services until it ends.
+    /// Runs the data plane beside the services until it ends. It is a task like them, so that it handles together the
+    /// messages that they sent in one turn of the thread.
     pub async fn run(&mut self, plane: DataPlane, inbox: Inbox<TrafficMessage>) -> Result<(), ServiceEnded> {
-        let mut plane = std::pin::pin!(plane.run(inbox));
-        loop {
-            tokio::select! {
-                () = &mut plane => return Ok(()),
-                Some(ended) = self.tasks.join_next() => match ended {
-                    Ok(ServiceEnd::CallersClosed) => {}
-                    Ok(ServiceEnd::Unexpected) | Err(_) => return Err(ServiceEnded),
-                },
+        self.tasks.spawn_local(async move {
+            plane.run(inbox).await;
+            ServiceEnd::Drained
+        });
+        while let Some(ended) = self.tasks.join_next().await {
+            match ended {
+                Ok(ServiceEnd::Drained) => return Ok(()),
+                Ok(ServiceEnd::CallersClosed) => {}
+                Ok(ServiceEnd::Unexpected) | Err(_) => break,
             }
         }
+        Err(ServiceEnded)
     }
 }
 
