--- a/crates/traffic/src/traffic_thread.rs
+++ b/crates/traffic/src/traffic_thread.rs
@@ -11,6 +11,7 @@
 use axum::Router;
 use derive_more::{Display, Error};
 use dispatch::{DispatchReport, DispatcherMessage, HttpDialect};
+use http_server::DynamicLimits;
 use kernel::{Directory, Inbox, InboxSender, SendError, adopt, find};
 use links::{LinkEvent, LinkOrder, LocalNode};
 use std::net::TcpListener;
@@ -81,7 +82,9 @@
 impl CallerListener {
     async fn serve(self) {
         let CallerListener { listener, routes, limits, stop } = self;
-        let limits = move || limits.borrow().server;
+        // Nobody reports shortages yet.
+        let (_reporter, shortages) = http_server::shortages();
+        let limits = DynamicLimits { limits_now: move || limits.borrow().server, shortages };
         http_server::serve_with_dynamic_limits(adopt(listener), routes, limits, stop).await;
     }
 }
