--- a/crates/dispatch/src/connection.rs
+++ b/crates/dispatch/src/connection.rs
@@ -1,8 +1,10 @@
 //! Connection to an instance that carries one request at a time.
 
 use crate::HttpDialect;
+use crate::answer_memory::{AnswerMemory, UNRESERVED_ANSWER_BYTES};
 use crate::instance_request::InstanceRequest;
-use crate::response::{BodyLength, ChunkedBody, MAX_HEAD_BYTES, ResponseHead, parse_response_head};
+use crate::response::{BodyLength, ChunkedBody, MAX_BODY_BYTES, MAX_HEAD_BYTES, ResponseHead, parse_response_head};
+use bytes::Bytes;
 use std::cell::Cell;
 use std::io;
 use std::rc::Rc;
@@ -48,7 +50,7 @@
 
 pub(crate) struct Response {
     pub head: ResponseHead,
-    pub body: Vec<u8>,
+    pub body: Bytes,
     /// Whether the connection may carry another request.
     pub reusable: bool,
 }
@@ -61,6 +63,10 @@
     InDoubt(String),
 }
 
+fn answer_too_large() -> ExchangeError {
+    ExchangeError::InDoubt("response larger than the memory for responses".into())
+}
+
 fn in_doubt<T>(detail: impl Into<String>) -> Result<T, ExchangeError> {
     Err(ExchangeError::InDoubt(detail.into()))
 }
@@ -84,30 +90,39 @@
         &mut self,
         request: &InstanceRequest,
         dialect: &HttpDialect,
+        memory: &AnswerMemory,
     ) -> Result<Response, ExchangeError> {
-        let mut unsent = request.bytes.as_slice();
-        while !unsent.is_empty() {
-            match self.stream.write(unsent).await {
-                Ok(written) if written > 0 => unsent = &unsent[written..],
-                _ if unsent.len() == request.bytes.len() => return Err(ExchangeError::NotSent),
-                // The instance may have answered before it closed the connection.
-                _ => break,
-            }
-        }
+        let is_sent = self.send(request).await?;
         let mut bytes = Vec::with_capacity(READ_BYTES);
         let head = self.read_head(&mut bytes, request, dialect).await?;
         if let Some(encoding) = head.content_encoding.as_ref().filter(|encoding| !request.accepts_encoding(encoding)) {
             return in_doubt(format!("response encoded as {encoding}, which the request does not accept"));
         }
-        let (body, end) = self.read_body(&mut bytes, &head).await?;
-        let surplus = bytes.len() > end;
+        drop(bytes.drain(..head.head_bytes));
+        let (body, surplus) = self.read_body(bytes, &head, memory).await?;
         if request.request_id.is_none() && (surplus || self.receives_more().await) {
             return in_doubt("surplus bytes after the end of the response");
         }
-        let reusable = !surplus && !head.closes_connection && unsent.is_empty() && request.request_id.is_some();
+        let reusable = !surplus && !head.closes_connection && is_sent && request.request_id.is_some();
         Ok(Response { head, body, reusable })
     }
 
+    /// Sends a request. Returns whether all of it was sent: the instance may answer before it closes the connection.
+    async fn send(&mut self, request: &InstanceRequest) -> Result<bool, ExchangeError> {
+        let mut has_sent = false;
+        for mut unsent in [request.bytes.as_slice(), &request.large_body] {
+            while !unsent.is_empty() {
+                match self.stream.write(unsent).await {
+                    Ok(written) if written > 0 => unsent = &unsent[written..],
+                    _ if !has_sent => return Err(ExchangeError::NotSent),
+                    _ => return Ok(false),
+                }
+                has_sent = true;
+            }
+        }
+        Ok(true)
+    }
+
     /// Reads response heads until the final one, which must echo the id of this request.
     async fn read_head(
         &mut self,
@@ -130,24 +145,60 @@
         }
     }
 
-    /// Reads the body. Returns it with the position of its end in the buffer.
-    async fn read_body(&mut self, bytes: &mut Vec<u8>, head: &ResponseHead) -> Result<(Vec<u8>, usize), ExchangeError> {
-        if let BodyLength::Exactly(length) = head.body_length {
-            let end = head.head_bytes + length;
-            bytes.reserve(end.saturating_sub(bytes.len()));
-            while bytes.len() < end {
-                self.read_more(bytes).await?;
-            }
-            return Ok((bytes[head.head_bytes..end].to_vec(), end));
+    /// Reads the body, of which `bytes` is the beginning. Returns it, and whether more bytes followed it.
+    async fn read_body(
+        &mut self,
+        bytes: Vec<u8>,
+        head: &ResponseHead,
+        memory: &AnswerMemory,
+    ) -> Result<(Bytes, bool), ExchangeError> {
+        match head.body_length {
+            BodyLength::Exactly(length) => self.read_exactly(bytes, length, memory).await,
+            BodyLength::Chunked | BodyLength::InterimResponse => self.read_chunks(bytes, memory).await,
         }
-        let mut chunks = ChunkedBody::new(head.head_bytes);
-        loop {
-            match chunks.decode(bytes) {
-                Err(detail) => return in_doubt(detail),
-                Ok(Some(end)) => return Ok((chunks.body, end)),
-                Ok(None) => self.read_more(bytes).await?,
+    }
+
+    async fn read_exactly(
+        &mut self,
+        mut bytes: Vec<u8>,
+        length: usize,
+        memory: &AnswerMemory,
+    ) -> Result<(Bytes, bool), ExchangeError> {
+        let reservation = match length > UNRESERVED_ANSWER_BYTES {
+            true => Some(memory.reserve(length).await.ok_or_else(answer_too_large)?),
+            false => None,
+        };
+        bytes.reserve_exact(length.saturating_sub(bytes.len()));
+        while bytes.len() < length {
+            self.read_more(&mut bytes).await?;
+        }
+        let has_surplus = bytes.len() > length;
+        bytes.truncate(length);
+        let body = match reservation {
+            Some(reservation) => reservation.attach_to(bytes),
+            None => bytes.into(),
+        };
+        Ok((body, has_surplus))
+    }
+
+    async fn read_chunks(&mut self, mut bytes: Vec<u8>, memory: &AnswerMemory) -> Result<(Bytes, bool), ExchangeError> {
+        let mut chunks = ChunkedBody::default();
+        let mut reservation = None;
+        while !chunks.decode(&mut bytes).map_err(|detail| ExchangeError::InDoubt(detail.into()))? {
+            if chunks.body.len() > UNRESERVED_ANSWER_BYTES && reservation.is_none() {
+                // Its length is not known before its end.
+                reservation = Some(memory.reserve(MAX_BODY_BYTES).await.ok_or_else(answer_too_large)?);
             }
+            self.read_more(&mut bytes).await?;
         }
+        let body = match reservation {
+            Some(mut reservation) => {
+                reservation.shrink_to(chunks.body.capacity());
+                reservation.attach_to(chunks.body)
+            }
+            None => chunks.body.into(),
+        };
+        Ok((body, !bytes.is_empty()))
     }
 
     async fn read_more(&mut self, bytes: &mut Vec<u8>) -> Result<(), ExchangeError> {
--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -1,11 +1,13 @@
 //! Dispatcher loop: sends each order over a pooled or a new connection and reports its outcome. It does
 //! not choose instances, and never resends a request of which any byte may have been sent.
 
+use crate::answer_memory::AnswerMemory;
 use crate::connection::{Connection, ExchangeError, OpenCount, Response};
 use crate::instance_request::InstanceRequest;
 use crate::pool::{Checkout, Pool};
 use crate::response::ResponseHead;
 use crate::{DispatchOrder, DispatchOutcome, DispatchReport, DispatcherMessage, HttpDialect};
+use bytes::Bytes;
 use kernel::Inbox;
 use std::io;
 use std::rc::Rc;
@@ -32,11 +34,17 @@
 pub struct Dispatcher {
     dialect: Rc<HttpDialect>,
     pool: Rc<Pool>,
+    memory: AnswerMemory,
 }
 
 /// Runs a dispatcher on the current thread until its inbox is closed.
-pub async fn run(dialect: HttpDialect, mut messages: Inbox<DispatcherMessage>, report: ReportHandler) {
-    let dispatcher = Dispatcher::new(dialect);
+pub async fn run(
+    dialect: HttpDialect,
+    memory: AnswerMemory,
+    mut messages: Inbox<DispatcherMessage>,
+    report: ReportHandler,
+) {
+    let dispatcher = Dispatcher::with_memory(dialect, memory);
     let (mut last_sweep, mut keeps_connections) = (Instant::now(), false);
     loop {
         let next = match keeps_connections {
@@ -61,9 +69,14 @@
 }
 
 impl Dispatcher {
-    /// Creates a dispatcher for a dialect, with an empty pool.
+    /// Creates a dispatcher for a dialect, with an empty pool and without a limit on the memory for responses.
     pub fn new(dialect: HttpDialect) -> Dispatcher {
-        Dispatcher { dialect: Rc::new(dialect), pool: Rc::default() }
+        Dispatcher::with_memory(dialect, AnswerMemory::unlimited())
+    }
+
+    /// Creates a dispatcher for a dialect, with an empty pool.
+    pub fn with_memory(dialect: HttpDialect, memory: AnswerMemory) -> Dispatcher {
+        Dispatcher { dialect: Rc::new(dialect), pool: Rc::default(), memory }
     }
 
     /// Handles a message. Returns whether this may add connections to the pool.
@@ -90,7 +103,7 @@
     /// Sends one request and returns its outcome, at the latest shortly after the time left for the order.
     pub async fn send(&self, order: DispatchOrder) -> DispatchOutcome {
         let Some(request) = InstanceRequest::new(&order, &self.dialect) else {
-            return DispatchOutcome::Complete { status: 400, head: Vec::new(), body: Vec::new(), turned_away: false };
+            return DispatchOutcome::Complete { status: 400, head: Vec::new(), body: Bytes::new(), turned_away: false };
         };
         match timeout(order.time_left + DEADLINE_GRACE, self.exchange(&order, &request)).await {
             Ok(outcome) => outcome,
@@ -115,7 +128,7 @@
                     Err(_) => return DispatchOutcome::NoConnection,
                 },
             };
-            match connection.exchange(request, &self.dialect).await {
+            match connection.exchange(request, &self.dialect, &self.memory).await {
                 Err(ExchangeError::NotSent) if was_pooled => {}
                 Err(ExchangeError::NotSent) => return DispatchOutcome::NoConnection,
                 Err(ExchangeError::InDoubt(detail)) => return DispatchOutcome::InDoubt { detail, timed_out: false },
@@ -130,7 +143,7 @@
     }
 
     /// Derives the outcome of a request from its response.
-    fn classify(&self, response: ResponseHead, body: Vec<u8>) -> DispatchOutcome {
+    fn classify(&self, response: ResponseHead, body: Bytes) -> DispatchOutcome {
         let dialect = &self.dialect;
         let is_rejection = matches!(response.status, 408 | 429 | 503);
         match response.status {
--- a/crates/dispatch/src/instance_request.rs
+++ b/crates/dispatch/src/instance_request.rs
@@ -1,13 +1,20 @@
-//! Serialization of a request to an instance, into one buffer so that one call can send it. A request with
-//! bytes that could be read as the end of a header is rejected.
+//! Serialization of a request to an instance, into one buffer so that one call can send it; a large body is not copied.
+//! A request with bytes that could be read as the end of a header is rejected.
 
 use crate::{DispatchOrder, HttpDialect};
+use bytes::Bytes;
 use hyper::header::HeaderName;
 use wire::RequestHead;
 
+/// Size up to which a body is copied behind its head.
+const MAX_COPIED_BODY_BYTES: usize = 16 * 1024;
+
 /// Serialized request to an instance.
 pub(crate) struct InstanceRequest {
+    /// The head, and the body if it is small.
     pub bytes: Vec<u8>,
+    /// The body if it is large.
+    pub large_body: Bytes,
     pub request_id: Option<Vec<u8>>,
     /// Whether the response has no body regardless of its declared length.
     pub response_has_no_body: bool,
@@ -32,7 +39,11 @@
         if !is_token(method) || target.is_empty() || target.bytes().any(|b| b <= b' ' || b == 0x7f) {
             return None;
         }
-        let mut bytes = Vec::with_capacity(order.head.len() + order.body.len() + 256);
+        let (copied_body, large_body) = match order.body.len() <= MAX_COPIED_BODY_BYTES {
+            true => (order.body.clone(), Bytes::new()),
+            false => (Bytes::new(), order.body.clone()),
+        };
+        let mut bytes = Vec::with_capacity(order.head.len() + copied_body.len() + 256);
         let mut append = |parts: &[&[u8]]| parts.iter().for_each(|part| bytes.extend_from_slice(part));
         let line = |name: &str, value: &str| format!("{name}: {value}\r\n");
         append(&[method.as_bytes(), b" ", target.as_bytes(), b" HTTP/1.1\r\n"]);
@@ -73,8 +84,9 @@
         if !order.body.is_empty() || matches!(method, "POST" | "PUT" | "PATCH") {
             append(&[line("content-length", &order.body.len().to_string()).as_bytes()]);
         }
-        append(&[b"\r\n", &order.body]);
-        Some(InstanceRequest { bytes, request_id, response_has_no_body: method == "HEAD", accepted_encodings })
+        append(&[b"\r\n", &copied_body]);
+        let response_has_no_body = method == "HEAD";
+        Some(InstanceRequest { bytes, large_body, request_id, response_has_no_body, accepted_encodings })
     }
 
     /// Whether the caller accepts a response with this content encoding.
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -6,6 +6,7 @@
 
 #![warn(missing_docs)]
 
+mod answer_memory;
 mod connection;
 mod dispatcher;
 mod forwarded_headers;
@@ -15,7 +16,9 @@
 mod pool;
 mod response;
 
+pub use answer_memory::{AnswerMemory, UNRESERVED_ANSWER_BYTES};
 pub use dispatcher::{Dispatcher, ReportHandler, run, send_to_instance};
 pub use forwarded_headers::{append_headers, forwarded_request_headers, forwarded_response_headers};
 pub use http_dialect::HttpDialect;
 pub use order::{DispatchOrder, DispatchOutcome, DispatchReport, DispatcherMessage};
+pub use response::MAX_BODY_BYTES as MAX_ANSWER_BYTES;
--- a/crates/dispatch/src/order.rs
+++ b/crates/dispatch/src/order.rs
@@ -1,5 +1,6 @@
 //! Messages to and from the dispatcher.
 
+use bytes::Bytes;
 use std::time::Duration;
 
 /// Order to send one request to one instance.
@@ -14,7 +15,7 @@
     /// Request head, as an encoded `wire::RequestHead`.
     pub head: Vec<u8>,
     /// Request body.
-    pub body: Vec<u8>,
+    pub body: Bytes,
     /// Time left until the deadline of the task.
     pub time_left: Duration,
     /// Maximum number of connections that the instance accepts.
@@ -54,7 +55,7 @@
         /// Response head, as an encoded `wire::AnswerHead`.
         head: Vec<u8>,
         /// Response body.
-        body: Vec<u8>,
+        body: Bytes,
         /// Whether the instance rejected the request for lack of capacity; guessed from the status, and only in
         /// dialects without a header for requests that were not run.
         turned_away: bool,
--- a/crates/dispatch/tests/connection_reuse.rs
+++ b/crates/dispatch/tests/connection_reuse.rs
@@ -41,7 +41,7 @@
             let DispatchOutcome::Complete { status: 200, body, .. } = dispatcher.send(instance.order(id)).await else {
                 panic!("{id} is answered")
             };
-            assert_eq!(body, b"done");
+            assert_eq!(body, b"done"[..]);
         }
         assert_eq!(instance.request_connections(), [0, 1]);
     });
--- a/crates/dispatch/tests/fake_instance/mod.rs
+++ b/crates/dispatch/tests/fake_instance/mod.rs
@@ -89,7 +89,7 @@
             instance_id: "i-1".into(),
             address: self.address.clone(),
             head: wire::to_bytes(&head),
-            body: b"work".to_vec(),
+            body: b"work".to_vec().into(),
             time_left: Duration::from_secs(20),
             max_connections: 4,
         }
--- a/crates/events/src/list.rs
+++ b/crates/events/src/list.rs
@@ -72,6 +72,8 @@
     requests_drained = 511, Info, "planned stop, no request is open";
     requests_given_up = 512, Warn, "planned stop near its deadline, requests given up";
     stop_overdue = 513, Warn, "planned stop at its deadline, requests or connections are cut";
+    memory_short = 514, Warn, "memory or connections for callers run short";
+    memory_sufficient = 515, Info, "memory and connections for callers suffice again";
     plan_received = 601, Debug, "plan received";
     plan_fallback = 602, Warn, "no plan, fallback count in force";
     plan_failed = 603, Warn, "fit or solve failed, fallback returned";
--- a/crates/kernel/src/lib.rs
+++ b/crates/kernel/src/lib.rs
@@ -3,12 +3,14 @@
 
 #![warn(missing_docs)]
 
+mod descriptors;
 mod directory;
 mod inbox;
 mod program;
 mod settings_watch;
 mod silence;
 
+pub use descriptors::descriptor_limit;
 pub use directory::Directory;
 pub use inbox::{Inbox, InboxSender, SendError, inbox};
 pub use program::{StartError, adopt, find, join_until, listen, listen_address, local, thread, wait_for_signal};
--- a/crates/sim/src/callers.rs
+++ b/crates/sim/src/callers.rs
@@ -144,7 +144,7 @@
                 target: task.path.as_str().into(),
                 headers: vec![header].into(),
             },
-            body: task.key.clone().into_bytes(),
+            body: task.key.clone().into_bytes().into(),
             key: is_keyed(task.class).then(|| task.caller.idempotency_key.clone()),
             api_key: task.caller.api_key.clone(),
             respond_async: task.class == "deferred" && self.rng.random_bool(0.5),
--- a/crates/sim/src/instances.rs
+++ b/crates/sim/src/instances.rs
@@ -48,7 +48,7 @@
                 DispatchOutcome::Complete {
                     status: 503,
                     head: empty_head(),
-                    body: b"at its limit".to_vec(),
+                    body: b"at its limit".to_vec().into(),
                     turned_away: true,
                 }
             }
@@ -64,7 +64,7 @@
                     DispatchOutcome::Complete {
                         status: 200,
                         head: empty_head(),
-                        body: label.clone().into_bytes(),
+                        body: label.clone().into_bytes().into(),
                         turned_away: false,
                     }
                 }
--- a/crates/traffic/src/admission.rs
+++ b/crates/traffic/src/admission.rs
@@ -3,13 +3,14 @@
 //! admitted once, however often its frame arrives.
 
 use crate::function_owner::FunctionOwner;
+use crate::memory_plan::RequestMemory;
 use crate::owner_types::{OwnedRequest, OwnerOutput, RequestState, TaskId};
 use crate::refusals::RefusalReason;
 use crate::wait_queue::LOWEST_PRIORITY;
 use bindings::Class;
 use sha2::{Digest, Sha256};
 use std::time::Duration;
-use wire::{ForwardMessage, ForwardRequest, NodeId, Outcome};
+use wire::{Blob, ForwardMessage, ForwardRequest, NodeId, Outcome};
 
 /// Scope prefix for the keys of consumers. No binding has this name, since binding names are `tenant/name`.
 const CONSUMER_SCOPE: &str = "consumer";
@@ -59,6 +60,13 @@
                 request_digest(head.as_slice(), body.as_slice()),
             ),
         };
+        let is_local = from == self.me;
+        let reservation = match is_local {
+            true => None,
+            false => self.settings.memory.try_reserve(RequestMemory::need(head.len(), body.len())),
+        };
+        let has_memory = is_local || reservation.is_some();
+        let body = if has_memory { body } else { Blob::default() };
         let number = self.next_number();
         let record = OwnedRequest {
             id,
@@ -73,7 +81,8 @@
             scope,
             digest,
             head: head.into_vec(),
-            body: body.into_vec(),
+            body: body.into_bytes(),
+            _reservation: reservation,
             claim_request_id: 0,
             stored_id: None,
             respond_async: respond_async != 0,
@@ -94,6 +103,9 @@
         if is_queue_full {
             return self.refuse(number, RefusalReason::QueueFull);
         }
+        if !has_memory {
+            return self.refuse(number, RefusalReason::NoMemory);
+        }
         if is_retry_denied {
             return self.answer_without_body(number, Outcome::Unknown, 504, Duration::from_secs(2));
         }
--- a/crates/traffic/src/caller_server.rs
+++ b/crates/traffic/src/caller_server.rs
@@ -1,18 +1,21 @@
 //! HTTP server for callers: reads a complete request within the limits, passes it to the traffic thread and writes the
 //! answer, with the outcome in a separate header if the dialect has one.
 
+use crate::caller_body::{BodyError, BodyReader, UNRESERVED_BODY_BYTES};
 use crate::caller_limits::CallerLimits;
 use crate::front_types::{Call, Reply};
+use crate::memory_plan::RequestMemory;
 use crate::traffic_message::TrafficMessage;
 use axum::Router;
-use axum::body::{Body, HttpBody};
+use axum::body::Body;
 use axum::extract::{Request, State};
 use axum::http::request::Parts;
 use axum::http::{HeaderMap, HeaderValue, StatusCode, header};
 use axum::response::Response;
 use axum::routing::any;
+use bytes::Bytes;
 use dispatch::HttpDialect;
-use http_body_util::{BodyExt, LengthLimitError, Limited};
+use http_server::{ConnectionHandle, ShortageReporter};
 use kernel::InboxSender;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -26,6 +29,10 @@
     pub traffic: InboxSender<TrafficMessage>,
     pub dialect: Arc<HttpDialect>,
     pub limits: watch::Receiver<CallerLimits>,
+    /// Memory for the requests of callers.
+    pub memory: RequestMemory,
+    /// Tells the HTTP server that connections should give way.
+    pub shortages: ShortageReporter,
 }
 
 /// Returns the HTTP routes for callers.
@@ -36,9 +43,12 @@
 async fn handle_request(State(server): State<CallerServer>, request: Request) -> Response {
     let started_at = Instant::now();
     let (parts, body) = request.into_parts();
-    let body = match server.read_body(body).await {
+    let connection = parts.extensions.get::<ConnectionHandle>().cloned().unwrap_or_default();
+    let limits = server.limits.borrow().clone();
+    let reader = BodyReader { memory: &server.memory, shortages: &server.shortages, connection: &connection };
+    let body = match reader.read(body, &limits).await {
         Ok(body) => body,
-        Err(refused) => return refused,
+        Err(error) => return server.body_error_response(error),
     };
     let path = parts.uri.path().to_owned();
     let request_id = server.dialect.request_id.as_ref().and_then(|name| parts.headers.get(name)).cloned();
@@ -48,13 +58,22 @@
     let Ok(call) = server.parse_call(parts, path, body, started_at) else {
         return server.error_response(400, "Idempotency-Key is 1 to 128 plain characters", false);
     };
+    let need = RequestMemory::need(head_bytes(&call), body_bytes_beside_reservation(&call));
+    let reservation = match reader.reserve_request(need, &limits).await {
+        Ok(reservation) => reservation,
+        Err(error) => return server.body_error_response(error),
+    };
     let (reply, answer) = oneshot::channel();
-    if server.traffic.send(TrafficMessage::Task { call, reply }).is_err() {
+    if server.traffic.send(TrafficMessage::Task { call, reply, reservation }).is_err() {
         let busy = Reply::from_router(503, Some(Outcome::NotRun), "this router is busy");
         return server.answer(busy.with_retry_after(Duration::from_millis(500)));
     }
     let unknown = || Reply::from_router(504, Some(Outcome::Unknown), "the outcome is not known");
-    let mut response = server.answer(answer.await.unwrap_or_else(|_| unknown()));
+    let mut reply = answer.await.unwrap_or_else(|_| unknown());
+    if reply.body.len() > dispatch::UNRESERVED_ANSWER_BYTES {
+        reply.body = connection.track_answer(reply.body);
+    }
+    let mut response = server.answer(reply);
     // With an idempotency key, the answer may be that of an earlier request, which had another id.
     if let (Some(name), Some(id)) = (&server.dialect.request_id, request_id)
         && response.headers().contains_key(name)
@@ -65,26 +84,21 @@
 }
 
 impl CallerServer {
-    async fn read_body(&self, body: Body) -> Result<Vec<u8>, Response> {
-        if body.is_end_stream() {
-            return Ok(Vec::new());
-        }
-        let (bytes, time) = {
-            let limits = self.limits.borrow();
-            (limits.body_bytes, limits.body_time)
-        };
-        match timeout(time, Limited::new(body, bytes).collect()).await {
-            Err(_) => Err(self.error_response(408, "the request's body came too slowly", true)),
-            Ok(Err(error)) if error.downcast_ref::<LengthLimitError>().is_some() => {
-                Err(self.error_response(413, "the request's body is too long", true))
+    /// Returns the response to a request whose body was not read. It has not run, and its connection ends.
+    fn body_error_response(&self, error: BodyError) -> Response {
+        match error {
+            BodyError::TooSlow => self.error_response(408, "the request's body came too slowly", true),
+            BodyError::TooLong => self.error_response(413, "the request's body is too long", true),
+            BodyError::Cut => self.error_response(400, "the request's body was cut", true),
+            BodyError::NoMemory => {
+                let reply = Reply::from_router(503, Some(Outcome::NotRun), "this router has no memory for the request");
+                close_connection(self.answer(reply.with_retry_after(NO_MEMORY_RETRY_AFTER)))
             }
-            Ok(Err(_)) => Err(self.error_response(400, "the request's body was cut", true)),
-            Ok(Ok(body)) => Ok(body.to_bytes().into()),
         }
     }
 
     /// Converts an HTTP request to a call. Fails if the idempotency key is malformed.
-    fn parse_call(&self, parts: Parts, path: String, body: Vec<u8>, started_at: Instant) -> Result<Call, ()> {
+    fn parse_call(&self, parts: Parts, path: String, body: Bytes, started_at: Instant) -> Result<Call, ()> {
         let dialect = &self.dialect;
         let text = |name: &header::HeaderName| parts.headers.get(name).and_then(|value| value.to_str().ok());
         let key_header = dialect.idempotency_key.as_ref().filter(|name| parts.headers.contains_key(*name));
@@ -133,18 +147,14 @@
 
     /// Returns an error response; `close` ends the connection.
     fn error_response(&self, status: u16, detail: &'static str, close: bool) -> Response {
-        let mut response = self.answer(Reply::from_router(status, None, detail));
-        if close {
-            response.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
-        }
-        response
+        let response = self.answer(Reply::from_router(status, None, detail));
+        if close { close_connection(response) } else { response }
     }
 
     /// Converts a reply to an HTTP response.
     pub fn answer(&self, reply: Reply) -> Response {
         let is_router_error = reply.body.is_empty() && !reply.detail.is_empty();
-        let body =
-            if is_router_error { format!("{{\"fault\":\"{}\"}}", reply.detail).into_bytes() } else { reply.body };
+        let body = if is_router_error { format!("{{\"fault\":\"{}\"}}", reply.detail).into() } else { reply.body };
         let mut response = Response::new(Body::from(body));
         *response.status_mut() = StatusCode::from_u16(reply.status).unwrap_or(StatusCode::BAD_GATEWAY);
         let headers = response.headers_mut();
@@ -167,6 +177,29 @@
     }
 }
 
+/// Lets the connection end with this response.
+fn close_connection(mut response: Response) -> Response {
+    response.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
+    response
+}
+
+/// Returns the memory that the head of a call takes.
+fn head_bytes(call: &Call) -> usize {
+    let headers = call.head.headers.iter();
+    let fields: usize = headers.map(|field| HEADER_BYTES + field.name.as_str().len() + field.value.len()).sum();
+    // The path is kept beside the target.
+    fields + 2 * call.head.target.as_str().len()
+}
+
+/// Returns the memory of the body, unless the body owns the reservation of it.
+fn body_bytes_beside_reservation(call: &Call) -> usize {
+    if call.body.len() > UNRESERVED_BODY_BYTES { 0 } else { call.body.len() }
+}
+
+/// `Retry-After` of a request for which there is no memory.
+const NO_MEMORY_RETRY_AFTER: Duration = Duration::from_millis(500);
+/// Memory of a header beside its name and its value.
+const HEADER_BYTES: usize = 128;
 const PREFER: header::HeaderName = header::HeaderName::from_static("prefer");
 const KEEP_ALIVE: header::HeaderName = header::HeaderName::from_static("keep-alive");
 
--- a/crates/traffic/src/caller_server_tests.rs
+++ b/crates/traffic/src/caller_server_tests.rs
@@ -35,7 +35,8 @@
 fn server(dialect: HttpDialect) -> (CallerServer, Inbox<TrafficMessage>, watch::Sender<CallerLimits>) {
     let (traffic, inbox) = inbox(8);
     let (bounds, limits) = watch::channel(limits());
-    (CallerServer { traffic, dialect: Arc::new(dialect), limits }, inbox, bounds)
+    let (memory, shortages) = (RequestMemory::default(), http_server::shortages().0);
+    (CallerServer { traffic, dialect: Arc::new(dialect), limits, memory, shortages }, inbox, bounds)
 }
 
 /// Sends a request, with `reply` as the answer of the traffic thread. Returns the call that the traffic thread got, and the
@@ -47,7 +48,7 @@
         let service = TowerToHyperService::new(router(server));
         let serve = async {
             match inbox.next().await {
-                Some(TrafficMessage::Task { call, reply: reply_sender }) => {
+                Some(TrafficMessage::Task { call, reply: reply_sender, .. }) => {
                     let _ = reply_sender.send(reply);
                     Some(call)
                 }
@@ -70,7 +71,7 @@
 }
 
 fn completed_reply() -> Reply {
-    Reply { body: b"done".to_vec(), ..Reply::from_router(200, Some(Outcome::Answered), "") }
+    Reply { body: Bytes::from_static(b"done"), ..Reply::from_router(200, Some(Outcome::Answered), "") }
 }
 
 fn names(call: &Call) -> Vec<&str> {
@@ -98,7 +99,7 @@
     let left = call.deadline.expect("the call has a deadline");
     assert!(left <= Duration::from_millis(4000) && left > Duration::from_millis(1000), "{left:?}");
     assert_eq!(names(&call), ["host", "x-id", "x-own", "idempotency-key"]);
-    assert_eq!((call.key, call.body), (None, b"work".to_vec()));
+    assert_eq!((call.key, call.body), (None, Bytes::from_static(b"work")));
     assert!(response.headers().get("heronlink-outcome").is_none());
 }
 
--- a/crates/traffic/src/claims.rs
+++ b/crates/traffic/src/claims.rs
@@ -7,6 +7,7 @@
 use crate::owner_types::{RequestState, StoreOperation};
 use crate::refusals::RefusalReason;
 use bindings::Class;
+use dispatch::UNRESERVED_ANSWER_BYTES;
 use std::time::Duration;
 use wire::{Blob, ClaimState, Command, Outcome, StoredAnswer};
 
@@ -75,11 +76,11 @@
     pub(crate) fn end_operation(&mut self, number: u64, answer: Option<&StoredAnswer>, retry_after: Duration) {
         let Some(task) = self.tasks.get(&number).filter(|task| task.class == Class::Once) else { return };
         let repeatable = answer.filter(|answer| answer.outcome == Outcome::Answered);
-        let kept = repeatable.map(|answer| (answer.clone(), self.now + self.settings.key_window));
+        let kept = repeatable.map(|answer| (without_reservation(answer), self.now + self.settings.key_window));
         for waiting in self.keyed.end(&task.scope.clone(), number, kept) {
             match answer.cloned() {
                 Some(StoredAnswer { outcome, status, head, body }) => {
-                    self.answer(waiting, outcome, status, retry_after, head.into_vec(), body.into_vec());
+                    self.answer(waiting, outcome, status, retry_after, head.into_vec(), body.into_bytes());
                 }
                 None => self.return_to_front(waiting),
             }
@@ -195,3 +196,12 @@
         }
     }
 }
+
+/// Returns an answer to keep: its body does not hold the memory that is reserved for answers on their way.
+fn without_reservation(answer: &StoredAnswer) -> StoredAnswer {
+    let mut answer = answer.clone();
+    if answer.body.len() > UNRESERVED_ANSWER_BYTES {
+        answer.body = answer.body.as_slice().to_vec().into();
+    }
+    answer
+}
--- a/crates/traffic/src/data_plane.rs
+++ b/crates/traffic/src/data_plane.rs
@@ -6,15 +6,19 @@
 use crate::front::Front;
 use crate::front_types::{FrontInput, Reply};
 use crate::function_owner::FunctionOwner;
+use crate::memory_plan::MemoryPlan;
+use crate::memory_watch::MemoryWatch;
 use crate::owner_types::OwnerInput;
 use crate::serving_lease::ServingLease;
 use crate::stop_stage::StopStage;
 use crate::traffic_message::TrafficMessage;
 use dispatch::{DispatchReport, DispatcherMessage};
 use events::event;
+use http_server::ShortageReporter;
 use instance_provider::{ProviderOrder, ProviderReport};
 use kernel::{Inbox, InboxSender};
 use links::{LinkEvent, LinkOrder};
+use memory::Reservation;
 use std::collections::BTreeMap;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -36,6 +40,10 @@
     pub lease: ServingLease,
     pub front: Front,
     pub owner: FunctionOwner,
+    pub memory: MemoryPlan,
+    pub memory_watch: MemoryWatch,
+    /// Tells how many connections of callers gave way.
+    pub shortages: ShortageReporter,
     pub links: InboxSender<LinkOrder>,
     pub dispatcher: InboxSender<DispatcherMessage>,
     pub platform: InboxSender<ProviderOrder>,
@@ -48,7 +56,7 @@
     /// Registry at the tail of the chain, which answers reads and proposals.
     pub tail: Option<NodeId>,
     pub registries: Vec<NodeId>,
-    pub replies: BTreeMap<u64, oneshot::Sender<Reply>>,
+    pub open_calls: BTreeMap<u64, OpenCall>,
     pub status_queries: BTreeMap<u64, (oneshot::Sender<Reply>, Duration)>,
     pub last_request_id: u64,
     /// Stage of a planned stop, set by the control thread.
@@ -60,6 +68,13 @@
     pub outcome_counts: BTreeMap<&'static str, u64>,
 }
 
+/// A call of a caller that was not answered yet.
+pub struct OpenCall {
+    pub reply: oneshot::Sender<Reply>,
+    /// Memory of the request.
+    pub _reservation: Reservation,
+}
+
 /// Input for one of the two state machines.
 pub(crate) enum Input {
     Front(FrontInput),
@@ -118,6 +133,9 @@
                 status["front_refusals"] = self.front.refusals.into();
                 status["outcomes"] = serde_json::json!(self.outcome_counts);
                 status["inbox"] = inbox.depth().into();
+                status["memory"] = self.memory.status();
+                status["shed_connections"] = self.shortages.shed_connections().into();
+                self.memory_watch.log_changes(&self.memory, self.shortages.shed_connections());
                 self.view.send_replace(status.to_string());
                 if let Some(declared_views) = &mut self.declared_views {
                     declared_views.update(&self.owner);
@@ -128,9 +146,9 @@
 
     fn handle_message(&mut self, message: TrafficMessage) {
         match message {
-            TrafficMessage::Task { call, reply } => {
+            TrafficMessage::Task { call, reply, reservation } => {
                 self.last_request_id += 1;
-                self.replies.insert(self.last_request_id, reply);
+                self.open_calls.insert(self.last_request_id, OpenCall { reply, _reservation: reservation });
                 self.process(Input::Front(FrontInput::Task { request_id: self.last_request_id, call }));
             }
             TrafficMessage::TaskStatus { id, reply } => {
--- a/crates/traffic/src/data_plane_outputs.rs
+++ b/crates/traffic/src/data_plane_outputs.rs
@@ -116,8 +116,8 @@
     fn reply(&mut self, request_id: u64, reply: Reply) {
         let label = reply.outcome.map_or("refused", |outcome| outcome.as_str());
         *self.outcome_counts.entry(label).or_default() += 1;
-        if let Some(caller) = self.replies.remove(&request_id) {
-            let _ = caller.send(reply);
+        if let Some(call) = self.open_calls.remove(&request_id) {
+            let _ = call.reply.send(reply);
         }
     }
 }
--- a/crates/traffic/src/front_passes.rs
+++ b/crates/traffic/src/front_passes.rs
@@ -4,6 +4,7 @@
 use crate::front::{BASE_RETRY_AFTER, Front, RETRY_INTERVAL};
 use crate::front_types::{FrontOutput, Reply, Stage};
 use bindings::Class;
+use bytes::Bytes;
 use std::time::Duration;
 use wire::{ForwardMessage, NodeId, Outcome};
 
@@ -108,11 +109,11 @@
         match message {
             ForwardMessage::Answer { outcome, status, retry_after_ms, head, body, .. } => {
                 let retry_after = Duration::from_millis(retry_after_ms.into());
-                self.handle_answer(task, outcome, status, retry_after, head.into_vec(), body.into_vec());
+                self.handle_answer(task, outcome, status, retry_after, head.into_vec(), body.into_bytes());
             }
             ForwardMessage::AnswerInSeconds { outcome, status, retry_after, head, body, .. } => {
                 let retry_after = Duration::from_secs(retry_after.into());
-                self.handle_answer(task, outcome, status, retry_after, head.into_vec(), body.into_vec());
+                self.handle_answer(task, outcome, status, retry_after, head.into_vec(), body.into_bytes());
             }
             returned => {
                 record.stage = Stage::Waiting;
@@ -134,7 +135,7 @@
         status: u16,
         retry_after: Duration,
         head: Vec<u8>,
-        body: Vec<u8>,
+        body: Bytes,
     ) {
         let may_have_run = self.requests.get(&task).is_some_and(|record| record.may_have_run);
         let outcome = if outcome == Outcome::NotRun && may_have_run { Outcome::Unknown } else { outcome };
--- a/crates/traffic/src/front_types.rs
+++ b/crates/traffic/src/front_types.rs
@@ -3,6 +3,7 @@
 use crate::attempt_count::AttemptCount;
 use crate::wait_limits::WaitLimits;
 use bindings::{Class, RouteTable};
+use bytes::Bytes;
 use leases::Membership;
 use quota::{Charge, ConsumerId, QuotaBounds};
 use std::rc::Rc;
@@ -21,7 +22,7 @@
     /// Method, target and forwarded headers.
     pub head: RequestHead,
     /// Complete body.
-    pub body: Vec<u8>,
+    pub body: Bytes,
     /// Idempotency key.
     pub key: Option<String>,
     /// Empty if the header is repeated or not text, so that it matches no consumer.
@@ -42,7 +43,7 @@
     /// Encoded response headers; empty for a reply that the router makes itself.
     pub head: Vec<u8>,
     /// Response body.
-    pub body: Vec<u8>,
+    pub body: Bytes,
     /// Error text for a reply without a body.
     pub detail: &'static str,
 }
@@ -50,7 +51,7 @@
 impl Reply {
     /// Returns a reply that the router makes itself, without an instance's answer.
     pub fn from_router(status: u16, outcome: Option<Outcome>, detail: &'static str) -> Reply {
-        Reply { outcome, status, retry_after: Duration::ZERO, head: Vec::new(), body: Vec::new(), detail }
+        Reply { outcome, status, retry_after: Duration::ZERO, head: Vec::new(), body: Bytes::new(), detail }
     }
 
     /// Sets the time after which the caller may try again.
--- a/crates/traffic/src/lib.rs
+++ b/crates/traffic/src/lib.rs
@@ -5,8 +5,10 @@
 
 mod admission;
 mod allowances;
+mod answer_memory;
 mod attempt_count;
 mod budget;
+mod caller_body;
 mod caller_limits;
 mod caller_server;
 mod claims;
@@ -40,6 +42,8 @@
 mod inventory_records;
 mod keyed_operations;
 mod load;
+mod memory_plan;
+mod memory_watch;
 mod ops;
 mod owner_answers;
 mod owner_counters;
@@ -88,6 +92,7 @@
 pub use front::Front;
 pub use front_types::{Call, ConsumerHeader, FrontInput, FrontLimits, FrontOutput, Reply};
 pub use function_owner::FunctionOwner;
+pub use memory_plan::{MemoryNeed, RequestMemory};
 pub use ops::Views;
 pub use owner_settings::OwnerSettings;
 pub use owner_types::{OwnerInput, OwnerOutput, StoreOperation, TaskId};
--- a/crates/traffic/src/owner_answers.rs
+++ b/crates/traffic/src/owner_answers.rs
@@ -1,6 +1,7 @@
 //! Final answers to requests, and the removal of their records.
 
 use crate::function_owner::FunctionOwner;
+use bytes::Bytes;
 use std::time::Duration;
 use wire::{ForwardMessage, Outcome, StoredAnswer};
 
@@ -14,7 +15,7 @@
         status: u16,
         retry_after: Duration,
         head: Vec<u8>,
-        body: Vec<u8>,
+        body: Bytes,
     ) {
         let answer = StoredAnswer { outcome, status, head: head.into(), body: body.into() };
         self.end_operation(number, Some(&answer), retry_after);
@@ -42,7 +43,7 @@
     /// Answers a request with the recorded answer of its operation.
     pub(crate) fn give_answer(&mut self, number: u64, answer: StoredAnswer) {
         let StoredAnswer { outcome, status, head, body } = answer;
-        self.answer(number, outcome, status, Duration::ZERO, head.into_vec(), body.into_vec());
+        self.answer(number, outcome, status, Duration::ZERO, head.into_vec(), body.into_bytes());
     }
 
     /// Answers a request with an encoded answer from the registries.
--- a/crates/traffic/src/owner_settings.rs
+++ b/crates/traffic/src/owner_settings.rs
@@ -1,6 +1,7 @@
 //! Settings of a function owner.
 
 use crate::allowances::Allowances;
+use crate::memory_plan::RequestMemory;
 use std::time::Duration;
 
 /// Intervals, limits and costs that a function owner works with.
@@ -40,6 +41,8 @@
     pub tolerated_zone_losses: u32,
     pub player: scaler::PlanRequestTiming,
     pub allowances: Allowances,
+    /// Memory for requests that other routers forward.
+    pub memory: RequestMemory,
 }
 
 impl Default for OwnerSettings {
@@ -63,6 +66,7 @@
             tolerated_zone_losses: 1,
             player: scaler::PlanRequestTiming::default(),
             allowances: Allowances::default(),
+            memory: RequestMemory::default(),
         }
     }
 }
--- a/crates/traffic/src/owner_types.rs
+++ b/crates/traffic/src/owner_types.rs
@@ -1,9 +1,11 @@
 //! Inputs and outputs of a function owner, its record of each request, and its requests to the store.
 
 use bindings::{Class, RouteTable};
+use bytes::Bytes;
 use dispatch::{DispatchOrder, DispatchOutcome};
 use instance_provider::{ProviderOrder, ProviderReport};
 use leases::Membership;
+use memory::Reservation;
 use std::rc::Rc;
 use std::time::Duration;
 use wire::{DemandSample, ForwardMessage, LeaseMessage, Measurement, NodeId, Outcome, PlanMessage};
@@ -121,18 +123,18 @@
     pub status: u16,
     pub retry_after: Duration,
     pub head: Vec<u8>,
-    pub body: Vec<u8>,
+    pub body: Bytes,
 }
 
 impl Failure {
     /// Returns a failure that passes on the instance's answer.
-    pub fn answered(status: u16, head: Vec<u8>, body: Vec<u8>) -> Failure {
+    pub fn answered(status: u16, head: Vec<u8>, body: Bytes) -> Failure {
         Failure { outcome: Outcome::Answered, status, retry_after: Duration::ZERO, head, body }
     }
 
     /// Returns a failure whose outcome is unknown: the request may have run.
     pub fn unknown(status: u16) -> Failure {
-        Failure { outcome: Outcome::Unknown, ..Failure::answered(status, Vec::new(), Vec::new()) }
+        Failure { outcome: Outcome::Unknown, ..Failure::answered(status, Vec::new(), Bytes::new()) }
     }
 
     /// Returns a failure of a request that certainly did not run.
@@ -159,7 +161,9 @@
     /// Digest of the request, which tells a repeat from another request under the same key.
     pub digest: Vec<u8>,
     pub head: Vec<u8>,
-    pub body: Vec<u8>,
+    pub body: Bytes,
+    /// Memory of a request that another router forwarded.
+    pub _reservation: Option<Reservation>,
     /// Number under which its key was claimed; 0 without a claim.
     pub claim_request_id: u64,
     /// Name under which a deferred request is stored.
--- a/crates/traffic/src/plane_setup.rs
+++ b/crates/traffic/src/plane_setup.rs
@@ -6,10 +6,12 @@
 use crate::front::Front;
 use crate::front_types::FrontLimits;
 use crate::function_owner::FunctionOwner;
+use crate::memory_plan::MemoryPlan;
+use crate::memory_watch::MemoryWatch;
 use crate::owner_settings::OwnerSettings;
 use crate::serving_lease::ServingLease;
 use crate::stop_stage::StopStage;
-use http_server::ResourceIndex;
+use http_server::{ResourceIndex, ShortageReporter};
 use kernel::{Directory, find};
 use std::collections::BTreeMap;
 use std::time::Instant;
@@ -29,6 +31,10 @@
     pub caller_limits: (CallerLimits, watch::Sender<CallerLimits>),
     /// `None` if no token is configured, so that nobody may read the views.
     pub index: Option<watch::Sender<ResourceIndex>>,
+    /// Division of the router's memory.
+    pub memory: MemoryPlan,
+    /// Tells how many connections of callers gave way.
+    pub shortages: ShortageReporter,
     /// Stage of a planned stop, set by the control thread.
     pub stop_stage: watch::Receiver<StopStage>,
 }
@@ -42,6 +48,9 @@
             lease: self.lease,
             front: Front::new(self.me, self.incarnation, self.front_limits),
             owner: FunctionOwner::new(self.me, self.incarnation, self.owner_settings),
+            memory: self.memory,
+            memory_watch: MemoryWatch::default(),
+            shortages: self.shortages,
             links: find(directory, "links"),
             dispatcher: find(directory, "dispatcher"),
             platform: find(directory, "platform"),
@@ -51,7 +60,7 @@
             epoch: 0,
             tail: None,
             registries: Vec::new(),
-            replies: BTreeMap::new(),
+            open_calls: BTreeMap::new(),
             status_queries: BTreeMap::new(),
             last_request_id: 0,
             stop_stage: self.stop_stage,
--- a/crates/traffic/src/refusals.rs
+++ b/crates/traffic/src/refusals.rs
@@ -7,6 +7,8 @@
 pub enum RefusalReason {
     /// The function's queue is full.
     QueueFull,
+    /// There is no memory for the request.
+    NoMemory,
     /// The expected wait is longer than is useful to the caller.
     ExpectedWait,
     /// Too little time was left for an answer.
@@ -24,6 +26,7 @@
     pub fn label(self) -> &'static str {
         match self {
             RefusalReason::QueueFull => "queue_full",
+            RefusalReason::NoMemory => "no_memory",
             RefusalReason::ExpectedWait => "expected_wait",
             RefusalReason::Expired => "expired",
             RefusalReason::CoreUnreachable => "core_unreachable",
--- a/crates/traffic/src/router_metrics.rs
+++ b/crates/traffic/src/router_metrics.rs
@@ -36,8 +36,9 @@
 ];
 
 /// Counters: name, help text and JSON pointer to the value in the status page.
-const COUNTERS: [(&str, &str, &str); 16] = [
+const COUNTERS: [(&str, &str, &str); 17] = [
     ("front_refusals", "Requests that this front refused", "/traffic/front_refusals"),
+    ("shed_connections", "Connections of idle or slow callers that gave way to others", "/traffic/shed_connections"),
     ("quota_refused", "Requests refused beyond their consumers' limits", "/traffic/quota/refused_over_limit"),
     ("quota_requests", "Requests for credits sent", "/traffic/quota/requests"),
     ("quota_timeouts", "Requests for credits that no granter answered", "/traffic/quota/timeouts"),
@@ -95,6 +96,11 @@
     cause: String,
 }
 
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct MemoryLabel {
+    kind: String,
+}
+
 type Seconds = Counter<f64, AtomicU64>;
 
 /// Snapshot of a router's metrics.
@@ -121,6 +127,7 @@
         metrics.refusals(&page["traffic"]["refused"]);
         metrics.blocked(&page["traffic"]);
         metrics.consumers(&page["traffic"]["quota"]["consumers"]);
+        metrics.memory(&page["traffic"]["memory"]);
         metrics.quota_round_trips(&page["traffic"]["quota"]["round_trips"]);
         metrics
     }
@@ -161,6 +168,26 @@
         registry.register("quota_answers_milliseconds", "What these answers took in all", sum);
     }
 
+    fn memory(&mut self, budgets: &Value) {
+        let (capacity, reserved) = (Family::<MemoryLabel, Gauge>::default(), Family::<MemoryLabel, Gauge>::default());
+        let shortages = Family::<MemoryLabel, Counter>::default();
+        for (kind, budget) in budgets.as_object().into_iter().flatten() {
+            let label = MemoryLabel { kind: kind.clone() };
+            capacity.get_or_create(&label).set(budget["capacity_bytes"].as_i64().unwrap_or_default());
+            reserved.get_or_create(&label).set(budget["reserved_bytes"].as_i64().unwrap_or_default());
+            shortages.get_or_create(&label).inc_by(budget["shortages"].as_u64().unwrap_or_default());
+        }
+        let registry = &mut self.registry;
+        registry.register_with_unit(
+            "memory_capacity",
+            "Memory that requests or answers may take",
+            Unit::Bytes,
+            capacity,
+        );
+        registry.register_with_unit("memory_reserved", "Memory that they take", Unit::Bytes, reserved);
+        registry.register("memory_shortages", "Requests and answers that found no free memory", shortages);
+    }
+
     fn outcomes(&mut self, outcomes: &Value) {
         let family = Family::<OutcomeLabel, Counter>::default();
         for (outcome, count) in outcomes.as_object().into_iter().flatten() {
--- a/crates/traffic/src/router_metrics_tests.rs
+++ b/crates/traffic/src/router_metrics_tests.rs
@@ -78,3 +78,18 @@
         assert!(text.lines().any(|found| found == line), "{line} is missing in\n{text}");
     }
 }
+
+#[test]
+fn memory_is_shown_by_kind() {
+    let answers = json!({"capacity_bytes": 800, "reserved_bytes": 300, "shortages": 2});
+    let page = json!({"traffic": {"memory": {"arriving_answers": answers}, "shed_connections": 4}});
+    let text = RouterMetrics::from_status(&page).encode();
+    for line in [
+        "heronlink_router_memory_capacity_bytes{kind=\"arriving_answers\"} 800",
+        "heronlink_router_memory_reserved_bytes{kind=\"arriving_answers\"} 300",
+        "heronlink_router_memory_shortages_total{kind=\"arriving_answers\"} 2",
+        "heronlink_router_shed_connections_total 4",
+    ] {
+        assert!(text.lines().any(|found| found == line), "{line} is missing in\n{text}");
+    }
+}
--- a/crates/traffic/src/service.rs
+++ b/crates/traffic/src/service.rs
@@ -9,7 +9,9 @@
 use crate::dialect::Dialect;
 use crate::errors::RunError;
 use crate::front_types::{ConsumerHeader, FrontLimits};
+use crate::memory_plan::MemoryPlan;
 use crate::ops::{Views, ops_router};
+use crate::owner_settings::OwnerSettings;
 use crate::plane_setup::PlaneSetup;
 use crate::serving_lease::ServingLease;
 use crate::settings::RouterSettings;
@@ -92,7 +94,9 @@
             .map_or_else(|| Rc::new(OwnInstanceProvider::new(&address)) as Rc<dyn InstanceProvider>, |make| make());
         local(async move { instance_provider::run(provider, platform_inbox, report).await });
     })?;
-    let limits = caller_limits(&settings);
+    let memory = MemoryPlan::new(&settings);
+    let (shortage_reporter, shortages) = http_server::shortages();
+    let limits = caller_limits(&settings, memory.connections);
     let server_limits = limits.server;
     let (limits_sender, limits_updates) = watch::channel(limits.clone());
     let owner_recovery_time = settings.hold + settings.hold / 6 + OWNER_TAKEOVER_TIME;
@@ -103,19 +107,27 @@
         incarnation,
         started_at,
         front_limits,
-        owner_settings: settings.owner_settings(),
+        owner_settings: OwnerSettings { memory: memory.forwarded.clone(), ..settings.owner_settings() },
         lease: lease.clone(),
         view,
         caller_limits: (limits, limits_sender),
         index: has_declared_views.then_some(index),
         stop_stage,
+        memory: memory.clone(),
+        shortages: shortage_reporter.clone(),
+    };
+    let server = CallerServer {
+        traffic: find(&directory, "traffic"),
+        dialect: server_dialect,
+        limits: limits_updates.clone(),
+        memory: memory.requests,
+        shortages: shortage_reporter,
     };
-    let server =
-        CallerServer { traffic: find(&directory, "traffic"), dialect: server_dialect, limits: limits_updates.clone() };
     let callers = CallerListener {
         listener: caller_listener,
         routes: caller_server::router(server),
         limits: limits_updates,
+        shortages,
         stop: stop_signal.clone(),
     };
     let inboxes = TrafficInboxes { traffic: traffic_inbox, links: links_inbox, dispatcher: dispatch_inbox };
@@ -203,9 +215,9 @@
     Ok(())
 }
 
-fn caller_limits(settings: &RouterSettings) -> CallerLimits {
+fn caller_limits(settings: &RouterSettings, connections: usize) -> CallerLimits {
     let server = ServerLimits {
-        connections: settings.connections,
+        connections,
         head_bytes: settings.head_bytes,
         headers: settings.headers,
         head_time: settings.head_time,
--- a/crates/traffic/src/settings.rs
+++ b/crates/traffic/src/settings.rs
@@ -48,6 +48,8 @@
         quota_slack: f64 = 20.0, in_range(0.0, 1_000_000.0), "additional number of requests by which they may exceed it";
         step: Duration = Duration::from_secs(15), in_range(Duration::from_millis(250), Duration::from_secs(600)), "length of one step of samples and plans; must be the same on every machine";
         format: u16 = wire::FORMAT, in_range(wire::OLDEST_FORMAT, wire::FORMAT), "format version of sent frames; use the previous one during a rolling update from a version that does not know this one";
+        memory_mb: usize = 256, in_range(32, 1_048_576), "memory that this process may take in megabytes; it bounds the connections of callers and what is held of requests and answers";
+        file_descriptors: usize = 0, in_range(0, 1_048_576), "descriptors that this process may open, 0 for as many as the system lets it; callers' connections take at most half of them";
         log_level: String = "info".into(), identifier, "error, warn, info, debug or trace";
         log_file: String = String::new(), any_value, "log file, rotated by size; empty for standard error";
     }
--- a/crates/traffic/src/store_requests.rs
+++ b/crates/traffic/src/store_requests.rs
@@ -153,7 +153,7 @@
     pub(crate) fn accept(&mut self, number: u64) {
         let Some(id) = self.tasks.get(&number).and_then(|task| task.stored_id.clone()) else { return };
         let body = format!("{{\"task\":\"{id}\",\"status\":\"/.heron/tasks/{id}\"}}");
-        self.answer(number, Outcome::Accepted, 202, Duration::ZERO, Vec::new(), body.into_bytes());
+        self.answer(number, Outcome::Accepted, 202, Duration::ZERO, Vec::new(), body.into());
     }
 
     /// Proposes a command, and repeats it until the registries have replied or `timeout` has passed.
--- a/crates/traffic/src/task_status.rs
+++ b/crates/traffic/src/task_status.rs
@@ -2,6 +2,7 @@
 
 use crate::data_plane::DataPlane;
 use crate::front_types::Reply;
+use bytes::Bytes;
 use wire::{DeferredRecord, StoredAnswer};
 
 impl DataPlane {
@@ -11,13 +12,13 @@
         let answer = match record.and_then(|raw| wire::from_bytes::<DeferredRecord>(&raw)) {
             None => Reply::from_router(404, None, "no such task"),
             Some(record) if record.is_answered == 0 => Reply {
-                body: b"{\"state\":\"pending\"}".to_vec(),
+                body: Bytes::from_static(b"{\"state\":\"pending\"}"),
                 ..Reply::from_router(200, Some(wire::Outcome::Accepted), "")
             },
             Some(record) => match wire::from_bytes::<StoredAnswer>(record.answer.as_slice()) {
                 Some(stored) => Reply {
                     head: stored.head.into_vec(),
-                    body: stored.body.into_vec(),
+                    body: stored.body.into_bytes(),
                     ..Reply::from_router(stored.status, Some(stored.outcome), "")
                 },
                 None => Reply::from_router(500, None, "the stored answer cannot be read"),
--- a/crates/traffic/src/test_router.rs
+++ b/crates/traffic/src/test_router.rs
@@ -2,6 +2,7 @@
 
 use crate::caller_limits::CallerLimits;
 use crate::front_types::FrontLimits;
+use crate::memory_plan::MemoryPlan;
 use crate::owner_settings::OwnerSettings;
 use crate::plane_setup::PlaneSetup;
 use crate::serving_lease::ServingLease;
@@ -71,6 +72,8 @@
         view: watch::Sender::new(String::new()),
         caller_limits: (limits(), watch::Sender::new(limits())),
         index: None,
+        memory: MemoryPlan::unlimited(),
+        shortages: http_server::shortages().0,
         stop_stage: router.stage.subscribe(),
     }
 }
--- a/crates/traffic/src/traffic_message.rs
+++ b/crates/traffic/src/traffic_message.rs
@@ -6,6 +6,7 @@
 use instance_provider::ProviderReport;
 use leases::Membership;
 use links::LinkEvent;
+use memory::Reservation;
 use tokio::sync::oneshot;
 use wire::NodeId;
 
@@ -14,6 +15,8 @@
     Task {
         call: Call,
         reply: oneshot::Sender<Reply>,
+        /// Memory of the request, given back once it is answered.
+        reservation: Reservation,
     },
     /// A query for the state of a deferred task.
     TaskStatus {
--- a/crates/traffic/src/traffic_thread.rs
+++ b/crates/traffic/src/traffic_thread.rs
@@ -3,6 +3,7 @@
 //! itself. The thread ends with the last open request: that the listener for callers has closed ends nothing else, since
 //! the requests at this owner belong to callers of other routers too.
 
+use crate::answer_memory::{arriving_answers, instance_answers, reserve_answer};
 use crate::caller_limits::CallerLimits;
 use crate::control_message::ControlMessage;
 use crate::data_plane::DataPlane;
@@ -10,8 +11,8 @@
 use crate::traffic_message::TrafficMessage;
 use axum::Router;
 use derive_more::{Display, Error};
-use dispatch::{DispatchReport, DispatcherMessage, HttpDialect};
-use http_server::DynamicLimits;
+use dispatch::{AnswerMemory, DispatchReport, DispatcherMessage, HttpDialect};
+use http_server::{DynamicLimits, Shortages};
 use kernel::{Directory, Inbox, InboxSender, SendError, adopt, find};
 use links::{LinkEvent, LinkOrder, LocalNode};
 use std::net::TcpListener;
@@ -42,6 +43,8 @@
     pub listener: TcpListener,
     pub routes: Router,
     pub limits: watch::Receiver<CallerLimits>,
+    /// Shortages that connections of callers relieve.
+    pub shortages: Shortages,
     /// True once callers are no longer accepted.
     pub stop: watch::Receiver<bool>,
 }
@@ -63,12 +66,15 @@
     pub async fn run(self) -> Result<(), ServiceEnded> {
         let traffic = find::<TrafficMessage>(&self.directory, "traffic");
         let link_orders = find::<LinkOrder>(&self.directory, "links");
+        let (memory, shortages) = (self.plane.memory.clone(), self.plane.shortages.clone());
+        let instance_answers = instance_answers(&memory.instance_answers, &shortages);
+        let arriving_answers = arriving_answers(&memory.arriving_answers, &shortages);
         let plane = self.plane.build(&self.directory);
-        let deliver = link_event_handler(self.directory);
+        let deliver = link_event_handler(self.directory, arriving_answers);
         let links = links::start(self.local_node, adopt(self.peer_listener), self.inboxes.links, deliver);
         let reports = traffic.clone();
         let report: dispatch::ReportHandler = Rc::new(move |report| send_report(&reports, report));
-        let dispatcher = dispatch::run(self.http_dialect, self.inboxes.dispatcher, report);
+        let dispatcher = dispatch::run(self.http_dialect, instance_answers, self.inboxes.dispatcher, report);
         let mut services = TrafficServices::default();
         services.spawn(links);
         services.spawn(dispatcher);
@@ -81,9 +87,7 @@
 
 impl CallerListener {
     async fn serve(self) {
-        let CallerListener { listener, routes, limits, stop } = self;
-        // Nobody reports shortages yet.
-        let (_reporter, shortages) = http_server::shortages();
+        let CallerListener { listener, routes, limits, shortages, stop } = self;
         let limits = DynamicLimits { limits_now: move || limits.borrow().server, shortages };
         http_server::serve_with_dynamic_limits(adopt(listener), routes, limits, stop).await;
     }
@@ -160,11 +164,11 @@
     }
 }
 
-fn link_event_handler(directory: Directory) -> links::Deliver {
+fn link_event_handler(directory: Directory, arriving_answers: AnswerMemory) -> links::Deliver {
     let control = find::<ControlMessage>(&directory, "control");
     let traffic = find::<TrafficMessage>(&directory, "traffic");
     Rc::new(move |event| {
-        let (control, traffic) = (control.clone(), traffic.clone());
+        let (control, traffic, arriving_answers) = (control.clone(), traffic.clone(), arriving_answers.clone());
         Box::pin(async move {
             match event {
                 LinkEvent::Up { id, incarnation, address } => {
@@ -183,6 +187,7 @@
                             | Message::Plan(_)
                             | Message::Lease(LeaseMessage::ProposalAck { .. } | LeaseMessage::ReadReply { .. })
                     );
+                    let Some(message) = reserve_answer(&arriving_answers, message).await else { return };
                     let event = LinkEvent::Frame { from, incarnation, message };
                     if is_for_traffic {
                         traffic.send_waiting(TrafficMessage::Link(event)).await;
--- a/crates/traffic/src/traffic_thread_tests.rs
+++ b/crates/traffic/src/traffic_thread_tests.rs
@@ -72,13 +72,14 @@
         listener: callers,
         routes: Router::new(),
         limits: watch::Sender::new(limits()).subscribe(),
+        shortages: http_server::shortages().1,
         stop: stop.subscribe(),
     };
     let link_orders = find::<LinkOrder>(&directory, "links");
     let reports = traffic.clone();
     let report: dispatch::ReportHandler = Rc::new(move |report| send_report(&reports, report));
     let mut services = TrafficServices::default();
-    services.spawn(dispatch::run(HttpDialect::default(), inboxes.dispatcher, report));
+    services.spawn(dispatch::run(HttpDialect::default(), AnswerMemory::unlimited(), inboxes.dispatcher, report));
     services.spawn_callers(callers.serve(), traffic.clone());
     let thread = async move {
         let ended = services.run(plane, inboxes.traffic).await;
--- a/crates/traffic/src/wait_queue.rs
+++ b/crates/traffic/src/wait_queue.rs
@@ -6,6 +6,7 @@
 use crate::function_owner::FunctionOwner;
 use crate::owner_types::RequestState;
 use crate::refusals::{Refusal, RefusalReason};
+use bytes::Bytes;
 use std::time::Duration;
 use wire::Outcome;
 
@@ -92,7 +93,7 @@
 
     /// Answers a request without head and body.
     pub(crate) fn answer_without_body(&mut self, number: u64, outcome: Outcome, status: u16, retry_after: Duration) {
-        self.answer(number, outcome, status, retry_after, Vec::new(), Vec::new());
+        self.answer(number, outcome, status, retry_after, Vec::new(), Bytes::new());
     }
 
     /// Returns the time after which the caller may try again, for an expected wait.
--- a/crates/traffic/tests/answers.rs
+++ b/crates/traffic/tests/answers.rs
@@ -18,7 +18,7 @@
         instance_id: "i-1".into(),
         address,
         head,
-        body,
+        body: body.into(),
         time_left: limit,
         max_connections: u32::MAX,
     }
@@ -56,7 +56,7 @@
         DispatchOutcome::Complete { status, body, turned_away, .. } => {
             assert_eq!(
                 (status, body, turned_away),
-                (expected_status, expected_body.as_bytes().to_vec(), expected_status == 503)
+                (expected_status, expected_body.as_bytes().to_vec().into(), expected_status == 503)
             );
         }
         other => panic!("{other:?}"),
--- a/crates/traffic/tests/attempts.rs
+++ b/crates/traffic/tests/attempts.rs
@@ -68,7 +68,7 @@
 }
 
 fn server_error() -> DispatchOutcome {
-    DispatchOutcome::Complete { status: 500, head: Vec::new(), body: b"first".to_vec(), turned_away: false }
+    DispatchOutcome::Complete { status: 500, head: Vec::new(), body: b"first".to_vec().into(), turned_away: false }
 }
 
 fn send_to_front(front: &mut Front, from: NodeId, at: u64, message: ForwardMessage) -> Vec<FrontOutput> {
--- a/crates/traffic/tests/common/keyed.rs
+++ b/crates/traffic/tests/common/keyed.rs
@@ -120,6 +120,6 @@
 /// Reports the answer of a dispatch.
 pub fn report_answer(owner: &mut FunctionOwner, at: u64, number: u64) -> Vec<OwnerOutput> {
     let outcome =
-        DispatchOutcome::Complete { status: 201, head: Vec::new(), body: b"sword".to_vec(), turned_away: false };
+        DispatchOutcome::Complete { status: 201, head: Vec::new(), body: b"sword".to_vec().into(), turned_away: false };
     owner.step(ms(at), true, OwnerInput::Dispatched { number, outcome })
 }
--- a/crates/traffic/tests/common/mod.rs
+++ b/crates/traffic/tests/common/mod.rs
@@ -53,8 +53,16 @@
 pub fn send_request(front: &mut Front, at: u64, may_serve: bool, path: &str) -> Vec<FrontOutput> {
     let head = RequestHead { method: "POST".into(), target: path.into(), headers: Vec::new().into() };
     let (host, path) = (String::new(), path.to_owned());
-    let call =
-        Call { host, path, deadline: None, head, body: b"x".to_vec(), key: None, api_key: None, respond_async: false };
+    let call = Call {
+        host,
+        path,
+        deadline: None,
+        head,
+        body: b"x".to_vec().into(),
+        key: None,
+        api_key: None,
+        respond_async: false,
+    };
     front.step(ms(at), may_serve, FrontInput::Task { request_id: at, call })
 }
 
--- a/crates/traffic/tests/consumers.rs
+++ b/crates/traffic/tests/consumers.rs
@@ -39,7 +39,7 @@
     let head = RequestHead { method: "POST".into(), target: path.into(), headers: Vec::new().into() };
     let api_key = api_key.map(str::to_owned);
     let (host, path, key) = (String::new(), path.to_owned(), Some("order-7".to_owned()));
-    let call = Call { host, path, deadline: None, head, body: Vec::new(), key, api_key, respond_async: false };
+    let call = Call { host, path, deadline: None, head, body: Vec::new().into(), key, api_key, respond_async: false };
     front.step(ms(at), may_serve, FrontInput::Task { request_id: at, call })
 }
 
--- a/crates/traffic/tests/front.rs
+++ b/crates/traffic/tests/front.rs
@@ -99,8 +99,12 @@
         }
         let done = running.iter().position(|(_, due)| at >= *due).map(|index| running.remove(index));
         if let Some((number, _)) = done {
-            let outcome =
-                DispatchOutcome::Complete { status: 200, head: Vec::new(), body: Vec::new(), turned_away: false };
+            let outcome = DispatchOutcome::Complete {
+                status: 200,
+                head: Vec::new(),
+                body: Vec::new().into(),
+                turned_away: false,
+            };
             inputs.push(OwnerInput::Dispatched { number, outcome });
         }
         for output in inputs.into_iter().flat_map(|input| owner.step(ms(at), true, input)).collect::<Vec<_>>() {
--- a/crates/traffic/tests/hot_function.rs
+++ b/crates/traffic/tests/hot_function.rs
@@ -178,7 +178,7 @@
         if self.reject_every.is_some_and(|of| order.number.is_multiple_of(of)) {
             return self.reject(order.number);
         }
-        let task = u64::from_le_bytes(order.body.as_slice().try_into().expect("the number that was sent"));
+        let task = u64::from_le_bytes(order.body[..].try_into().expect("the number that was sent"));
         let calls_first = self.requests[&task].kind == Kind::Parent && task % 10 < CALLING_OF_TEN;
         let due = self.owner.at + if calls_first { CALL_AFTER_MS } else { WORK_MS };
         self.runs.insert(order.number, Run { task, due, calls_first });
@@ -201,12 +201,14 @@
 
     fn end(&mut self, order: u64, status: u16) {
         self.runs.remove(&order);
-        let outcome = DispatchOutcome::Complete { status, head: Vec::new(), body: Vec::new(), turned_away: false };
+        let outcome =
+            DispatchOutcome::Complete { status, head: Vec::new(), body: Vec::new().into(), turned_away: false };
         self.owner.feed(OwnerInput::Dispatched { number: order, outcome });
     }
 
     fn reject(&mut self, order: u64) {
-        let outcome = DispatchOutcome::Complete { status: 503, head: Vec::new(), body: Vec::new(), turned_away: true };
+        let outcome =
+            DispatchOutcome::Complete { status: 503, head: Vec::new(), body: Vec::new().into(), turned_away: true };
         self.owner.feed(OwnerInput::Dispatched { number: order, outcome });
     }
 
--- a/crates/traffic/tests/lease_lapse.rs
+++ b/crates/traffic/tests/lease_lapse.rs
@@ -76,7 +76,8 @@
         _ => None,
     });
     read_store(&mut owner, 20, &[]);
-    let outcome = DispatchOutcome::Complete { status: 200, head: Vec::new(), body: Vec::new(), turned_away: false };
+    let outcome =
+        DispatchOutcome::Complete { status: 200, head: Vec::new(), body: Vec::new().into(), turned_away: false };
     owner.step(ms(50), true, OwnerInput::Dispatched { number: order.expect("sent"), outcome });
     let outputs = owner.step(ms(60), true, OwnerInput::Membership { membership: membership(2, &[OTHER]) });
     let reported = outputs.iter().any(|output| {
--- a/crates/traffic/tests/load.rs
+++ b/crates/traffic/tests/load.rs
@@ -53,8 +53,12 @@
         owner.pass(10);
         let at = owner.at;
         for (number, _) in callers.running.extract_if(.., |(_, due)| *due <= at).collect::<Vec<_>>() {
-            let outcome =
-                DispatchOutcome::Complete { status: 200, head: Vec::new(), body: Vec::new(), turned_away: false };
+            let outcome = DispatchOutcome::Complete {
+                status: 200,
+                head: Vec::new(),
+                body: Vec::new().into(),
+                turned_away: false,
+            };
             owner.feed(OwnerInput::Dispatched { number, outcome });
         }
         for _ in 0..rate / 100 {
--- a/crates/traffic/tests/order.rs
+++ b/crates/traffic/tests/order.rs
@@ -32,7 +32,7 @@
         _ => None,
     });
     let task = |body: Vec<u8>| u64::from_le_bytes(body.try_into().expect("eight bytes"));
-    orders.map(|order| (task(order.body), order.number)).collect()
+    orders.map(|order| (task(order.body.to_vec()), order.number)).collect()
 }
 
 #[test]
@@ -54,7 +54,8 @@
     forward(&mut owner, 3, 4000);
     forward(&mut owner, 4, 2600);
     for expected in [4, 3, 2] {
-        let outcome = DispatchOutcome::Complete { status: 200, head: Vec::new(), body: Vec::new(), turned_away: false };
+        let outcome =
+            DispatchOutcome::Complete { status: 200, head: Vec::new(), body: Vec::new().into(), turned_away: false };
         owner.feed(OwnerInput::Dispatched { number: last[0].1, outcome });
         last = sent(&mut owner);
         assert_eq!(last.iter().map(|(task, _)| *task).collect::<Vec<_>>(), [expected]);
--- a/crates/traffic/tests/quotas.rs
+++ b/crates/traffic/tests/quotas.rs
@@ -42,7 +42,7 @@
         path: "/t/f".into(),
         deadline: None,
         head,
-        body: Vec::new(),
+        body: Vec::new().into(),
         key: None,
         api_key: Some("k-1".into()),
         respond_async: false,
--- a/crates/traffic/tests/sent_tasks.rs
+++ b/crates/traffic/tests/sent_tasks.rs
@@ -103,7 +103,8 @@
     read_store(&mut owner, 20, &[]);
     let outputs = owner.step(ms(30), true, forward(7));
     let outputs = owner.step(ms(31), true, store_reply(&outputs));
-    let outcome = DispatchOutcome::Complete { status: 200, head: Vec::new(), body: Vec::new(), turned_away: false };
+    let outcome =
+        DispatchOutcome::Complete { status: 200, head: Vec::new(), body: Vec::new().into(), turned_away: false };
     let number = dispatch_number(&outputs).expect("sent");
     let outputs = owner.step(ms(40), true, OwnerInput::Dispatched { number, outcome });
     let standby_table =
--- a/crates/traffic/tests/single.rs
+++ b/crates/traffic/tests/single.rs
@@ -83,7 +83,8 @@
 #[test]
 fn server_error_of_an_instance_is_the_answer() {
     let (mut owner, first) = owner(3);
-    let failed = DispatchOutcome::Complete { status: 500, head: Vec::new(), body: b"no".to_vec(), turned_away: false };
+    let failed =
+        DispatchOutcome::Complete { status: 500, head: Vec::new(), body: b"no".to_vec().into(), turned_away: false };
     let outputs = end_dispatch(&mut owner, &first, failed);
     assert_eq!((reported(&outputs), sent(&outputs)), (Some((Outcome::Answered, 500, 0)), None));
 }
--- a/crates/wire/src/codec.rs
+++ b/crates/wire/src/codec.rs
@@ -27,6 +27,8 @@
 pub const CREDITS_FORMAT: u16 = 9;
 /// Maximum number of bytes in a frame.
 pub const MAX_FRAME_BYTES: usize = 8 * 1024 * 1024;
+/// Size of the buffer for a record before more of it has arrived.
+const MIN_RECORD_BUFFER_BYTES: usize = 64 * 1024;
 
 /// Content of a frame.
 #[derive(Clone, Debug, PartialEq, Eq, DekuRead, DekuWrite)]
@@ -123,12 +125,25 @@
     if len > MAX_FRAME_BYTES {
         return Err(FrameError::TooLong(len));
     }
+    let record = read_record(stream, len).await?;
+    decode(cluster, checksum, &record)
+}
+
+/// Reads `len` bytes. The buffer grows with what has arrived, so that a false length allocates little, but never exceeds
+/// the length.
+async fn read_record<R: AsyncRead + Unpin>(stream: &mut R, len: usize) -> Result<Vec<u8>, FrameError> {
     let mut record = Vec::new();
-    let read_len = (&mut *stream).take(len as u64).read_to_end(&mut record).await?;
-    if read_len < len {
-        return Err(FrameError::Connection(std::io::ErrorKind::UnexpectedEof.into()));
+    while record.len() < len {
+        let step = (len - record.len()).min(MIN_RECORD_BUFFER_BYTES.max(record.len()));
+        record.reserve_exact(step);
+        let mut part = (&mut *stream).take(step as u64);
+        while part.limit() > 0 {
+            if part.read_buf(&mut record).await? == 0 {
+                return Err(FrameError::Connection(std::io::ErrorKind::UnexpectedEof.into()));
+            }
+        }
     }
-    decode(cluster, checksum, &record)
+    Ok(record)
 }
 
 /// Writes a frame to a stream.
--- a/crates/wire/src/primitives.rs
+++ b/crates/wire/src/primitives.rs
@@ -11,7 +11,7 @@
 
 /// Maximum number of bytes in a `Blob`.
 pub const MAX_BLOB_BYTES: u32 = 6 * 1024 * 1024;
-/// Number of bytes allocated at a time while a `Blob` is decoded.
+/// Number of bytes allocated at first while a `Blob` is decoded; doubled as far as they arrive.
 const READ_CHUNK_BYTES: usize = 256 * 1024;
 /// Maximum number of items in a `List`.
 const MAX_LIST_ITEMS: u32 = 65_536;
@@ -30,7 +30,9 @@
     // Allocates in chunks, so that a false length is detected before much memory is allocated for it.
     while bytes.len() < len as usize {
         let start = bytes.len();
-        bytes.resize((len as usize).min(start + READ_CHUNK_BYTES), 0);
+        let end = (len as usize).min(start + READ_CHUNK_BYTES.max(start));
+        bytes.reserve_exact(end - start);
+        bytes.resize(end, 0);
         let chunk_len = bytes.len() - start;
         reader.read_bytes(chunk_len, &mut bytes[start..], Order::Lsb0)?;
     }
@@ -56,6 +58,10 @@
     pub fn into_vec(self) -> Vec<u8> {
         self.data.into()
     }
+    /// Converts the blob into bytes that share its buffer.
+    pub fn into_bytes(self) -> Bytes {
+        self.data
+    }
     /// Returns the number of bytes.
     pub fn len(&self) -> usize {
         self.data.len()
