memory: Wait and report a shortage in one place; tests: one forwarded request

The loop that waits for memory and reports its lack stood in dispatch and traffic, the request that an owner gets in two tests. No change of behaviour.

--- a/crates/dispatch/src/answer_memory.rs
+++ b/crates/dispatch/src/answer_memory.rs
@@ -30,15 +30,6 @@
 
     /// Waits until the bytes are reserved; `None` if there are never that many.
     pub async fn reserve(&self, bytes: usize) -> Option<Reservation> {
-        if let Some(reservation) = self.budget.try_reserve(bytes) {
-            return Some(reservation);
-        }
-        let mut reservation = std::pin::pin!(self.budget.reserve(bytes));
-        loop {
-            (self.report_shortage)(bytes);
-            if let Ok(reservation) = tokio::time::timeout(REPORT_INTERVAL, reservation.as_mut()).await {
-                return reservation;
-            }
-        }
+        self.budget.reserve_reporting(bytes, REPORT_INTERVAL, self.report_shortage.as_ref()).await
     }
 }
--- a/crates/memory/src/budget.rs
+++ b/crates/memory/src/budget.rs
@@ -1,9 +1,12 @@
 //! A limited number of bytes.
 
 use crate::reservation::Reservation;
+use std::pin::pin;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::Duration;
 use tokio::sync::Semaphore;
+use tokio::time::timeout;
 
 /// Bytes that may be held for one purpose; clones share them.
 #[derive(Clone, Debug)]
@@ -47,6 +50,26 @@
         self.free.clone().acquire_many_owned(bytes as u32).await.ok().map(Reservation::new)
     }
 
+    /// Reserves bytes like [`MemoryBudget::reserve`]. If they are not free, `report` gets their number, at once and after
+    /// each interval, until they are.
+    pub async fn reserve_reporting(
+        &self,
+        bytes: usize,
+        interval: Duration,
+        report: impl Fn(usize),
+    ) -> Option<Reservation> {
+        if let Some(reservation) = self.try_reserve(bytes) {
+            return Some(reservation);
+        }
+        let mut reservation = pin!(self.reserve(bytes));
+        loop {
+            report(bytes);
+            if let Ok(reservation) = timeout(interval, reservation.as_mut()).await {
+                return reservation;
+            }
+        }
+    }
+
     /// Returns the size of the budget.
     pub fn capacity_bytes(&self) -> usize {
         self.capacity_bytes
--- a/crates/memory/tests/budget.rs
+++ b/crates/memory/tests/budget.rs
@@ -1,10 +1,12 @@
 //! What is reserved is given back, however it goes, and waiting reservations are served in order.
 
 use memory::MemoryBudget;
+use std::cell::{Cell, RefCell};
+use std::time::Duration;
 use tokio::sync::oneshot;
 
 fn block_on<T>(work: impl Future<Output = T>) -> T {
-    tokio::runtime::Builder::new_current_thread().build().expect("a runtime").block_on(work)
+    tokio::runtime::Builder::new_current_thread().enable_time().build().expect("a runtime").block_on(work)
 }
 
 #[test]
@@ -64,3 +66,23 @@
         assert_eq!(order, Ok("the first"));
     });
 }
+
+#[test]
+fn a_shortage_is_reported_until_the_bytes_are_free() {
+    block_on(async {
+        let budget = MemoryBudget::new(100);
+        let held = RefCell::new(budget.try_reserve(100));
+        let reports = Cell::new(0);
+        let report = |bytes| {
+            assert_eq!(bytes, 40);
+            reports.set(reports.get() + 1);
+            if reports.get() == 2 {
+                held.take();
+            }
+        };
+        let reservation = budget.reserve_reporting(40, Duration::ZERO, report).await;
+        assert_eq!((reservation.map(|reservation| reservation.bytes()), reports.get()), (Some(40), 2));
+        let reservation = budget.reserve_reporting(60, Duration::ZERO, |_| panic!("nothing is missing")).await;
+        assert!(reservation.is_some());
+    });
+}
--- a/crates/traffic/src/caller_body.rs
+++ b/crates/traffic/src/caller_body.rs
@@ -127,17 +127,8 @@
     }
 
     async fn reserve(&self, bytes: usize) -> Option<Reservation> {
-        let budget = self.memory.large();
-        if let Some(reservation) = budget.try_reserve(bytes) {
-            return Some(reservation);
-        }
-        let mut reservation = std::pin::pin!(budget.reserve(bytes));
-        loop {
-            self.shortages.report(Shortage::BodyBytes(bytes));
-            if let Ok(reservation) = timeout(REPORT_INTERVAL, reservation.as_mut()).await {
-                return reservation;
-            }
-        }
+        let report = |bytes| self.shortages.report(Shortage::BodyBytes(bytes));
+        self.memory.large().reserve_reporting(bytes, REPORT_INTERVAL, report).await
     }
 }
 
--- a/crates/traffic/tests/common/provider.rs
+++ b/crates/traffic/tests/common/provider.rs
@@ -8,6 +8,7 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 use traffic::{FunctionOwner, OwnerInput, OwnerOutput, OwnerSettings};
+use wire::{ForwardMessage, RequestHead};
 
 pub const FUNCTION: &str = "t/f";
 
@@ -37,6 +38,21 @@
     Rc::new(RouteTable::build(1, 1, [("function-bindings/t/f", binding.as_bytes())].into_iter()))
 }
 
+/// Returns a request for the function as another router forwards it.
+pub fn request(task: u64, body: Vec<u8>) -> ForwardMessage {
+    ForwardMessage::ForwardUncounted {
+        task,
+        function: FUNCTION.into(),
+        binding: FUNCTION.into(),
+        remaining_ms: 4000,
+        resends: 0,
+        respond_async: 0,
+        key: format!("a-{task}").as_str().into(),
+        head: wire::to_bytes(&RequestHead::default()).into(),
+        body: body.into(),
+    }
+}
+
 /// An owner, the simulated time in milliseconds, and its orders so far.
 pub struct OwnerWithProvider {
     pub owner: FunctionOwner,
--- a/crates/traffic/tests/load.rs
+++ b/crates/traffic/tests/load.rs
@@ -4,29 +4,15 @@
 mod common;
 
 use common::ME;
-use common::provider::{FUNCTION, OwnerWithProvider, six_workers};
+use common::provider::{OwnerWithProvider, request, six_workers};
 use traffic::{DispatchOutcome, OwnerInput, OwnerOutput};
-use wire::{ForwardMessage, PlanMessage, RequestHead};
+use wire::PlanMessage;
 
 /// Returns a plan made before the load rose: one instance at every step.
 fn plan_of_one(request_id: u64) -> PlanMessage {
     PlanMessage::Reply { request_id, fence: 1, state: 1, step_ms: 1000, desired: vec![1; 4].into() }
 }
 
-fn request(task: u64) -> ForwardMessage {
-    ForwardMessage::ForwardUncounted {
-        task,
-        function: FUNCTION.into(),
-        binding: FUNCTION.into(),
-        remaining_ms: 4000,
-        resends: 0,
-        respond_async: 0,
-        key: format!("a-{task}").as_str().into(),
-        head: wire::to_bytes(&RequestHead::default()).into(),
-        body: Vec::new().into(),
-    }
-}
-
 /// Callers of one owner's function.
 struct Callers {
     /// Run time of each request in milliseconds.
@@ -43,7 +29,7 @@
 
     fn call(&mut self, owner: &mut OwnerWithProvider) {
         self.next += 1;
-        owner.feed(OwnerInput::Forward { from: ME, message: request(self.next) });
+        owner.feed(OwnerInput::Forward { from: ME, message: request(self.next, Vec::new()) });
     }
 }
 
--- a/crates/traffic/tests/request_memory.rs
+++ b/crates/traffic/tests/request_memory.rs
@@ -4,10 +4,10 @@
 mod common;
 
 use common::ME;
-use common::provider::{FUNCTION, OwnerWithProvider, six_workers};
+use common::provider::{OwnerWithProvider, request, six_workers};
 use test_case::test_case;
 use traffic::{OwnerInput, OwnerOutput, OwnerSettings, RequestMemory};
-use wire::{ForwardMessage, NodeId, Outcome, RequestHead};
+use wire::{ForwardMessage, NodeId, Outcome};
 
 const OTHER: NodeId = 5;
 const SMALL_MEMORY_BYTES: usize = 32 * 1024;
@@ -22,17 +22,7 @@
 
 /// Forwards a request from another router or from this one, and returns the refused requests of the other one.
 fn forward(owner: &mut OwnerWithProvider, from: NodeId, task: u64, body_bytes: usize) -> Vec<u64> {
-    let message = ForwardMessage::ForwardUncounted {
-        task,
-        function: FUNCTION.into(),
-        binding: FUNCTION.into(),
-        remaining_ms: 4000,
-        resends: 0,
-        respond_async: 0,
-        key: format!("a-{task}").as_str().into(),
-        head: wire::to_bytes(&RequestHead::default()).into(),
-        body: vec![b'x'; body_bytes].into(),
-    };
+    let message = request(task, vec![b'x'; body_bytes]);
     owner.feed(OwnerInput::Forward { from, message });
     refused(owner)
 }
