traffic: Move the provider's and the operations thread out of the startup function

service::run built every thread in one function of 170 lines; the two threads beside control and traffic are started by functions of their own, and the limits of the operations port have names. No change of behaviour.

--- a/crates/traffic/src/lib.rs
+++ b/crates/traffic/src/lib.rs
@@ -65,6 +65,7 @@
 mod send_window;
 mod sent_tasks;
 mod service;
+mod service_threads;
 mod serving_lease;
 mod settings;
 mod standby;
--- a/crates/traffic/src/service.rs
+++ b/crates/traffic/src/service.rs
@@ -10,9 +10,10 @@
 use crate::errors::RunError;
 use crate::front_types::{ConsumerHeader, FrontLimits};
 use crate::memory_plan::MemoryPlan;
-use crate::ops::{Views, ops_router};
+use crate::ops::Views;
 use crate::owner_settings::OwnerSettings;
 use crate::plane_setup::PlaneSetup;
+use crate::service_threads::{OperationsServer, PlatformPages, start_provider};
 use crate::serving_lease::ServingLease;
 use crate::settings::RouterSettings;
 use crate::stop_signals::StopSignals;
@@ -22,8 +23,8 @@
 use dispatch::DispatcherMessage;
 use events::event;
 use http_server::{ResourceIndex, ServerLimits, Tokens};
-use instance_provider::{InstanceProvider, OwnInstanceProvider, ProviderOrder};
-use kernel::{Directory, adopt, find, listen, listen_address, local, thread, wait_for_signal};
+use instance_provider::ProviderOrder;
+use kernel::{Directory, find, listen, listen_address, local, thread, wait_for_signal};
 use leases::{Follower, FollowerTiming, ServingStatus, stable_hash};
 use links::{LinkOrder, LocalNode};
 use std::cell::Cell;
@@ -32,11 +33,15 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 use tokio::sync::{oneshot, watch};
-use tokio::task::{JoinSet, spawn_local};
+use tokio::task::spawn_local;
 use wire::NodeId;
 
 /// Time from the end of an owner's lease until the next owner has listed the running instances.
 const OWNER_TAKEOVER_TIME: Duration = Duration::from_millis(400);
+/// Maximum number of connections for operations.
+const OPERATIONS_CONNECTIONS: usize = 64;
+/// Maximum lifetime of a connection for operations, which may watch the status page.
+const OPERATIONS_CONNECTION_LIFE: Duration = Duration::from_secs(86_400);
 
 /// Runs a router until it is stopped by a signal.
 pub fn run(settings: RouterSettings, dialect: Dialect) -> Result<(), RunError> {
@@ -82,18 +87,7 @@
         .as_ref()
         .map(|name| ConsumerHeader { name: name.as_str().to_owned(), format_name: dialect.http.format_consumer_name });
     let (http_dialect, server_dialect) = (dialect.http.clone(), Arc::new(dialect.http));
-    let provider = dialect.provider;
-    let (provider_directory, address) = (directory.clone(), settings.platform.clone());
-    thread("platform", move || {
-        let traffic = find::<TrafficMessage>(&provider_directory, "traffic");
-        let report: Rc<dyn Fn(instance_provider::ProviderReport)> = Rc::new(move |report| {
-            let traffic = traffic.clone();
-            spawn_local(async move { traffic.send_waiting(TrafficMessage::Platform(report)).await });
-        });
-        let provider = provider
-            .map_or_else(|| Rc::new(OwnInstanceProvider::new(&address)) as Rc<dyn InstanceProvider>, |make| make());
-        local(async move { instance_provider::run(provider, platform_inbox, report).await });
-    })?;
+    start_provider(dialect.provider, settings.platform.clone(), platform_inbox, find(&directory, "traffic"))?;
     let memory = MemoryPlan::new(&settings);
     let (shortage_reporter, shortages) = http_server::shortages();
     let limits = caller_limits(&settings, memory.connections);
@@ -149,25 +143,15 @@
             }
         });
     })?;
-    let ops_limits = ServerLimits { connections: 64, life: Duration::from_secs(86_400), ..server_limits };
-    let resource_pages = http_server::view_routes(http_server::Views { index: index_updates, tokens });
-    let (views, ops_stop) = (Views { traffic: view_updates, control: control_updates }, stop_signal);
-    thread("operations", move || {
-        local(async move {
-            let mut servers = JoinSet::new();
-            if let (Some(make), Some(listener)) = (dialect.pages, pages_listener) {
-                servers.spawn_local(http_server::serve(
-                    adopt(listener),
-                    make(views.clone()),
-                    ops_limits,
-                    ops_stop.clone(),
-                ));
-            }
-            let ops_routes = ops_router(views).merge(resource_pages);
-            servers.spawn_local(http_server::serve(adopt(ops_listener), ops_routes, ops_limits, ops_stop));
-            while servers.join_next().await.is_some() {}
-        })
-    })?;
+    let operations = OperationsServer {
+        listener: ops_listener,
+        resource_pages: http_server::view_routes(http_server::Views { index: index_updates, tokens }),
+        platform_pages: dialect.pages.zip(pages_listener).map(|(make, listener)| PlatformPages { listener, make }),
+        views: Views { traffic: view_updates, control: control_updates },
+        limits: ServerLimits { connections: OPERATIONS_CONNECTIONS, life: OPERATIONS_CONNECTION_LIFE, ..server_limits },
+        stop: stop_signal,
+    };
+    operations.start()?;
 
     let (address, zone, ops) = (&settings.address, &settings.zone, &settings.ops);
     let timing = FollowerTiming { hold: settings.hold, peer_hold: settings.peer_hold, ..FollowerTiming::default() };
