http_server: Close connections with unread answers whatever their clients have sent meanwhile

What could be seen: an unread answer was not among those that give way to others while its connection waited for the body of a second request, which its client may withhold for body_time; a link that waits for memory would have waited as long.

Cause: such a connection counted as one that waits for a body, and its refusal would have stood behind the unread answer.

The unit test an_unread_answer_gives_way_although_its_client_has_sent_another_request names both phases.

--- a/crates/http_server/src/connection.rs
+++ b/crates/http_server/src/connection.rs
@@ -97,13 +97,21 @@
 
     /// Asks the connection to give way: to refuse the request whose body it waits for, or else to close.
     pub(crate) fn ask_to_give_way(&self) {
-        self.state.must_give_way.store(true, Ordering::Relaxed);
         match self.phase() {
-            Phase::Body => self.state.give_up_body.notify_one(),
-            Phase::Client | Phase::Application => self.state.close.notify_one(),
+            Phase::Body => {
+                self.state.must_give_way.store(true, Ordering::Relaxed);
+                self.state.give_up_body.notify_one();
+            }
+            Phase::Client | Phase::Application => self.ask_to_close(),
         }
     }
 
+    /// Asks the connection to close, whatever it waits for.
+    pub(crate) fn ask_to_close(&self) {
+        self.state.must_give_way.store(true, Ordering::Relaxed);
+        self.state.close.notify_one();
+    }
+
     /// Whether the connection was asked to give way in its present phase.
     pub(crate) fn must_give_way(&self) -> bool {
         self.state.must_give_way.load(Ordering::Relaxed)
--- a/crates/http_server/src/shedding.rs
+++ b/crates/http_server/src/shedding.rs
@@ -100,7 +100,8 @@
     pub fn shed_connection(&self) {
         let waiting = self.sheddable().filter(|connection| connection.phase() != Phase::Application);
         if let Some(connection) = waiting.min_by_key(|connection| connection.progressed_at()) {
-            self.ask_to_give_way(connection);
+            self.shed_connections.fetch_add(1, Ordering::Relaxed);
+            connection.ask_to_give_way();
         }
     }
 
@@ -114,13 +115,13 @@
                     let is_slow = connection.phase_began_at() + SLOW_BODY_TIME <= now;
                     connection.phase() == Phase::Body && (has_stalled || is_slow)
                 };
-                self.shed_bytes(bytes, may_give_way, ConnectionHandle::body_bytes);
+                let held_bytes = ConnectionHandle::body_bytes;
+                self.shed_bytes(bytes, may_give_way, held_bytes, ConnectionHandle::ask_to_give_way);
             }
             Shortage::AnswerBytes { bytes, min_age } => {
-                let is_unread = |connection: &&ConnectionHandle| {
-                    connection.phase() != Phase::Body && connection.phase_began_at() + min_age <= now
-                };
-                self.shed_bytes(bytes, is_unread, ConnectionHandle::unread_bytes);
+                // Whatever the client has sent meanwhile, no further answer would reach it.
+                let is_old = |connection: &&ConnectionHandle| connection.phase_began_at() + min_age <= now;
+                self.shed_bytes(bytes, is_old, ConnectionHandle::unread_bytes, ConnectionHandle::ask_to_close);
             }
         }
     }
@@ -130,6 +131,7 @@
         wanted_bytes: usize,
         may_give_way: impl Fn(&&ConnectionHandle) -> bool,
         held_bytes: impl Fn(&ConnectionHandle) -> usize,
+        ask: impl Fn(&ConnectionHandle),
     ) {
         let leaving = self.connections.iter().filter(|connection| connection.must_give_way());
         let mut freed_bytes: usize = leaving.map(&held_bytes).sum();
@@ -141,15 +143,11 @@
                 return;
             }
             freed_bytes += held_bytes(connection);
-            self.ask_to_give_way(connection);
+            self.shed_connections.fetch_add(1, Ordering::Relaxed);
+            ask(connection);
         }
     }
 
-    fn ask_to_give_way(&self, connection: &ConnectionHandle) {
-        self.shed_connections.fetch_add(1, Ordering::Relaxed);
-        connection.ask_to_give_way();
-    }
-
     fn sheddable(&self) -> impl Iterator<Item = &ConnectionHandle> {
         self.connections.iter().filter(|connection| !connection.must_give_way())
     }
--- a/crates/http_server/src/shedding_tests.rs
+++ b/crates/http_server/src/shedding_tests.rs
@@ -49,13 +49,15 @@
     assert_eq!(asked(&all), [false]);
 }
 
-#[test]
-fn an_unread_answer_gives_way_although_its_client_has_sent_another_request() {
+#[test_case(Phase::Application; "that an instance works on")]
+#[test_case(Phase::Body; "whose body it withholds")]
+fn an_unread_answer_gives_way_although_its_client_has_sent_another_request(phase: Phase) {
     let all: [ConnectionHandle; 1] = connections();
     let _unread = all[0].track_answer(Bytes::from_static(b"answer"));
-    all[0].enter(Phase::Application);
+    all[0].enter(phase);
     table(&all).shed(Shortage::AnswerBytes { bytes: 1, min_age: NONE });
-    assert_eq!(asked(&all), [true]);
+    let closes = futures_lite::future::block_on(poll_once(all[0].asked_to_close()));
+    assert!(closes.is_some(), "a refusal would stand behind the unread answer");
 }
 
 #[test_case(10, [true, false, false]; "the oldest has enough")]
