--- a/review/standin-2/deployment.rs
+++ b/review/standin-2/deployment.rs
@@ -113,8 +113,8 @@
             if machine.number < CORE {
                 deployment.launch(machine, "registry");
             }
-            deployment.launch(machine, "router");
         }
+        deployment.machines.iter().for_each(|machine| deployment.launch(machine, "router"));
         let watched = deployment.clone();
         thread::spawn(move || watched.watch());
         deployment
@@ -194,6 +194,11 @@
         }
     }
 
+    /// The data file of a machine's registry.
+    pub fn data_file(&self, number: usize) -> PathBuf {
+        self.machines[number].folder.join("registry").join("registry.redb")
+    }
+
     pub fn front(&self, number: usize) -> String {
         format!("{}:{}", self.machines[number].ip, self.ports.base)
     }
