--- a/review/standin-2/cases.rs
+++ b/review/standin-2/cases.rs
@@ -1,6 +1,5 @@
 //! The cases. Each returns 1 if the rule was broken, 0 if it held and 2 if the case could not run.
 
-mod fence;
 mod first_start;
 mod keep_alive;
 mod late_refusal;
@@ -22,7 +21,6 @@
         "keep-alive" => keep_alive::play(record, trouble),
         "late-refusal" => late_refusal::play(record, trouble),
         "first-start" => first_start::play(record, trouble),
-        "fence" => fence::play(record, trouble),
         _ => 2,
     }
 }
--- a/review/standin-2/cases/first_start.rs
+++ b/review/standin-2/cases/first_start.rs
@@ -12,7 +12,7 @@
 use std::time::{Duration, Instant};
 
 /// First starts that are tried, each with empty disks.
-const TRIES: usize = 25;
+const TRIES: usize = 100;
 /// How long the deployment is watched after the kill.
 const WATCHED: Duration = Duration::from_secs(9);
 /// Ends within this time of the kill do not count.
--- a/review/standin-2/deployment.rs
+++ b/review/standin-2/deployment.rs
@@ -36,7 +36,6 @@
 }
 
 pub const SIGKILL: i32 = 9;
-pub const SIGTERM: i32 = 15;
 
 #[derive(Clone, Copy)]
 pub struct Ports {
@@ -187,7 +186,7 @@
                 continue;
             }
             let Some(child) = process.child.as_ref() else { continue };
-            process.was_told |= signal == SIGKILL || signal == SIGTERM;
+            process.was_told |= signal == SIGKILL;
             self.record.say(&format!("signal {signal} to {} on machine {number}", process.role));
             // SAFETY: the process is a child of this one that has not been waited for.
             unsafe { kill(child.id() as i32, signal) };
--- a/review/standin-2/platform.rs
+++ b/review/standin-2/platform.rs
@@ -38,7 +38,6 @@
     pub worker: String,
     pub address: String,
     pub ready: AtomicBool,
-    pub draining: AtomicBool,
     pub stopped: AtomicBool,
     pub running: AtomicUsize,
     /// Answers sent.
@@ -50,10 +49,7 @@
 /// A start, stop or list call as the platform saw it.
 #[derive(Clone)]
 pub struct Call {
-    pub at_ms: u64,
-    pub what: String,
     pub service: String,
-    pub holder: String,
     pub fence: u64,
 }
 
@@ -79,7 +75,6 @@
     workers: Vec<(String, u64)>,
     pub instances: Mutex<BTreeMap<String, Arc<Instance>>>,
     by_nonce: Mutex<BTreeMap<String, String>>,
-    draining_workers: Mutex<Vec<String>>,
     pub calls: Mutex<Vec<Call>>,
     pub runs: Mutex<Vec<Run>>,
     behaviour: Box<Behaviour>,
@@ -106,7 +101,6 @@
             workers,
             instances: Mutex::default(),
             by_nonce: Mutex::default(),
-            draining_workers: Mutex::default(),
             calls: Mutex::default(),
             runs: Mutex::default(),
             behaviour,
@@ -152,10 +146,9 @@
             .filter(|instance| instance.ready.load(Ordering::Relaxed) && !instance.stopped.load(Ordering::Relaxed));
         let entries: Vec<String> = listed
             .map(|instance| {
-                let state = if instance.draining.load(Ordering::Relaxed) { "draining" } else { "ready" };
                 let slots = self.function(&instance.service).map_or(1, |function| function.slots);
                 format!(
-                    r#"{{"id":"{}","target_service":"{}","address":"{}","zone":"zone-0","config_revision":"v1","concurrency_slots":{slots},"state":"{state}","cold_remaining_ms":0,"worker_id":"{}"}}"#,
+                    r#"{{"id":"{}","target_service":"{}","address":"{}","zone":"zone-0","config_revision":"v1","concurrency_slots":{slots},"state":"ready","cold_remaining_ms":0,"worker_id":"{}"}}"#,
                     instance.id, instance.service, instance.address, instance.worker
                 )
             })
@@ -181,47 +174,19 @@
             .enumerate()
             .map(|(number, (name, memory))| {
                 format!(
-                    r#"{{"name":"{name}","zone":"zone-{}","memory_mb":{memory},"free_memory_mb":{},"state":"{}"}}"#,
+                    r#"{{"name":"{name}","zone":"zone-{}","memory_mb":{memory},"free_memory_mb":{},"state":"ready"}}"#,
                     number % 3,
-                    self.free_memory(name, *memory),
-                    if self.is_draining(name) { "draining" } else { "ready" }
+                    self.free_memory(name, *memory)
                 )
             })
             .collect();
         format!(r#"{{"worker_pool":[{}]}}"#, entries.join(","))
     }
 
-    fn is_draining(&self, worker: &str) -> bool {
-        self.draining_workers.lock().unwrap().iter().any(|known| known == worker)
-    }
-
-    /// A worker takes no new instances, and those on it drain: they go on serving for the given time.
-    pub fn drain_worker(self: &Arc<Platform>, worker: &str, drain: Duration) {
-        self.draining_workers.lock().unwrap().push(worker.to_owned());
-        let here: Vec<_> =
-            self.instances.lock().unwrap().values().filter(|instance| instance.worker == worker).cloned().collect();
-        let ids: Vec<&str> = here
-            .iter()
-            .filter(|instance| !instance.stopped.load(Ordering::Relaxed))
-            .map(|instance| instance.id.as_str())
-            .collect();
-        self.record.say(&format!("worker {worker} drains: {}", ids.join(" ")));
-        here.iter().for_each(|instance| instance.draining.store(true, Ordering::Relaxed));
-        let (platform, worker) = (self.clone(), worker.to_owned());
-        thread::spawn(move || {
-            thread::sleep(drain);
-            here.iter().for_each(|instance| instance.stopped.store(true, Ordering::Relaxed));
-            thread::sleep(Duration::from_secs(2));
-            platform.draining_workers.lock().unwrap().retain(|known| *known != worker);
-        });
-    }
-
     fn note_call(&self, call: &Message, what: String, service: &str, status: u16) {
         let (holder, fence) = (call.header("Duty-Holder"), call.header("Fence-Token"));
         self.record.line(&format!("platform {what} {service} holder {holder} fence {fence} -> {status}"));
-        let at_ms = self.record.now_ms();
-        let fence = fence.parse().unwrap_or(0);
-        let call = Call { at_ms, what, service: service.into(), holder: holder.into(), fence };
+        let call = Call { service: service.into(), fence: fence.parse().unwrap_or(0) };
         self.calls.lock().unwrap().push(call);
     }
 
@@ -246,7 +211,7 @@
             return (200, format!(r#"{{"id":"{id}","address":"{address}"}}"#));
         }
         let memory = self.workers.iter().find(|(name, _)| *name == worker).map_or(0, |(_, memory)| *memory);
-        if self.is_draining(&worker) || self.free_memory(&worker, memory) < function.memory_mb {
+        if self.free_memory(&worker, memory) < function.memory_mb {
             self.note_call(call, "begin".into(), &service, 409);
             return (409, "{}".into());
         }
@@ -259,7 +224,6 @@
             worker,
             address: address.clone(),
             ready: AtomicBool::new(false),
-            draining: AtomicBool::new(false),
             stopped: AtomicBool::new(false),
             running: AtomicUsize::new(0),
             answers: AtomicU64::new(0),
