--- a/review/standin-2/cases/first_start.rs
+++ b/review/standin-2/cases/first_start.rs
@@ -2,8 +2,10 @@
 //! They are started again after a short delay, with the same disks.
 
 use crate::Record;
-use crate::deployment::{self, BOUNDS, Deployment, Ports, Route, SIGKILL};
-use crate::platform::{Function, Instance, Next, Platform};
+use crate::deployment::{self, Deployment, SIGKILL};
+use crate::instances::{Instance, Next};
+use crate::platform::{Function, Platform};
+use crate::settings::{self, BOUNDS, Ports, Route};
 use std::collections::BTreeMap;
 use std::io::Read;
 use std::path::Path;
@@ -44,7 +46,7 @@
 fn play_start(record: &Arc<Record>, trouble: bool, number: usize) -> Option<i32> {
     record.say(&format!("first start {number}, with empty disks"));
     let ports = Ports::find();
-    let behaviour = |_: &Platform, _: &Instance, _: &mut crate::platform::Exchange| Ok(Next::Usual);
+    let behaviour = |_: &Platform, _: &Instance, _: &mut crate::instances::Exchange| Ok(Next::Usual);
     let workers = (0..3).map(|number| (format!("w-{number}"), 16_000)).collect();
     let platform = Platform::start(record, ports.network, ports.platform(), functions(), workers, Box::new(behaviour));
     let deployment = Deployment::start(record, ports, deployment::CORE, &platform.address, BOUNDS);
@@ -64,7 +66,7 @@
     }
     thread::sleep(WATCHED);
     let routes = [Route { service: "fn-0", kind: "idempotent", attempts: 2 }];
-    let is_acknowledged = deployment.order("Replace", 0, &deployment::configuration(&routes, &functions()), 10);
+    let is_acknowledged = deployment.order("Replace", 0, &settings::configuration(&routes, &functions()), 10);
     record.say(&format!("the first configuration is acknowledged: {is_acknowledged}"));
     deployment.end();
     let mut ends: BTreeMap<usize, usize> = BTreeMap::new();
--- a/review/standin-2/cases/keep_alive.rs
+++ b/review/standin-2/cases/keep_alive.rs
@@ -2,8 +2,10 @@
 
 use super::Clients;
 use crate::Record;
-use crate::deployment::{self, BOUNDS, Deployment, Ports, Route};
-use crate::platform::{Function, Instance, Next, Platform};
+use crate::deployment::{self, Deployment};
+use crate::instances::{Instance, Next};
+use crate::platform::{Function, Platform};
+use crate::settings::{self, BOUNDS, Ports, Route};
 use std::collections::BTreeSet;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
@@ -36,7 +38,7 @@
     let in_trouble_answers = AtomicU64::new(0);
     let round = Arc::new(AtomicU64::new(0));
     let rounds = round.clone();
-    let behaviour = move |platform: &Platform, instance: &Instance, exchange: &mut crate::platform::Exchange| {
+    let behaviour = move |platform: &Platform, instance: &Instance, exchange: &mut crate::instances::Exchange| {
         let now = platform.record.now_ms();
         let began = begun.load(Ordering::SeqCst);
         let in_trouble = now >= began && now < began.saturating_add(TROUBLE_MS);
@@ -59,7 +61,7 @@
     let names: Vec<String> = functions().iter().map(|function| function.name.clone()).collect();
     let routes: Vec<Route> =
         names.iter().map(|name| Route { service: name, kind: "idempotent", attempts: 2 }).collect();
-    if !deployment.configure(&deployment::configuration(&routes, &functions())) {
+    if !deployment.configure(&settings::configuration(&routes, &functions())) {
         deployment.end();
         return 2;
     }
--- a/review/standin-2/cases/late_refusal.rs
+++ b/review/standin-2/cases/late_refusal.rs
@@ -3,8 +3,10 @@
 
 use super::Clients;
 use crate::Record;
-use crate::deployment::{self, BOUNDS, Deployment, Ports, Route};
-use crate::platform::{self, Function, Instance, Next, Platform};
+use crate::deployment::{self, Deployment};
+use crate::instances::{self, Instance, Next};
+use crate::platform::{Function, Platform};
+use crate::settings::{self, BOUNDS, Ports, Route};
 use std::collections::BTreeMap;
 use std::io::Write;
 use std::sync::Arc;
@@ -37,7 +39,7 @@
     let copies = Arc::new(AtomicU64::new(0));
     let counted = copies.clone();
     let allowed: Arc<Vec<AtomicU64>> = Arc::new((0..4096).map(|_| AtomicU64::new(0)).collect());
-    let behaviour = move |platform: &Platform, instance: &Instance, exchange: &mut platform::Exchange| {
+    let behaviour = move |platform: &Platform, instance: &Instance, exchange: &mut instances::Exchange| {
         let now = platform.record.now_ms();
         let began = begun.load(Ordering::SeqCst);
         let in_trouble = trouble && now >= began && now < began.saturating_add(TROUBLE_MS);
@@ -56,7 +58,7 @@
             && answers / ANSWERS_PER_SECOND_ANSWER > spent.load(Ordering::SeqCst);
         if is_full && may_copy {
             platform.note_turned_away(instance, exchange.request);
-            let answer = platform::encode_answer(exchange.request, "503 Full", &[("Not-Executed", "1")], b"");
+            let answer = instances::encode_answer(exchange.request, "503 Full", &[("Not-Executed", "1")], b"");
             exchange.connection.stream.write_all(&answer)?;
             spent.store(answers / ANSWERS_PER_SECOND_ANSWER, Ordering::SeqCst);
             counted.fetch_add(1, Ordering::SeqCst);
@@ -74,7 +76,7 @@
     let names: Vec<String> = functions().iter().map(|function| function.name.clone()).collect();
     let routes: Vec<Route> =
         names.iter().map(|name| Route { service: name, kind: "non_idempotent", attempts: 3 }).collect();
-    if !deployment.configure(&deployment::configuration(&routes, &functions())) {
+    if !deployment.configure(&settings::configuration(&routes, &functions())) {
         deployment.end();
         return 2;
     }
--- a/review/standin-2/main.rs
+++ b/review/standin-2/main.rs
@@ -4,7 +4,9 @@
 mod cases;
 mod deployment;
 mod http;
+mod instances;
 mod platform;
+mod settings;
 
 use std::fs::File;
 use std::io::Write;
