Bound an instance's announced keep-alive time where it is parsed

Cause: the number of seconds in an instance's `Keep-Alive` was taken as it came, and the pool added it to a moment: `connection.last_used + instance.keep_alive` panics with "overflow when adding duration to instant" beyond some 2^63 seconds. The next owner of the function gets the next such answer.

Ruled out: the parser itself (it never panics), an instance's other headers and lengths (bounded or compared only).

Change: `KeepAlive` holds usable times only: at most 60 s, less the margin; a value that is no whole number of 64 bits announces none, as before. The pool compares the idle time with it and adds nothing to a moment.

--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -12,6 +12,7 @@
 mod forwarded_headers;
 mod http_dialect;
 mod instance_request;
+mod keep_alive;
 mod order;
 mod pool;
 mod response;
--- a/crates/dispatch/src/pool.rs
+++ b/crates/dispatch/src/pool.rs
@@ -2,23 +2,25 @@
 //! none is kept longer than the instance keeps it open.
 
 use crate::connection::{Connection, OpenCount};
+use crate::keep_alive::KeepAlive;
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::rc::Rc;
-use std::time::{Duration, Instant};
-
-/// Keep-alive time of an instance that announces none. Instances announce whole seconds, if there are any, so a time
-/// that is not announced may be shorter than one second.
-const DEFAULT_KEEP_ALIVE: Duration = Duration::from_millis(900);
-/// Safety margin before the instance closes an idle connection: the time a request may take to reach the instance.
-const CLOSE_MARGIN: Duration = Duration::from_millis(300);
+use std::time::Instant;
 
 /// Connections to one instance.
 struct InstanceConnections {
     address: String,
     idle: Vec<Connection>,
     open_count: Rc<Cell<u32>>,
-    keep_alive: Duration,
+    /// As announced last.
+    keep_alive: KeepAlive,
+}
+
+/// Whether an idle connection may be reused.
+fn is_usable(connection: &Connection, keep_alive: KeepAlive, now: Instant) -> bool {
+    let idle_time = now.saturating_duration_since(connection.last_used);
+    keep_alive.allows_reuse_after(idle_time) && connection.is_idle()
 }
 
 /// Result of asking the pool for a connection.
@@ -45,13 +47,13 @@
                 address: address.to_owned(),
                 idle: Vec::new(),
                 open_count: Rc::default(),
-                keep_alive: DEFAULT_KEEP_ALIVE,
+                keep_alive: KeepAlive::DEFAULT,
             };
             instances.insert(id.to_owned(), instance);
         }
         let Some(instance) = instances.get_mut(id) else { return Checkout::Full };
         while let Some(connection) = instance.idle.pop() {
-            if now < connection.last_used + instance.keep_alive && connection.is_idle() {
+            if is_usable(&connection, instance.keep_alive, now) {
                 return Checkout::Idle(connection);
             }
         }
@@ -68,18 +70,16 @@
     }
 
     /// Returns a connection to the pool, unless its instance was forgotten in the meantime. `keep_alive` is `None` if
-    /// there was no response, and `Some(None)` if the response announced no keep-alive time.
-    pub fn check_in(&self, now: Instant, id: &str, mut connection: Connection, keep_alive: Option<Option<Duration>>) {
+    /// there was no response.
+    pub fn check_in(&self, now: Instant, id: &str, mut connection: Connection, keep_alive: Option<KeepAlive>) {
         let mut instances = self.instances.borrow_mut();
         let Some(instance) =
             instances.get_mut(id).filter(|instance| connection.open_count.counts_in(&instance.open_count))
         else {
             return;
         };
-        match keep_alive {
-            Some(Some(keep_alive)) => instance.keep_alive = keep_alive.saturating_sub(CLOSE_MARGIN.min(keep_alive / 4)),
-            Some(None) => instance.keep_alive = DEFAULT_KEEP_ALIVE,
-            None => {}
+        if let Some(keep_alive) = keep_alive {
+            instance.keep_alive = keep_alive;
         }
         connection.last_used = now;
         instance.idle.push(connection);
@@ -94,9 +94,14 @@
     pub fn sweep(&self, now: Instant) -> bool {
         let mut instances = self.instances.borrow_mut();
         instances.retain(|_, instance| {
-            instance.idle.retain(|connection| now < connection.last_used + instance.keep_alive && connection.is_idle());
+            let keep_alive = instance.keep_alive;
+            instance.idle.retain(|connection| is_usable(connection, keep_alive, now));
             instance.open_count.get() > 0
         });
         !instances.is_empty()
     }
 }
+
+#[cfg(test)]
+#[path = "pool_tests.rs"]
+mod tests;
--- a/crates/dispatch/src/response.rs
+++ b/crates/dispatch/src/response.rs
@@ -1,9 +1,9 @@
 //! Incremental parser of an HTTP response: its head, then a body of declared length or in chunks. A
 //! body that ends only when the connection closes is rejected, since it cannot be known to be complete.
 
+use crate::keep_alive::KeepAlive;
 use crate::{HttpDialect, forwarded_headers};
 use hyper::header::HeaderName;
-use std::time::Duration;
 use wire::AnswerHead;
 
 /// Maximum size of a response body.
@@ -33,8 +33,8 @@
     /// Whether the instance states that it did not run the request.
     pub not_run: bool,
     pub closes_connection: bool,
-    /// How long the instance keeps an idle connection open, if it tells.
-    pub keep_alive: Option<Duration>,
+    /// How long the instance keeps an idle connection open.
+    pub keep_alive: KeepAlive,
     pub content_encoding: Option<String>,
 }
 
@@ -75,11 +75,6 @@
             let options = std::str::from_utf8(list).unwrap_or("close");
             options.split(',').any(|option| option.trim().eq_ignore_ascii_case("close"))
         });
-    let keep_alive = fields.text("keep-alive").and_then(|parameters| {
-        let mut parts = parameters.split(',').filter_map(|part| part.trim().split_once('='));
-        let seconds = parts.find(|(name, _)| name.trim().eq_ignore_ascii_case("timeout"))?.1;
-        seconds.trim().parse().ok().map(Duration::from_secs)
-    });
     Ok(Some(ResponseHead {
         status,
         body_length: body_length(status, &fields, has_no_body)?,
@@ -90,7 +85,7 @@
         request_id: fields.named(&dialect.request_id).map(<[u8]>::to_vec),
         not_run: fields.named(&dialect.not_run).is_some(),
         closes_connection,
-        keep_alive,
+        keep_alive: fields.text("keep-alive").and_then(KeepAlive::parse).unwrap_or(KeepAlive::DEFAULT),
         content_encoding: fields.text("content-encoding").map(str::to_owned),
     }))
 }
--- a/crates/dispatch/tests/connection_reuse.rs
+++ b/crates/dispatch/tests/connection_reuse.rs
@@ -47,6 +47,23 @@
     });
 }
 
+// Guards against the end of a router: a keep-alive time beyond what a clock can add up to was added to one.
+#[test_case("timeout=9223372036854775807"; "2^63 - 1 seconds")]
+#[test_case("timeout=18446744073709551615"; "2^64 - 1 seconds")]
+#[test_case("timeout=9223372036854000000, max=100"; "a little below what a clock can hold, and a limit")]
+#[test_case("max=9223372036854775807, Timeout = 18446744073709551615"; "other parameters and spaces")]
+fn a_connection_with_a_huge_keep_alive_time_is_reused(parameters: &str) {
+    let first = COMPLETE.replace("timeout=5", parameters);
+    run(async {
+        let instance = FakeInstance::start(vec![vec![answer(&first), answer(COMPLETE)]]).await;
+        let dispatcher = dispatcher();
+        for id in ["a", "b"] {
+            assert_eq!(status(&dispatcher.send(instance.order(id)).await), 200);
+        }
+        assert_eq!(instance.request_connections(), [0, 0]);
+    });
+}
+
 #[test]
 fn a_surplus_answer_is_not_taken_for_the_next_requests() {
     let surplus = "HTTP/1.1 200 OK\nx-id: a\ncontent-length: 4\n\nlate";
