Send the same request over a connection to an instance only once

Cause: a response is matched by the request id that it echoes, and the id names the request, not one sending of it. A refused request (503 with the not-run header) gave its connection back to the pool, and its next sending, some hundred milliseconds later, took the most recently used connection, which was the same one. A late second copy of the refusal was then the response to that sending: "not run", while the instance ran it; so it was sent once more.

Record of one request, in ms: 18,287 turned away by i-27; 19,019 i-27 sends its second answer and runs it; 19,433 i-27 runs it again. Ruled out: the links between routers (each forwarding has a number of its own), the registries (each request has one), surplus bytes on idle connections (found before reuse) and a copy at another request (its id differs: in doubt).

Change: a connection keeps the hashes of the ids that it carried, and the pool passes it over for a request that it has carried, whatever the response was. It stays in the pool for other requests; it is closed if the instance would accept no further connection, and after 1,000 requests, which bounds the hashes to 8 kB. Not chosen: closing the connection after each refusal (a new connection may hold a slot for a moment, which makes refusals in a burst more), and forgetting ids after a time (nothing bounds how late a copy comes).

--- a/crates/dispatch/src/connection.rs
+++ b/crates/dispatch/src/connection.rs
@@ -4,6 +4,7 @@
 use crate::answer_memory::{AnswerMemory, UNRESERVED_ANSWER_BYTES};
 use crate::instance_request::InstanceRequest;
 use crate::response::{BodyLength, ChunkedBody, MAX_BODY_BYTES, MAX_HEAD_BYTES, ResponseHead, parse_response_head};
+use crate::sent_requests::SentRequests;
 use bytes::Bytes;
 use std::cell::Cell;
 use std::io;
@@ -46,6 +47,7 @@
     stream: TcpStream,
     pub open_count: OpenCount,
     pub last_used: Instant,
+    sent_requests: SentRequests,
 }
 
 pub(crate) struct Response {
@@ -76,7 +78,12 @@
         let stream = TcpStream::connect(address).await?;
         stream.set_nodelay(true)?;
         kernel::set_silence_timeout(&stream, ACKNOWLEDGEMENT_TIMEOUT)?;
-        Ok(Connection { stream, open_count, last_used: Instant::now() })
+        Ok(Connection { stream, open_count, last_used: Instant::now(), sent_requests: SentRequests::default() })
+    }
+
+    /// Whether the connection has carried a request with this id, so that a late copy of its response may still come.
+    pub fn has_carried(&self, request_id: &[u8]) -> bool {
+        self.sent_requests.contains(request_id)
     }
 
     /// Whether the connection is still open and has no unexpected bytes to read.
@@ -92,6 +99,7 @@
         dialect: &HttpDialect,
         memory: &AnswerMemory,
     ) -> Result<Response, ExchangeError> {
+        request.request_id.iter().for_each(|id| self.sent_requests.insert(id));
         let is_sent = self.send(request).await?;
         let mut bytes = Vec::with_capacity(READ_BYTES);
         let head = self.read_head(&mut bytes, request, dialect).await?;
@@ -103,7 +111,8 @@
         if request.request_id.is_none() && (surplus || self.receives_more().await) {
             return in_doubt("surplus bytes after the end of the response");
         }
-        let reusable = !surplus && !head.closes_connection && is_sent && request.request_id.is_some();
+        let keeps_matching = request.request_id.is_some() && !self.sent_requests.is_full();
+        let reusable = !surplus && !head.closes_connection && is_sent && keeps_matching;
         Ok(Response { head, body, reusable })
     }
 
--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -4,7 +4,7 @@
 use crate::answer_memory::AnswerMemory;
 use crate::connection::{Connection, ExchangeError, OpenCount, Response};
 use crate::instance_request::InstanceRequest;
-use crate::pool::{Checkout, Pool};
+use crate::pool::{Checkout, InstanceAddress, Pool};
 use crate::response::ResponseHead;
 use crate::{DispatchOrder, DispatchOutcome, DispatchReport, DispatcherMessage, HttpDialect};
 use bytes::Bytes;
@@ -112,11 +112,11 @@
     }
 
     async fn exchange(&self, order: &DispatchOrder, request: &InstanceRequest) -> DispatchOutcome {
+        let instance =
+            InstanceAddress { id: &order.instance_id, address: &order.address, max_connections: order.max_connections };
         loop {
-            let checkout = match request.request_id {
-                Some(_) => {
-                    self.pool.check_out(Instant::now(), &order.instance_id, &order.address, order.max_connections)
-                }
+            let checkout = match &request.request_id {
+                Some(id) => self.pool.check_out(Instant::now(), &instance, Some(id)),
                 None => Checkout::MayOpen(self.pool.open_unpooled()),
             };
             let (mut connection, was_pooled) = match checkout {
@@ -172,13 +172,14 @@
     pub async fn probe(&self, id: &str, address: &str, delay: Duration, timeout: Duration) -> bool {
         sleep(delay).await;
         let started = Instant::now();
+        let instance = InstanceAddress { id, address, max_connections: u32::MAX };
         let mut pause = MIN_PROBE_PAUSE;
         loop {
             let time_left = timeout.saturating_sub(started.elapsed());
             if time_left.is_zero() {
                 return false;
             }
-            match self.pool.check_out(Instant::now(), id, address, u32::MAX) {
+            match self.pool.check_out(Instant::now(), &instance, None) {
                 Checkout::Full => return false,
                 Checkout::Idle(connection) => {
                     self.pool.check_in(Instant::now(), id, connection, None);
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -1,7 +1,7 @@
 //! HTTP client that sends tasks to instances over pooled connections.
 //!
 //! A response is matched to its task by the request id that it echoes, and is accepted only if it is
-//! complete. Any other result is reported as what it is: rejected by the instance without running,
+//! complete. A connection carries the same id only once. Any other result is reported as what it is: rejected by the instance without running,
 //! never sent, or in doubt. Tasks without an id each use a connection of their own.
 
 #![warn(missing_docs)]
@@ -16,6 +16,7 @@
 mod order;
 mod pool;
 mod response;
+mod sent_requests;
 
 pub use answer_memory::{AnswerMemory, UNRESERVED_ANSWER_BYTES};
 pub use dispatcher::{Dispatcher, ReportHandler, run, send_to_instance};
--- a/crates/dispatch/src/pool.rs
+++ b/crates/dispatch/src/pool.rs
@@ -1,5 +1,5 @@
-//! Pool of idle connections to each instance. The most recently used connection is reused first, and
-//! none is kept longer than the instance keeps it open.
+//! Pool of idle connections to each instance. The most recently used connection is reused first, none carries the same
+//! request twice, and none is kept longer than the instance keeps it open.
 
 use crate::connection::{Connection, OpenCount};
 use crate::keep_alive::KeepAlive;
@@ -17,6 +17,43 @@
     keep_alive: KeepAlive,
 }
 
+impl InstanceConnections {
+    fn new(address: &str) -> InstanceConnections {
+        InstanceConnections {
+            address: address.to_owned(),
+            idle: Vec::new(),
+            open_count: Rc::default(),
+            keep_alive: KeepAlive::DEFAULT,
+        }
+    }
+
+    /// Takes the most recently used idle connection that is usable and has not carried the request. Closes those that
+    /// it finds unusable.
+    fn take_idle(&mut self, now: Instant, request_id: Option<&[u8]>) -> Option<Connection> {
+        for position in (0..self.idle.len()).rev() {
+            if request_id.is_some_and(|id| self.idle[position].has_carried(id)) {
+                continue;
+            }
+            let connection = self.idle.remove(position);
+            if is_usable(&connection, self.keep_alive, now) {
+                return Some(connection);
+            }
+        }
+        None
+    }
+
+    /// Returns permission to open a connection. Closes the oldest idle ones if the instance would accept no other.
+    fn may_open(&mut self, max_connections: u32) -> Option<OpenCount> {
+        while self.open_count.get() >= max_connections.max(1) {
+            if self.idle.is_empty() {
+                return None;
+            }
+            self.idle.remove(0);
+        }
+        Some(OpenCount::new(&self.open_count))
+    }
+}
+
 /// Whether an idle connection may be reused.
 fn is_usable(connection: &Connection, keep_alive: KeepAlive, now: Instant) -> bool {
     let idle_time = now.saturating_duration_since(connection.last_used);
@@ -33,35 +70,34 @@
     Full,
 }
 
+/// An instance, as an order names it.
+pub(crate) struct InstanceAddress<'a> {
+    /// Id of the instance at its provider.
+    pub id: &'a str,
+    /// Address where the instance accepts requests.
+    pub address: &'a str,
+    /// Maximum number of connections that the instance accepts.
+    pub max_connections: u32,
+}
+
 #[derive(Default)]
 pub(crate) struct Pool {
     instances: RefCell<BTreeMap<String, InstanceConnections>>,
 }
 
 impl Pool {
-    /// Returns an idle connection that is still usable, or permission to open one.
-    pub fn check_out(&self, now: Instant, id: &str, address: &str, max_connections: u32) -> Checkout {
+    /// Returns an idle connection to an instance that is still usable and has not carried the request, or permission to
+    /// open one.
+    pub fn check_out(&self, now: Instant, instance: &InstanceAddress, request_id: Option<&[u8]>) -> Checkout {
         let mut instances = self.instances.borrow_mut();
-        if instances.get(id).is_none_or(|instance| instance.address != address) {
-            let instance = InstanceConnections {
-                address: address.to_owned(),
-                idle: Vec::new(),
-                open_count: Rc::default(),
-                keep_alive: KeepAlive::DEFAULT,
-            };
-            instances.insert(id.to_owned(), instance);
-        }
-        let Some(instance) = instances.get_mut(id) else { return Checkout::Full };
-        while let Some(connection) = instance.idle.pop() {
-            if is_usable(&connection, instance.keep_alive, now) {
-                return Checkout::Idle(connection);
-            }
+        if instances.get(instance.id).is_none_or(|known| known.address != instance.address) {
+            instances.insert(instance.id.to_owned(), InstanceConnections::new(instance.address));
         }
-        if instance.open_count.get() >= max_connections.max(1) {
-            Checkout::Full
-        } else {
-            Checkout::MayOpen(OpenCount::new(&instance.open_count))
+        let Some(connections) = instances.get_mut(instance.id) else { return Checkout::Full };
+        if let Some(connection) = connections.take_idle(now, request_id) {
+            return Checkout::Idle(connection);
         }
+        connections.may_open(instance.max_connections).map_or(Checkout::Full, Checkout::MayOpen)
     }
 
     /// Returns permission to open a connection outside the pool.
--- a/crates/dispatch/src/pool_tests.rs
+++ b/crates/dispatch/src/pool_tests.rs
@@ -1,6 +1,6 @@
 //! Pooled connections over real sockets, with the time given by the test.
 
-use super::{Checkout, Pool};
+use super::{Checkout, InstanceAddress, Pool};
 use crate::connection::{Connection, OpenCount};
 use crate::keep_alive::KeepAlive;
 use std::time::{Duration, Instant};
@@ -24,7 +24,8 @@
     }
 
     fn check_out(&self, now: Instant) -> Checkout {
-        self.pool.check_out(now, INSTANCE, &self.address, MAX_CONNECTIONS)
+        let instance = InstanceAddress { id: INSTANCE, address: &self.address, max_connections: MAX_CONNECTIONS };
+        self.pool.check_out(now, &instance, None)
     }
 
     /// Opens a connection as the pool permits it; returns it with the instance's end.
--- a/crates/dispatch/tests/fake_instance/mod.rs
+++ b/crates/dispatch/tests/fake_instance/mod.rs
@@ -20,6 +20,8 @@
     Answer(String),
     /// Answers and then closes the connection.
     AnswerAndClose(String),
+    /// Sends a late copy of the response to an earlier request, then the response to this one.
+    LateCopyThenAnswer(String, String),
     Close,
     NoAnswer,
 }
@@ -45,6 +47,10 @@
     Action::AnswerAndClose(with_crlf(text))
 }
 
+pub fn late_copy_then_answer(copy: &str, text: &str) -> Action {
+    Action::LateCopyThenAnswer(with_crlf(copy), with_crlf(text))
+}
+
 pub fn with_crlf(text: &str) -> String {
     text.replace('\n', "\r\n")
 }
@@ -119,6 +125,10 @@
         match action {
             Action::Answer(text) => drop(stream.write_all(text.replace("{id}", &id).as_bytes()).await),
             Action::AnswerAndClose(text) => return drop(stream.write_all(text.replace("{id}", &id).as_bytes()).await),
+            Action::LateCopyThenAnswer(copy, text) => {
+                drop(stream.write_all(copy.as_bytes()).await);
+                drop(stream.write_all(text.replace("{id}", &id).as_bytes()).await)
+            }
             Action::Close => return,
             Action::NoAnswer => break,
         }
