Move the decoder of chunked bodies and the count of connections to modules of their own

response.rs held the parser of heads and the decoder of bodies, connection.rs the guard that the pool counts with.

--- a/crates/dispatch/src/connection.rs
+++ b/crates/dispatch/src/connection.rs
@@ -2,13 +2,13 @@
 
 use crate::HttpDialect;
 use crate::answer_memory::{AnswerMemory, UNRESERVED_ANSWER_BYTES};
+use crate::chunked_body::ChunkedBody;
 use crate::instance_request::InstanceRequest;
-use crate::response::{BodyLength, ChunkedBody, MAX_BODY_BYTES, MAX_HEAD_BYTES, ResponseHead, parse_response_head};
+use crate::open_count::OpenCount;
+use crate::response::{BodyLength, MAX_BODY_BYTES, MAX_HEAD_BYTES, ResponseHead, parse_response_head};
 use crate::sent_requests::SentRequests;
 use bytes::Bytes;
-use std::cell::Cell;
 use std::io;
-use std::rc::Rc;
 use std::time::{Duration, Instant};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
@@ -22,27 +22,6 @@
 /// Initial size of the read buffer.
 const READ_BYTES: usize = 8 * 1024;
 
-/// Guard that counts a connection as open while it exists.
-pub(crate) struct OpenCount(Rc<Cell<u32>>);
-
-impl OpenCount {
-    pub fn new(count: &Rc<Cell<u32>>) -> OpenCount {
-        count.set(count.get() + 1);
-        OpenCount(count.clone())
-    }
-
-    /// Whether this guard belongs to the given counter.
-    pub fn counts_in(&self, count: &Rc<Cell<u32>>) -> bool {
-        Rc::ptr_eq(&self.0, count)
-    }
-}
-
-impl Drop for OpenCount {
-    fn drop(&mut self) {
-        self.0.set(self.0.get().saturating_sub(1));
-    }
-}
-
 pub(crate) struct Connection {
     stream: TcpStream,
     pub open_count: OpenCount,
--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -2,8 +2,9 @@
 //! not choose instances, and never resends a request of which any byte may have been sent.
 
 use crate::answer_memory::AnswerMemory;
-use crate::connection::{Connection, ExchangeError, OpenCount, Response};
+use crate::connection::{Connection, ExchangeError, Response};
 use crate::instance_request::InstanceRequest;
+use crate::open_count::OpenCount;
 use crate::pool::{Checkout, InstanceAddress, Pool};
 use crate::response::ResponseHead;
 use crate::{DispatchOrder, DispatchOutcome, DispatchReport, DispatcherMessage, HttpDialect};
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -7,12 +7,14 @@
 #![warn(missing_docs)]
 
 mod answer_memory;
+mod chunked_body;
 mod connection;
 mod dispatcher;
 mod forwarded_headers;
 mod http_dialect;
 mod instance_request;
 mod keep_alive;
+mod open_count;
 mod order;
 mod pool;
 mod response;
--- a/crates/dispatch/src/pool.rs
+++ b/crates/dispatch/src/pool.rs
@@ -1,8 +1,9 @@
 //! Pool of idle connections to each instance. The most recently used connection is reused first, none carries the same
 //! request twice, and none is kept longer than the instance keeps it open.
 
-use crate::connection::{Connection, OpenCount};
+use crate::connection::Connection;
 use crate::keep_alive::KeepAlive;
+use crate::open_count::OpenCount;
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::rc::Rc;
--- a/crates/dispatch/src/pool_tests.rs
+++ b/crates/dispatch/src/pool_tests.rs
@@ -1,8 +1,9 @@
 //! Pooled connections over real sockets, with the time given by the test.
 
 use super::{Checkout, InstanceAddress, Pool};
-use crate::connection::{Connection, OpenCount};
+use crate::connection::Connection;
 use crate::keep_alive::KeepAlive;
+use crate::open_count::OpenCount;
 use std::time::{Duration, Instant};
 use tokio::net::{TcpListener, TcpStream};
 
--- a/crates/dispatch/src/response.rs
+++ b/crates/dispatch/src/response.rs
@@ -1,5 +1,5 @@
-//! Incremental parser of an HTTP response: its head, then a body of declared length or in chunks. A
-//! body that ends only when the connection closes is rejected, since it cannot be known to be complete.
+//! Parser of the head of an HTTP response. A response whose body ends only when the connection closes is rejected, since
+//! it cannot be known to be complete.
 
 use crate::keep_alive::KeepAlive;
 use crate::{HttpDialect, forwarded_headers};
@@ -9,7 +9,7 @@
 /// Maximum size of a response body.
 pub const MAX_BODY_BYTES: usize = 4 * 1024 * 1024;
 pub(crate) const MAX_HEAD_BYTES: usize = 64 * 1024;
-const MAX_HEADERS: usize = 64;
+pub(crate) const MAX_HEADERS: usize = 64;
 
 /// Length of a response body, as declared by the head.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -111,94 +111,3 @@
         _ => Err("response without a usable body length"),
     }
 }
-
-/// Position of the decoder in a chunked body.
-#[derive(Clone, Copy, Default)]
-enum ChunkPosition {
-    #[default]
-    Size,
-    /// So many bytes of the chunk's data are missing.
-    Data(usize),
-    DataEnd,
-    Trailer,
-    End,
-}
-
-/// Decoder of a chunked body. It keeps the data that it has decoded, and nothing else.
-#[derive(Default)]
-pub(crate) struct ChunkedBody {
-    pub body: Vec<u8>,
-    position: ChunkPosition,
-}
-
-impl ChunkedBody {
-    /// Decodes the beginning of `bytes` as far as possible and removes it. Returns whether the body and its trailer are
-    /// complete.
-    pub fn decode(&mut self, bytes: &mut Vec<u8>) -> Result<bool, &'static str> {
-        let mut decoded_bytes = 0;
-        while !matches!(self.position, ChunkPosition::End) {
-            match self.decode_part(&bytes[decoded_bytes..])? {
-                Some(part_bytes) => decoded_bytes += part_bytes,
-                None => break,
-            }
-        }
-        drop(bytes.drain(..decoded_bytes));
-        Ok(matches!(self.position, ChunkPosition::End))
-    }
-
-    /// Decodes the next part of the body. Returns its length, or `None` if it has not arrived.
-    fn decode_part(&mut self, bytes: &[u8]) -> Result<Option<usize>, &'static str> {
-        let (part_bytes, next) = match self.position {
-            ChunkPosition::Size => match httparse::parse_chunk_size(bytes) {
-                Ok(httparse::Status::Complete((line_bytes, 0))) => (line_bytes, ChunkPosition::Trailer),
-                Ok(httparse::Status::Complete((line_bytes, size))) => (line_bytes, self.data_of(size)?),
-                Ok(httparse::Status::Partial) => return partial(bytes, "chunk header too large"),
-                Err(_) => return Err("invalid chunk size"),
-            },
-            ChunkPosition::Data(_) if bytes.is_empty() => return Ok(None),
-            ChunkPosition::Data(missing) => {
-                let data = &bytes[..missing.min(bytes.len())];
-                self.append(data);
-                let missing = missing - data.len();
-                (data.len(), if missing == 0 { ChunkPosition::DataEnd } else { ChunkPosition::Data(missing) })
-            }
-            ChunkPosition::DataEnd if bytes.len() < 2 => return Ok(None),
-            ChunkPosition::DataEnd if !bytes.starts_with(b"\r\n") => return Err("chunk without a terminating CRLF"),
-            ChunkPosition::DataEnd => (2, ChunkPosition::Size),
-            ChunkPosition::Trailer => {
-                let mut trailer = [httparse::EMPTY_HEADER; MAX_HEADERS];
-                match httparse::parse_headers(bytes, &mut trailer) {
-                    Ok(httparse::Status::Complete((end, _))) => (end, ChunkPosition::End),
-                    Ok(httparse::Status::Partial) => return partial(bytes, "trailer too large"),
-                    Err(_) => return Err("malformed trailer"),
-                }
-            }
-            ChunkPosition::End => (0, ChunkPosition::End),
-        };
-        self.position = next;
-        Ok(Some(part_bytes))
-    }
-
-    fn data_of(&self, chunk_bytes: u64) -> Result<ChunkPosition, &'static str> {
-        let chunk_bytes = usize::try_from(chunk_bytes).unwrap_or(usize::MAX);
-        match self.body.len().saturating_add(chunk_bytes) <= MAX_BODY_BYTES {
-            true => Ok(ChunkPosition::Data(chunk_bytes)),
-            false => Err("response body too large"),
-        }
-    }
-
-    /// Appends data. The buffer doubles as it grows, but never exceeds the largest body.
-    fn append(&mut self, data: &[u8]) {
-        let needed_bytes = self.body.len() + data.len();
-        if needed_bytes > self.body.capacity() {
-            let capacity = needed_bytes.max(2 * self.body.capacity()).min(MAX_BODY_BYTES);
-            self.body.reserve_exact(capacity - self.body.len());
-        }
-        self.body.extend_from_slice(data);
-    }
-}
-
-/// Returns that a part has not arrived completely, or the error if it is too long.
-fn partial(bytes: &[u8], error: &'static str) -> Result<Option<usize>, &'static str> {
-    if bytes.len() > MAX_HEAD_BYTES { Err(error) } else { Ok(None) }
-}
